--- /dev/null
+++ b/daemon/event/catalogue.go
@@ -0,0 +1,29 @@
+package event
+
+import "maps"
+
+// Events 101 to 199 concern the process.
+const (
+	Started  ID = 101
+	Stopping ID = 102
+	Stopped  ID = 103
+)
+
+var processTexts = map[ID]string{
+	Started:  "process started",
+	Stopping: "graceful stop started",
+	Stopped:  "process stopped",
+}
+
+var texts = merge(processTexts, clusterTexts, entryTexts, agentTexts, transportTexts)
+
+// Text returns the fixed text of an event.
+func Text(id ID) string { return texts[id] }
+
+func merge(areas ...map[ID]string) map[ID]string {
+	all := make(map[ID]string)
+	for _, a := range areas {
+		maps.Copy(all, a)
+	}
+	return all
+}
--- /dev/null
+++ b/daemon/transport/transport.go
@@ -0,0 +1,30 @@
+// Package transport carries HTTP between the system's own processes, with mutual
+// TLS, over QUIC (HTTP/3) or TCP (HTTP/2).
+package transport
+
+import (
+	"context"
+	"net/http"
+)
+
+// Server serves one listener.
+type Server interface {
+	// Addr returns the address that the server listens on, as IP:port.
+	Addr() string
+	// Serve accepts connections until Shutdown. It returns nil after a Shutdown.
+	Serve() error
+	// Shutdown stops accepting and waits for calls in flight until ctx ends.
+	Shutdown(ctx context.Context) error
+}
+
+// Client makes calls to peers by address. It is safe for concurrent use.
+type Client interface {
+	// HTTP returns the client for one peer, for use by generated Connect clients
+	// with the base URL "https://" + addr.
+	HTTP(addr string) *http.Client
+	// Reset makes the next call to addr use a fresh connection from a new local port.
+	// Calls in flight on the old connection fail.
+	Reset(addr string)
+	// Close closes all connections.
+	Close()
+}
