Add the decision packages

Cause: a task must start at most once, a refusal that says "not run" must be true, and what is decided has to be testable without I/O. Ruled out: refusals without a trace at the agent (a delayed copy of a Start could be granted after another copy was refused; a refusal now bars older tokens of the task); a heap of tasks (cancelling would cost work per task); removal of members by any entry that reaches the store (entries without the store can be fresh by their own majority, so two groups would be homes of the same keys).

--- /dev/null
+++ b/dispatch/decl/state.go
@@ -0,0 +1,58 @@
+package decl
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+)
+
+// ErrUnknownDomain reports a failure domain that is not declared.
+var ErrUnknownDomain = errors.New("failure domain is not declared")
+
+// SetDomain returns a copy of the configuration in which the failure domain is out or in
+// service. It returns ErrUnknownDomain if the domain is not declared.
+func SetDomain(c *poplargwv1.Config, name string, out bool) (*poplargwv1.Config, error) {
+	c = clone(c)
+	for _, d := range c.GetDomains() {
+		if d.GetName() == name {
+			d.Out = out
+			return c, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: %s", ErrUnknownDomain, name)
+}
+
+// SetServer returns a copy of the configuration in which the backend server is out or in service.
+// Any server name is accepted, since backend servers announce themselves.
+func SetServer(c *poplargwv1.Config, name string, out bool) *poplargwv1.Config {
+	c = clone(c)
+	kept := c.Servers[:0]
+	for _, s := range c.GetServers() {
+		if s.GetServer() != name {
+			kept = append(kept, s)
+		}
+	}
+	c.Servers = kept
+	if out {
+		c.Servers = append(c.Servers, &poplargwv1.ServerOverride{Server: name, Out: true})
+	}
+	return c
+}
+
+func clone(c *poplargwv1.Config) *poplargwv1.Config {
+	if c == nil {
+		return &poplargwv1.Config{}
+	}
+	return proto.Clone(c).(*poplargwv1.Config)
+}
+
+func domainOut(c *poplargwv1.Config, name string) bool {
+	for _, d := range c.GetDomains() {
+		if d.GetName() == name {
+			return d.GetOut()
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/fence/fence_test.go
@@ -0,0 +1,366 @@
+package fence
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	apiv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/submission"
+)
+
+var (
+	epoch   = time.UnixMilli(1_800_000_000_000)
+	options = Options{
+		Incarnation: "a1",
+		Started:     epoch,
+		Domain:      "left",
+		Window:      submission.Window{Length: 2 * time.Minute, Skew: 2 * time.Second},
+		TokenAge:    time.Second,
+		Lease:       3 * time.Second,
+		ResultBytes: 2000,
+	}
+	hash = []byte("hash")
+)
+
+// at is d after the agent's start on both clocks.
+func at(d time.Duration) Now { return Now{Mono: d, Wall: epoch.Add(d)} }
+
+// keyAt is the key of a submission that was first sent d after the agent's start.
+func keyAt(d time.Duration, n byte) submission.Key {
+	k := submission.Key{Caller: "caller", ID: uuid.UUID{6: 0x70, 8: 0x80, 15: n}}
+	for i, ms := 5, epoch.Add(d).UnixMilli(); i >= 0; i, ms = i-1, ms>>8 {
+		k.ID[i] = byte(ms)
+	}
+	return k
+}
+
+func entryTable(version uint64, members int) *peerv1.EntryTable {
+	t := &peerv1.EntryTable{Version: version}
+	for i := range members {
+		t.Members = append(t.Members, &peerv1.EntryMember{Id: fmt.Sprint("e", i), Incarnation: fmt.Sprint("i", i)})
+	}
+	return t
+}
+
+func config(version uint64, domainOut, serverOut bool) *apiv1.ConfigRecord {
+	return &apiv1.ConfigRecord{Version: version, Config: &apiv1.Config{
+		Services: []*apiv1.Service{{Name: "svc", Kinds: []*apiv1.Kind{{Name: "quick"},
+			{Name: "wide", Slots: 3, TimeLimit: durationpb.New(time.Second)}}}},
+		Domains: []*apiv1.FailureDomain{{Name: "left", Out: domainOut}},
+		Servers: []*apiv1.ServerOverride{{Server: "s", Out: serverOut}},
+	}}
+}
+
+func announcement(instance string, slots uint32) Announcement {
+	return Announcement{Server: "s", Instance: instance, Service: "svc", Kinds: []string{"quick", "wide"},
+		Slots: slots, Connections: 4, Address: "127.0.0.1:1"}
+}
+
+// ready returns a fence that grants starts, after 10 s, and its time.
+func ready() (*Fence, Now) {
+	f, now := New(options), at(10*time.Second)
+	f.Adopt(entryTable(1, 1))
+	f.Acknowledge("i0")
+	f.Configure(config(1, false, false))
+	f.Announce(announcement("x", 4), now)
+	return f, now
+}
+
+func request(f *Fence, k submission.Key, now Now) Request {
+	return Request{Task: Task{Key: k}, Hash: hash, Config: 1, Table: 1, Token: f.IssueToken(now),
+		Server: "s", Service: "svc", Kind: "quick"}
+}
+
+// TestRefusals guards against a start that a limit, an operator's change or a
+// stale message forbids, and against the wrong code for it.
+func TestRefusals(t *testing.T) {
+	young, later := keyAt(9*time.Second, 1), at(12*time.Second)
+	tests := []struct {
+		name   string
+		code   result.Code
+		effect result.Effect
+		change func(f *Fence, r *Request, now *Now)
+	}{
+		{"no record", result.NoRecord, result.NotRun, func(_ *Fence, r *Request, _ *Now) { r.AttachOnly = true }},
+		{"no record, ID from before the start", result.NoRecord, result.Unknown, func(_ *Fence, r *Request, _ *Now) {
+			r.AttachOnly, r.Task.Key = true, keyAt(time.Second, 1)
+		}},
+		{"draining", result.AgentDraining, result.NotRun, func(f *Fence, _ *Request, _ *Now) { f.Drain() }},
+		{"new member has not acknowledged", result.NotAcknowledged, result.NotRun, func(f *Fence, r *Request, _ *Now) {
+			f.Adopt(entryTable(2, 2))
+			r.Table = 2
+		}},
+		{"newer table not known yet", result.NotAcknowledged, result.NotRun, func(_ *Fence, r *Request, _ *Now) { r.Table = 2 }},
+		{"older table", result.StaleTable, result.NotRun, func(f *Fence, _ *Request, _ *Now) { f.Claim(entryTable(2, 1), "e0") }},
+		{"other incarnation", result.StaleToken, result.NotRun, func(_ *Fence, r *Request, _ *Now) { r.Token.Incarnation = "a0" }},
+		{"agent or message was frozen", result.StaleToken, result.NotRun, func(_ *Fence, _ *Request, now *Now) { *now = later }},
+		{"token of the future", result.StaleToken, result.NotRun, func(_ *Fence, r *Request, _ *Now) { r.Token.Issued += time.Minute }},
+		{"expired ID", result.SubmissionExpired, result.NotRun, func(_ *Fence, r *Request, now *Now) {
+			r.Task.Key = submission.Key{Caller: "caller", ID: keyAt(9*time.Second-options.Window.Length-2*time.Second, 1).ID}
+		}},
+		{"unknown server", result.UnknownServer, result.NotRun, func(_ *Fence, r *Request, _ *Now) { r.Server = "t" }},
+		{"unknown kind", result.UnknownServer, result.NotRun, func(_ *Fence, r *Request, _ *Now) { r.Kind = "t" }},
+		{"lease ended", result.UnknownServer, result.NotRun, func(f *Fence, r *Request, now *Now) {
+			*now = at(14 * time.Second)
+			r.Token = f.IssueToken(*now)
+		}},
+		{"server out", result.ServerOut, result.NotRun, func(f *Fence, _ *Request, _ *Now) { f.Configure(config(2, false, true)) }},
+		{"domain out", result.DomainOut, result.NotRun, func(f *Fence, _ *Request, _ *Now) { f.Configure(config(2, true, false)) }},
+		{"older configuration ignored", result.DomainOut, result.NotRun, func(f *Fence, _ *Request, _ *Now) {
+			f.Configure(config(3, true, false))
+			f.Configure(config(2, false, false))
+		}},
+		{"leaving", result.ServerLeaving, result.NotRun, func(f *Fence, _ *Request, _ *Now) { f.Leave("s", "x") }},
+		{"no free slot for a wide kind", result.NoFreeSlot, result.NotRun, func(f *Fence, r *Request, now *Now) {
+			f.Announce(announcement("x", 2), *now)
+			r.Kind = "wide"
+		}},
+		{"no free connection", result.NoFreeConnection, result.NotRun, func(f *Fence, _ *Request, now *Now) {
+			f.Announce(announcement("x", 8), *now)
+			for n := range byte(4) {
+				f.Start(request(f, keyAt(9*time.Second, 10+n), *now), *now)
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, now := ready()
+			r := request(f, young, now)
+			tt.change(f, &r, &now)
+			before := f.Records()
+			d := f.Start(r, now)
+			if d.Verdict != Refused || d.Failure.Code != tt.code || d.Failure.Effect != tt.effect {
+				t.Fatalf("got %+v, failure %v", d, d.Failure)
+			}
+			if f.Records() != before {
+				t.Fatal("the refusal left a record")
+			}
+		})
+	}
+}
+
+// TestRefusalStaysTrue guards against a delayed copy of a Start that is granted
+// after another copy was answered "not run": the home has placed the task elsewhere by then.
+func TestRefusalStaysTrue(t *testing.T) {
+	f, now := ready()
+	r := request(f, keyAt(9*time.Second, 1), now)
+	delayed := r
+	r.AttachOnly = true
+	if d := f.Start(r, now); d.Failure.Code != result.NoRecord {
+		t.Fatal(d.Failure)
+	}
+	if d := f.Start(delayed, now); d.Verdict != Refused || d.Failure.Code != result.StaleToken {
+		t.Fatalf("the delayed Start was answered %+v", d)
+	}
+	delayed.Token = f.IssueToken(now)
+	if d := f.Start(delayed, now); d.Verdict != Granted {
+		t.Fatalf("a Start with a fresh token was answered %+v", d)
+	}
+}
+
+// TestOutcomesWithinBound guards against unbounded memory for results, and
+// against a lost result that looks like a task that has not run.
+func TestOutcomesWithinBound(t *testing.T) {
+	f, now := ready()
+	first, second := request(f, keyAt(9*time.Second, 1), now), request(f, keyAt(9*time.Second, 2), now)
+	for _, r := range []Request{first, second} {
+		f.Start(r, now)
+		f.Finish(r.Task, Outcome{Payload: make([]byte, 1500)})
+	}
+	if f.ResultBytes() > options.ResultBytes {
+		t.Fatalf("%d bytes are kept", f.ResultBytes())
+	}
+	if d := f.Start(first, now); d.Verdict != Ended || d.Outcome.Failure.Code != result.ResultGone || d.Outcome.Failure.Effect != result.Run {
+		t.Fatalf("evicted result: %+v", d)
+	}
+	if d := f.Start(second, now); d.Verdict != Ended || len(d.Outcome.Payload) != 1500 {
+		t.Fatalf("kept result: %+v", d)
+	}
+	second.Hash = []byte("other")
+	if d := f.Start(second, now); d.Verdict != Refused || d.Failure.Code != result.IDReused {
+		t.Fatalf("other content under the same ID: %+v", d)
+	}
+}
+
+// TestNewInstance guards against slots of a dead instance that stay taken, and
+// against their later release adding slots to its successor.
+func TestNewInstance(t *testing.T) {
+	f, now := ready()
+	r := request(f, keyAt(9*time.Second, 1), now)
+	f.Start(r, now)
+	f.Announce(announcement("y", 4), now)
+	if free := f.FreeSlots("s", now); free != 4 {
+		t.Fatalf("%d free slots at the new instance", free)
+	}
+	f.Finish(r.Task, Outcome{})
+	if free := f.FreeSlots("s", now); free != 4 {
+		t.Fatalf("%d free slots after the old instance's task ended", free)
+	}
+	if _, err := f.Announce(announcement("x", 4), now); err != ErrReplaced {
+		t.Fatalf("announcement of the replaced instance: %v", err)
+	}
+}
+
+// machine drives a fence and a model of what it may do.
+type machine struct {
+	f   *Fence
+	now Now
+	// granted holds the tasks whose start was granted and not withdrawn.
+	granted map[Task]bool
+	// running holds the slots of running tasks, order the tasks in the order of their starts.
+	running map[Task]uint32
+	order   []Task
+	// refusedAt is a token issued right after the last "not run" of a task.
+	refusedAt map[Task]time.Duration
+	instance  int
+	slots     uint32
+	used      map[int]uint32
+	owner     map[Task]int
+	tokens    []Token
+	table     uint64
+	config    uint64
+}
+
+func (m *machine) task(t *rapid.T) Task {
+	return Task{Key: keyAt(time.Duration(rapid.IntRange(0, 20).Draw(t, "id time"))*10*time.Second, 1),
+		Index: uint32(rapid.IntRange(0, 1).Draw(t, "index"))}
+}
+
+func (m *machine) start(t *rapid.T) {
+	m.tokens = append(m.tokens, m.f.IssueToken(m.now))
+	recent := m.tokens[max(0, len(m.tokens)-5):]
+	kind := rapid.SampledFrom([]string{"quick", "wide"}).Draw(t, "kind")
+	r := Request{
+		Task: m.task(t), Hash: hash, Config: m.config, Table: m.table - uint64(rapid.IntRange(0, 1).Draw(t, "older")),
+		Token: rapid.SampledFrom(recent).Draw(t, "token"), Server: "s", Service: "svc", Kind: kind,
+		AttachOnly: rapid.IntRange(0, 4).Draw(t, "attach") == 0,
+	}
+	before := m.f.Records()
+	d := m.f.Start(r, m.now)
+	switch d.Verdict {
+	case Granted:
+		if m.granted[r.Task] {
+			t.Fatalf("%v was granted twice", r.Task)
+		}
+		if refused, ok := m.refusedAt[r.Task]; ok && r.Token.Issued < refused {
+			t.Fatalf("%v was granted to a message older than a refusal", r.Task)
+		}
+		if left := d.StartBefore.Sub(m.now.Wall); left < 0 || left > options.TokenAge {
+			t.Fatalf("the start is valid for %v", left)
+		}
+		slots := uint32(1)
+		if kind == "wide" {
+			slots = 3
+		}
+		m.granted[r.Task], m.running[r.Task], m.owner[r.Task] = true, slots, m.instance
+		m.order = append(m.order, r.Task)
+		m.used[m.instance] += slots
+		if m.used[m.instance] > m.slots {
+			t.Fatalf("%d of %d slots are used", m.used[m.instance], m.slots)
+		}
+	case Refused:
+		if m.f.Records() != before {
+			t.Fatal("a refusal left a record")
+		}
+		if d.Failure.Effect == result.NotRun {
+			if m.granted[r.Task] {
+				t.Fatalf("%v has run, but the answer is %v", r.Task, d.Failure)
+			}
+			m.refusedAt[r.Task] = m.f.IssueToken(m.now).Issued
+		}
+	case Running, Ended:
+		if !m.granted[r.Task] {
+			t.Fatalf("%v was never granted, but there is a record", r.Task)
+		}
+	}
+}
+
+// end finishes or withdraws a running task.
+func (m *machine) end(t *rapid.T) {
+	if len(m.order) == 0 {
+		return
+	}
+	task := m.order[0]
+	m.order = m.order[1:]
+	m.used[m.owner[task]] -= m.running[task]
+	if rapid.Bool().Draw(t, "withdraw") {
+		m.f.Withdraw(task, m.now)
+		m.refusedAt[task] = m.f.IssueToken(m.now).Issued
+		delete(m.granted, task)
+		return
+	}
+	m.f.Finish(task, Outcome{Payload: bytes.Repeat([]byte{1}, rapid.IntRange(0, 900).Draw(t, "size"))})
+}
+
+func (m *machine) announce(t *rapid.T) {
+	if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+		m.instance++
+	}
+	m.slots = uint32(rapid.IntRange(int(max(1, m.used[m.instance])), 6).Draw(t, "slots"))
+	m.f.Announce(announcement(fmt.Sprint("x", m.instance), m.slots), m.now)
+}
+
+// TestStartsOnce guards against a second grant of a task, a false "not run", a
+// refusal that leaves a record, and slots beyond the limit, under any order of
+// starts, claims, configuration changes, expiries and backward steps of the wall clock.
+func TestStartsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{f: New(options), now: at(0), granted: map[Task]bool{}, running: map[Task]uint32{},
+			refusedAt: map[Task]time.Duration{}, used: map[int]uint32{}, owner: map[Task]int{}, table: 1, config: 1, slots: 4}
+		m.f.Adopt(entryTable(1, 2))
+		m.f.Configure(config(1, false, false))
+		m.f.Announce(announcement("x0", 4), m.now)
+		acknowledge := func(*rapid.T) { m.f.Acknowledge("i0"); m.f.Acknowledge("i1") }
+		acknowledge(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"start":       m.start,
+			"start again": m.start,
+			"end":         m.end,
+			"announce":    m.announce,
+			"acknowledge": acknowledge,
+			"short time":  func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond) },
+			"long time":   func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(0, 100).Draw(t, "s")) * time.Second) },
+			"wall clock steps back": func(t *rapid.T) {
+				m.now.Wall = m.now.Wall.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "s")) * time.Second)
+			},
+			"lease lapses": func(t *rapid.T) {
+				m.now.Mono += 2 * options.Lease
+				if m.f.Sweep(m.now); len(m.f.Servers(m.now)) != 0 {
+					t.Fatal("a backend server outlived its lease")
+				}
+				m.pass(0)
+			},
+			"sweep": func(*rapid.T) { m.f.Sweep(m.now) },
+			"claim": func(t *rapid.T) {
+				m.table++
+				m.f.Claim(entryTable(m.table, rapid.IntRange(1, 3).Draw(t, "members")), "e0")
+			},
+			"configure": func(t *rapid.T) {
+				m.config++
+				m.f.Configure(config(m.config, rapid.IntRange(0, 3).Draw(t, "out") == 0, false))
+			},
+			"": func(t *rapid.T) {
+				if m.f.ResultBytes() > options.ResultBytes {
+					t.Fatalf("%d result bytes are kept", m.f.ResultBytes())
+				}
+				if free := m.f.FreeSlots("s", m.now); free != m.slots-m.used[m.instance] {
+					t.Fatalf("%d slots are free, used are %d of %d", free, m.used[m.instance], m.slots)
+				}
+			},
+		})
+	})
+}
+
+// pass lets time go by; the backend server renews its lease.
+func (m *machine) pass(d time.Duration) {
+	m.now = Now{Mono: m.now.Mono + d, Wall: m.now.Wall.Add(d)}
+	m.f.Announce(announcement(fmt.Sprint("x", m.instance), m.slots), m.now)
+}
--- a/dispatch/result/result.go
+++ b/dispatch/result/result.go
@@ -59,7 +59,8 @@
 	TimeLimit        Code = 3008
 )
 
-// Codes of the 4000 range are refusals of an agent to an entry. All of them are "not run".
+// Codes of the 4000 range are refusals of an agent to an entry. All of them are "not run", except
+// NoRecord of an agent that may have lost the record in a restart.
 const (
 	NoFreeSlot       Code = 4001
 	NoFreeConnection Code = 4002
--- /dev/null
+++ b/dispatch/sched/rules_test.go
@@ -0,0 +1,222 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/dispatch/result"
+)
+
+func notRun(c result.Code) StartReply {
+	return StartReply{Failure: &result.Failure{Code: c, Effect: result.NotRun}}
+}
+
+// owner returns the job numbers of starts in order.
+func owner(starts []StartTask) (out []byte) {
+	for _, st := range starts {
+		out = append(out, st.Ref.Key.ID[15])
+	}
+	return out
+}
+
+// Guards against a wrong order, starvation of old work, a job that takes all slots, and
+// a quota that is not granted or not lent. Jobs are queued before slots appear, the
+// later ones after a delay.
+func TestOrder(t *testing.T) {
+	team := func(j Job, name string) Job { j.Team = name; return j }
+	teams := []*poplargwv1.Team{{Name: "red", QuotaSlots: 2}, {Name: "none"}}
+	for name, c := range map[string]struct {
+		teams []*poplargwv1.Team
+		jobs  []Job
+		delay time.Duration
+		slots int
+		want  []byte
+	}{
+		"priority first":      {nil, []Job{newJob(1, "check", 1), newJob(2, "verify", 1)}, 0, 2, []byte{2, 1}},
+		"aging":               {nil, []Job{newJob(1, "check", 1), newJob(2, "verify", 1)}, 10 * time.Second, 1, []byte{1}},
+		"small job first":     {nil, []Job{newJob(1, "check", 3), newJob(2, "check", 1)}, 0, 3, []byte{2, 1, 1}},
+		"fair share":          {nil, []Job{newJob(1, "check", 9), newJob(2, "check", 10)}, 0, 4, []byte{1, 1, 2, 2}},
+		"alone uses all":      {nil, []Job{newJob(1, "check", 9)}, 0, 4, []byte{1, 1, 1, 1}},
+		"quota before others": {teams, []Job{team(newJob(1, "verify", 4), "none"), team(newJob(2, "check", 4), "red")}, 0, 4, []byte{2, 2, 1, 1}},
+		"quota is lent":       {teams, []Job{team(newJob(1, "verify", 4), "none")}, 0, 4, []byte{1, 1, 1, 1}},
+	} {
+		s := newScheduler(t)
+		conf := config()
+		conf.Teams = c.teams
+		s.Configure(start, conf)
+		for i, j := range c.jobs {
+			s.Submit(at(time.Duration(i)*c.delay), j)
+		}
+		starts, _ := split(s.AgentReport(at(c.delay), report("a", 1, "left", c.slots, c.slots)))
+		if got := owner(starts); !slices.Equal(got, c.want) {
+			t.Errorf("%s: started %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against starvation of tasks that need several slots.
+func TestReservesSlotsForLargeKind(t *testing.T) {
+	s := newScheduler(t)
+	s.AgentReport(start, report("a", 1, "left", 2, 2))
+	starts, _ := split(s.Submit(start, newJob(1, "check", 200)))
+	s.Submit(start, newJob(2, "simulate", 1))
+	for i := 1; i < 200; i++ {
+		r := StartReply{Result: []byte{1}, HasSlots: true, FreeSlots: 3 - len(starts), Sequence: uint64(i + 1)}
+		more, _ := split(s.StartReply(at(time.Duration(i)*50*time.Millisecond), starts[0].Ref, r))
+		if starts = append(starts[1:], more...); slices.Contains(owner(more), 2) {
+			return
+		}
+	}
+	t.Error("the task with two slots never started")
+}
+
+// Guards against refusals with the wrong code, with a false effect, or without a time
+// to come back.
+func TestRefusals(t *testing.T) {
+	s := New(Options{Domain: "left", Region: "r", QueueTasks: 40, RetryBudget: 2})
+	conf := config()
+	conf.Services[0].Kinds = append(conf.Services[0].Kinds, &poplargwv1.Kind{Name: "huge", Slots: 9})
+	conf.Teams = []*poplargwv1.Team{{Name: "red", QuotaSlots: 4}, {Name: "none"}}
+	s.Configure(start, conf)
+	s.SetActive(start, true)
+	s.AgentReport(start, report("a", 1, "left", 4, 4))
+	job := func(n byte, kind string, tasks int, team string, d time.Duration) Job {
+		j := newJob(n, kind, tasks)
+		j.Team, j.Deadline = team, at(d)
+		return j
+	}
+	starts, _ := split(s.Submit(start, job(1, "check", 4, "red", time.Minute)))
+	for i, st := range starts {
+		s.StartReply(start, st.Ref, StartReply{Result: []byte{1}, RunTime: time.Second, HasSlots: true, FreeSlots: i + 1, Sequence: uint64(i + 2)})
+	}
+	s.Submit(start, job(2, "check", 30, "red", time.Minute))
+	service := job(9, "check", 1, "red", time.Minute)
+	service.Service = "other"
+	for _, c := range []struct {
+		job  Job
+		code result.Code
+	}{
+		{service, result.UnknownService},
+		{job(3, "other", 1, "red", time.Minute), result.UnknownKind},
+		{job(4, "check", 1, "blue", time.Minute), result.UnknownTeam},
+		{job(5, "check", 1, "red", 0), result.DeadlineExpired},
+		{job(6, "huge", 1, "red", time.Minute), result.CannotRun},
+		{job(7, "check", 20, "red", time.Minute), result.Overloaded},
+		{job(8, "check", 8, "red", 900*time.Millisecond), result.DeadlineUnmet},
+		{job(9, "check", 2, "none", 4*time.Second), result.OverQuota},
+		{job(10, "check", 1, "red", 4*time.Second), 0},
+	} {
+		_, ends := split(s.Submit(start, c.job))
+		if c.code == 0 {
+			if len(ends) != 0 {
+				t.Errorf("refused %+v", ends[0].Outcome.Failure)
+			}
+			continue
+		}
+		if len(ends) != 1 || ends[0].Outcome.Failure.Code != c.code || ends[0].Outcome.Failure.Effect != result.NotRun {
+			t.Errorf("want %d, got %+v", c.code, ends)
+		} else if f := ends[0].Outcome.Failure; (c.code/1000 == 2) != (f.RetryAfter > 0) {
+			t.Errorf("%d: retry after %v", c.code, f.RetryAfter)
+		}
+	}
+}
+
+// Guards against stale refusals that use up the retry budget or are repeated without
+// pause, and against a budget without end.
+func TestRetries(t *testing.T) {
+	s := newScheduler(t)
+	s.AgentReport(start, report("a", 1, "left", 1, 1))
+	starts, _ := split(s.Submit(start, newJob(1, "check", 1)))
+	now, immediate := start, 0
+	for i := range 20 {
+		r := notRun([]result.Code{result.StaleToken, result.StaleTable, result.NotReady}[i%3])
+		more, ends := split(s.StartReply(now, starts[0].Ref, r))
+		if len(ends) != 0 {
+			t.Fatalf("ended by stale tokens: %+v", ends[0].Outcome.Failure)
+		}
+		immediate += len(more)
+		for len(more) == 0 {
+			now = now.Add(10 * time.Millisecond)
+			more, _ = split(s.Tick(now))
+		}
+		starts = more
+	}
+	if immediate != immediateStale {
+		t.Errorf("%d immediate repeats", immediate)
+	}
+	var ends []FinishJob
+	for i := 0; len(ends) == 0; i++ {
+		starts, ends = split(s.StartReply(now, starts[0].Ref, notRun(result.NoFreeSlot)))
+		if len(starts)+len(ends) == 0 {
+			starts, ends = split(s.AgentReport(now, report("a", uint64(i+2), "left", 1, 1)))
+		}
+	}
+	if f := ends[0].Outcome.Failure; f.Code != result.RetriesUsed || f.Effect != result.NotRun {
+		t.Errorf("failure %+v", f)
+	}
+}
+
+// Guards against a job that is held until its deadline though it can no longer meet
+// it, against a herd at a server that returns, and against a wrong count at Cancel.
+func TestGiveUpCancelAndWarmUp(t *testing.T) {
+	s := newScheduler(t)
+	s.AgentReport(start, report("a", 1, "left", 8, 8))
+	starts, _ := split(s.Submit(start, newJob(1, "check", 1)))
+	s.StartReply(start, starts[0].Ref, StartReply{Result: []byte{1}, RunTime: time.Second, HasSlots: true, FreeSlots: 8, Sequence: 2})
+	conf := config()
+	conf.Domains[0].Out = true
+	s.Configure(start, conf)
+	late, kept := newJob(2, "check", 1), newJob(3, "check", 9)
+	late.Deadline = at(2 * time.Second)
+	s.Submit(start, late)
+	s.Submit(start, kept)
+	_, ends := split(s.Tick(at(1600 * time.Millisecond)))
+	if len(ends) != 1 || ends[0].Outcome.Failure.Code != result.DeadlineUnmet || ends[0].Outcome.Failure.Effect != result.NotRun {
+		t.Fatalf("ends %+v", ends)
+	}
+	if starts, _ = split(s.Configure(at(1600*time.Millisecond), config())); len(starts) != 2 {
+		t.Errorf("%d starts at a server that has just returned", len(starts))
+	}
+	n, actions := s.Cancel(at(1600*time.Millisecond), kept.Key)
+	if _, ends = split(actions); n != 7 || ends[0].Outcome.Failure.Effect != result.Unknown {
+		t.Errorf("%d not started, %+v", n, ends[0].Outcome.Failure)
+	}
+}
+
+// Guards against slot counts that ignore starts on their way, or that take an
+// overtaken message or one of another incarnation for the newest.
+func TestSlotCounts(t *testing.T) {
+	s := newScheduler(t)
+	s.AgentReport(start, report("a", 1, "left", 4, 4))
+	starts, _ := split(s.Submit(start, newJob(1, "check", 3)))
+	counted := func(after time.Duration, incarnation string, sequence uint64, free int) {
+		r := report("a", sequence, "left", 4, free)
+		r.Incarnation = incarnation
+		s.AgentReport(at(after), r)
+	}
+	answered := func(i int, sequence uint64, free int) {
+		s.StartReply(at(50*time.Millisecond), starts[i].Ref, StartReply{Result: []byte{1}, HasSlots: true, FreeSlots: free, Sequence: sequence})
+	}
+	for _, step := range []struct {
+		name string
+		do   func()
+		want int
+	}{
+		{"starts on their way", func() {}, 1},
+		{"count without the starts", func() { counted(time.Millisecond, "1", 2, 4) }, 1},
+		{"count with the starts", func() { counted(2*time.Millisecond, "1", 3, 1) }, 1},
+		{"start of another entry", func() { counted(40*time.Millisecond, "1", 4, 0) }, 0},
+		{"answer", func() { answered(0, 7, 1) }, 1},
+		{"overtaken report", func() { counted(50*time.Millisecond, "1", 5, 4) }, 1},
+		{"overtaken answer", func() { answered(1, 6, 4) }, 1},
+		{"new incarnation", func() { counted(50*time.Millisecond, "2", 1, 2) }, 2},
+		{"late report", func() { counted(50*time.Millisecond, "1", 9, 4) }, 2},
+		{"late answer", func() { answered(2, 9, 4) }, 2},
+	} {
+		if step.do(); s.Stats().Servers[0].FreeSlots != step.want {
+			t.Errorf("%s: %d free slots, want %d", step.name, s.Stats().Servers[0].FreeSlots, step.want)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/sched/scheduler_test.go
@@ -0,0 +1,109 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/dispatch/submission"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func key(n byte) submission.Key {
+	return submission.Key{Caller: "caller", ID: uuid.UUID{15: n}}
+}
+
+func config() *poplargwv1.Config {
+	return &poplargwv1.Config{
+		Services: []*poplargwv1.Service{{Name: "mould", Kinds: []*poplargwv1.Kind{
+			{Name: "check", Priority: 5, Slots: 1, TimeLimit: durationpb.New(time.Second)},
+			{Name: "simulate", Priority: 5, Slots: 2, TimeLimit: durationpb.New(10 * time.Second)},
+			{Name: "verify", Priority: 7, TimeLimit: durationpb.New(time.Second)},
+		}}},
+		Domains: []*poplargwv1.FailureDomain{{Name: "left"}, {Name: "right"}},
+	}
+}
+
+func report(agent string, sequence uint64, domain string, slots, free int) AgentReport {
+	return AgentReport{
+		Agent: agent, Incarnation: "1", Sequence: sequence, Domain: domain, Region: "r",
+		Servers: []Server{{
+			Name: "server-" + agent, Instance: "1", Service: "mould", Slots: slots, FreeSlots: free,
+			Kinds: []string{"check", "simulate", "verify"},
+		}},
+	}
+}
+
+func newJob(n byte, kind string, tasks int) Job {
+	j := Job{Key: key(n), Service: "mould", Deadline: at(30 * time.Second)}
+	for range tasks {
+		j.Tasks = append(j.Tasks, Task{Kind: kind})
+	}
+	return j
+}
+
+func newScheduler(t testing.TB) *Scheduler {
+	t.Helper()
+	s := New(Options{Domain: "left", Region: "r", RetryBudget: 2})
+	s.Configure(start, config())
+	s.SetActive(start, true)
+	return s
+}
+
+// split separates the actions by type.
+func split(actions []Action) (starts []StartTask, ends []FinishJob) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case StartTask:
+			starts = append(starts, a)
+		case FinishJob:
+			ends = append(ends, a)
+		}
+	}
+	return starts, ends
+}
+
+// Guards against starts at silent agents, and against jobs that end after Drop.
+func TestSilenceAndDrop(t *testing.T) {
+	s := newScheduler(t)
+	s.AgentReport(start, report("a", 1, "left", 2, 2))
+	first, _ := split(s.Submit(start, newJob(1, "check", 1)))
+	s.Tick(at(DefaultAgentSilence))
+	if starts, _ := split(s.Submit(at(DefaultAgentSilence), newJob(2, "check", 1))); len(starts) != 0 {
+		t.Error("start at a silent agent")
+	}
+	if keys := s.Drop(at(DefaultAgentSilence)); len(keys) != 2 {
+		t.Errorf("dropped %v", keys)
+	}
+	actions := s.StartReply(at(DefaultAgentSilence), first[0].Ref, StartReply{Result: []byte{1}})
+	if actions = append(actions, s.Tick(at(time.Hour))...); len(actions) != 0 {
+		t.Errorf("actions after Drop: %v", actions)
+	}
+}
+
+// Guards against pickers that are not reproducible or choose outside the candidates.
+func TestPickers(t *testing.T) {
+	c := []Candidate{
+		{At: Placement{Agent: "a"}, Slots: 8, Free: 8, Expected: time.Second, Local: true, Outstanding: 1},
+		{At: Placement{Agent: "b"}, Slots: 8, Free: 4, Expected: 100 * time.Millisecond, SameRegion: true, Outstanding: 4},
+		{At: Placement{Agent: "c"}, Slots: 8, Free: 8, Expected: 100 * time.Millisecond, Local: true, Outstanding: 2},
+	}
+	for want, p := range map[string]Picker{
+		"[2 2 2]": ExpectedCompletion{}, "[0 1 2]": &RoundRobin{}, "[0 0 0]": LeastOutstanding{}, "[1 0 2]": NewRandom(1), "[0 0 2]": NewTwoChoices(3),
+	} {
+		var got []int
+		for range 3 {
+			got = append(got, p.Pick("check", c))
+		}
+		if fmt.Sprint(got) != want {
+			t.Errorf("%T picked %v, want %s", p, got, want)
+		}
+	}
+}
