Add agent, transport, settings, events and the sample backend server

Cause: the agent is the fence of every start; the daemons need checked settings, numbered events and mutual TLS over QUIC or TCP. Ruled out: a latest start time counted from the sending of the run (a freeze after the decision extended it); one UDP socket for all QUIC connections (a middlebox that lost a flow would drop the next connection from the same port as well). Change: agent calls a backend server once for each grant, keeps results within a byte bound and reports to every entry. Calls to peers come from the IP of the peers' listener, and listen.advertise_peers names another address for peers.

--- a/daemon/event/agent.go
+++ b/daemon/event/agent.go
@@ -1,4 +1,36 @@
 package event
 
 // Events 401 to 499 concern the agent package.
-var agentTexts = map[ID]string{}
+const (
+	EntryReachable      ID = 401
+	EntryUnreachable    ID = 402
+	ServerAnnounced     ID = 403
+	ServerLeave         ID = 404
+	ServerLeaseEnded    ID = 405
+	AgentConfigured     ID = 406
+	AgentTableAdopted   ID = 407
+	AgentFetchFailed    ID = 408
+	AgentDrainStarted   ID = 409
+	AgentDrainEnded     ID = 410
+	AgentDrainCut       ID = 411
+	RunConnectionLost   ID = 412
+	AnnouncementRefused ID = 413
+	AgentClaimed        ID = 414
+)
+
+var agentTexts = map[ID]string{
+	EntryReachable:      "entry answers reports",
+	EntryUnreachable:    "entry does not answer reports",
+	ServerAnnounced:     "backend server announced itself or changed",
+	ServerLeave:         "backend server is leaving",
+	ServerLeaseEnded:    "backend server did not renew its lease",
+	AgentConfigured:     "configuration adopted",
+	AgentTableAdopted:   "entry table adopted",
+	AgentFetchFailed:    "configuration could not be fetched from an entry",
+	AgentDrainStarted:   "agent refuses new starts and waits for running tasks",
+	AgentDrainEnded:     "agent has no running task and no result to be collected",
+	AgentDrainCut:       "agent stopped waiting for running tasks at the drain limit",
+	RunConnectionLost:   "connection to a backend server was lost in mid-task",
+	AnnouncementRefused: "announcement of a backend server was refused",
+	AgentClaimed:        "start records returned to a claiming entry",
+}
--- a/daemon/event/catalogue.go
+++ b/daemon/event/catalogue.go
@@ -4,15 +4,23 @@
 
 // Events 101 to 199 concern the process.
 const (
-	Started  ID = 101
-	Stopping ID = 102
-	Stopped  ID = 103
+	Started     ID = 101
+	Stopping    ID = 102
+	Stopped     ID = 103
+	Listening   ID = 104
+	StopForced  ID = 105
+	DutyFailed  ID = 106
+	DrainFailed ID = 107
 )
 
 var processTexts = map[ID]string{
-	Started:  "process started",
-	Stopping: "graceful stop started",
-	Stopped:  "process stopped",
+	Started:     "process started",
+	Stopping:    "graceful stop started",
+	Stopped:     "process stopped",
+	Listening:   "listener opened",
+	StopForced:  "graceful stop was cut short by a second signal",
+	DutyFailed:  "process ends because one of its duties failed",
+	DrainFailed: "graceful stop did not finish within its limit",
 }
 
 var texts = merge(processTexts, clusterTexts, entryTexts, agentTexts, transportTexts)
--- a/daemon/event/entry.go
+++ b/daemon/event/entry.go
@@ -1,4 +1,24 @@
 package event
 
 // Events 301 to 399 concern the entry package.
-var entryTexts = map[ID]string{}
+const (
+	EntryDropped    ID = 301
+	ProcessPaused   ID = 302
+	ClaimStarted    ID = 303
+	ClaimEnded      ID = 304
+	AgentNotClaimed ID = 305
+	DrainStarted    ID = 306
+	DrainEnded      ID = 307
+	HomeUnreachable ID = 308
+)
+
+var entryTexts = map[ID]string{
+	EntryDropped:    "entry was removed from the entry table; submissions in progress dropped",
+	ProcessPaused:   "home loop did not run for some time",
+	ClaimStarted:    "claim of a moved range started",
+	ClaimEnded:      "claim of a moved range ended",
+	AgentNotClaimed: "agent did not answer a claim",
+	DrainStarted:    "drain started",
+	DrainEnded:      "drain ended",
+	HomeUnreachable: "call to the home of a submission failed",
+}
--- /dev/null
+++ b/daemon/event/event_test.go
@@ -0,0 +1,116 @@
+package event
+
+import (
+	"bytes"
+	"encoding/json"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// declared returns the numbers of all constants of type ID by name.
+func declared(t *testing.T) map[string]ID {
+	t.Helper()
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids := make(map[string]ID)
+	for _, name := range files {
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			v, ok := n.(*ast.ValueSpec)
+			if !ok {
+				return true
+			}
+			if kind, ok := v.Type.(*ast.Ident); !ok || kind.Name != "ID" || len(v.Values) != 1 {
+				return true
+			}
+			number, err := strconv.Atoi(v.Values[0].(*ast.BasicLit).Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ids[v.Names[0].Name] = ID(number)
+			return true
+		})
+	}
+	return ids
+}
+
+var row = regexp.MustCompile(`(?m)^\| (\d+) \| ([^|]+) \| ([^|]+) \|$`)
+
+// Guards against events without a text, two events with one number, and a docs/events.md that
+// lacks an event, keeps a removed one or words it differently.
+func TestCatalogueMatchesDocument(t *testing.T) {
+	doc, err := os.ReadFile("../../docs/events.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	documented := make(map[ID]string)
+	for _, m := range row.FindAllStringSubmatch(string(doc), -1) {
+		number, _ := strconv.Atoi(m[1])
+		documented[ID(number)] = m[2]
+	}
+	names := make(map[ID]string)
+	for name, id := range declared(t) {
+		if other, ok := names[id]; ok {
+			t.Errorf("%s and %s both have number %d", name, other, id)
+		}
+		names[id] = name
+		if Text(id) == "" {
+			t.Errorf("%s (%d) has no text", name, id)
+		}
+		if documented[id] != Text(id) {
+			t.Errorf("docs/events.md says %q for %d, the code %q", documented[id], id, Text(id))
+		}
+	}
+	for id := range documented {
+		if _, ok := names[id]; !ok {
+			t.Errorf("docs/events.md lists %d, which does not exist", id)
+		}
+	}
+	if total := len(processTexts) + len(clusterTexts) + len(entryTexts) + len(agentTexts) + len(transportTexts); total != len(names) {
+		t.Errorf("%d texts for %d events", total, len(names))
+	}
+}
+
+// Guards against a log that ignores the level, and against output that a machine cannot read.
+func TestOutputHonoursLevelAndFormat(t *testing.T) {
+	var out bytes.Buffer
+	l, err := open("warn", FormatJSON, &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Info(Started, nil)
+	l.Warn(Stopping, Fields{"role": "entry"})
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	var record struct {
+		Level   string
+		Message string
+		Fields  map[string]any
+	}
+	if err := json.Unmarshal([]byte(lines[0]), &record); err != nil {
+		t.Fatal(err)
+	}
+	if len(lines) != 1 || record.Level != "warn" || record.Message != Text(Stopping) || record.Fields["event"] != float64(Stopping) {
+		t.Errorf("log is %q", out.String())
+	}
+}
+
+// Guards against a misspelt setting that silences the log.
+func TestOpenRefusesUnknownValues(t *testing.T) {
+	for _, c := range [][2]string{{"loud", FormatJSON}, {"info", "xml"}} {
+		if _, err := Open(c[0], c[1], os.Stderr); err == nil {
+			t.Errorf("level %s, format %s: no error", c[0], c[1])
+		}
+	}
+}
--- /dev/null
+++ b/daemon/sample/startlog.go
@@ -0,0 +1,81 @@
+package sample
+
+import (
+	"bufio"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	apiv1 "poplargw.example/api/gen/poplargw/v1"
+)
+
+// Start is one line of the start log: a task that a sample server began to run.
+type Start struct {
+	Caller       string `json:"caller"`
+	SubmissionID string `json:"submission_id"`
+	TaskIndex    uint32 `json:"task_index"`
+	UnixNS       int64  `json:"unix_ns"`
+	Server       string `json:"server"`
+	Instance     string `json:"instance"`
+}
+
+// startLog appends each start to a file in one write call, so that a start is
+// recorded even if the process is killed right after it.
+type startLog struct {
+	mu   sync.Mutex
+	file *os.File
+}
+
+func openStartLog(path string) (*startLog, error) {
+	if path == "" {
+		return &startLog{}, nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("start log: %w", err)
+	}
+	return &startLog{file: f}, nil
+}
+
+func (l *startLog) add(m *apiv1.RunRequest, server, instance string) error {
+	if l.file == nil {
+		return nil
+	}
+	line, err := json.Marshal(Start{Caller: m.GetCaller(), SubmissionID: hex.EncodeToString(m.GetSubmissionId()),
+		TaskIndex: m.GetTaskIndex(), UnixNS: time.Now().UnixNano(), Server: server, Instance: instance})
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, err = l.file.Write(append(line, '\n'))
+	return err
+}
+
+func (l *startLog) close() {
+	if l.file != nil {
+		l.file.Close()
+	}
+}
+
+// ReadStarts returns the starts in a start log, for tests that count double starts.
+func ReadStarts(path string) ([]Start, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var all []Start
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		var s Start
+		if err := json.Unmarshal(lines.Bytes(), &s); err != nil {
+			return nil, fmt.Errorf("%s: line %d: %w", path, len(all)+1, err)
+		}
+		all = append(all, s)
+	}
+	return all, lines.Err()
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -37,14 +37,24 @@
 type Listen struct {
 	// Callers is used by entries only.
 	Callers string
-	// Peers is where the other processes of the system reach this one.
+	// Peers serves the other processes of the system. Calls to them come from its IP.
 	Peers string
+	// AdvertisePeers is where the other processes reach Peers; empty means that address itself.
+	AdvertisePeers string
 	// Operators serves the operator API, metrics, health and readiness.
 	Operators string
 	// Local is used by agents only: backend servers on the same VM announce themselves here.
 	Local string
 }
 
+// PeerAddress returns where other processes of the system reach this one.
+func (l *Listen) PeerAddress() string {
+	if l.AdvertisePeers != "" {
+		return l.AdvertisePeers
+	}
+	return l.Peers
+}
+
 // Transport is how processes of the system talk to each other.
 type Transport struct {
 	// Kind is "quic" or "tcp".
--- /dev/null
+++ b/daemon/transport/tls.go
@@ -0,0 +1,39 @@
+package transport
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+)
+
+// LoadTLS reads the PEM files of a process and returns the configuration for both its server and
+// its client side: TLS 1.3, its own certificate, and the CA that every peer must be verified by.
+func LoadTLS(certFile, keyFile, caFile string) (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate %s with key %s: %w", certFile, keyFile, err)
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, fmt.Errorf("read CA: %w", err)
+	}
+	ca := x509.NewCertPool()
+	if !ca.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("no certificate in CA file %s", caFile)
+	}
+	return MutualTLS(cert, ca), nil
+}
+
+// MutualTLS returns the configuration of a process with the given certificate and CA.
+func MutualTLS(cert tls.Certificate, ca *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      ca,
+		ClientCAs:    ca,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		// Connections live long, so resumption would save nothing.
+		SessionTicketsDisabled: true,
+	}
+}
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -23,7 +23,8 @@
 	// with the base URL "https://" + addr.
 	HTTP(addr string) *http.Client
 	// Reset makes the next call to addr use a fresh connection from a new local port.
-	// Calls in flight on the old connection fail.
+	// Calls in flight on the old connection fail. Resets that follow one another at once count as
+	// one, so that calls which failed together do not end each other's repeats.
 	Reset(addr string)
 	// Close closes all connections.
 	Close()
--- /dev/null
+++ b/daemon/transport/transport_test.go
@@ -0,0 +1,388 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"poplargw.example/daemon/pki"
+)
+
+const testDeadPeer = 2 * time.Second
+
+var kinds = []string{KindTCP, KindQUIC}
+
+// eachKind runs a test once for each kind of transport.
+func eachKind(t *testing.T, f func(t *testing.T, kind string)) {
+	for _, kind := range kinds {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			f(t, kind)
+		})
+	}
+}
+
+func testTLS(t testing.TB) *tls.Config {
+	t.Helper()
+	set, err := pki.New(time.Now(), []net.IP{net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, ca, err := set.Pair()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return MutualTLS(cert, ca)
+}
+
+func startServer(t testing.TB, kind string, conf *tls.Config, h http.Handler) Server {
+	t.Helper()
+	s, err := NewServer(kind, "127.0.0.1:0", conf, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, s)
+	return s
+}
+
+func serve(t testing.TB, s Server) {
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+		if err := <-done; err != nil {
+			t.Errorf("Serve returned %v after Shutdown", err)
+		}
+	})
+}
+
+func newTestClient(t testing.TB, kind string, conf *tls.Config) Client {
+	t.Helper()
+	c, err := NewClient(kind, conf, testDeadPeer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func post(ctx context.Context, c Client, addr, body string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+addr+"/", strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	resp, err := c.HTTP(addr).Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return string(answer), err
+}
+
+func echoRemote(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(w, r.RemoteAddr)
+}
+
+// Guards against a connection for each call, and against a burst of first calls that opens
+// a connection each.
+func TestCallsShareOneConnection(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		s := startServer(t, kind, conf, http.HandlerFunc(echoRemote))
+		c := newTestClient(t, kind, conf)
+		var mu sync.Mutex
+		remotes := make(map[string]int)
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				remote, err := post(t.Context(), c, s.Addr(), "x")
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					t.Error(err)
+				}
+				remotes[remote]++
+			})
+		}
+		wg.Wait()
+		if len(remotes) != 1 {
+			t.Errorf("calls used %d connections, want 1: %v", len(remotes), remotes)
+		}
+	})
+}
+
+// Guards against a Reset that keeps the old connection or its local port: a middlebox that lost
+// the flow of the port would drop the new connection too.
+func TestResetUsesNewPortAndFailsCallsInFlight(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		started, release := make(chan struct{}), make(chan struct{})
+		s := startServer(t, kind, conf, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			if string(body) == "wait" {
+				close(started)
+				<-release
+			}
+			_, _ = io.WriteString(w, r.RemoteAddr)
+		}))
+		t.Cleanup(func() { close(release) })
+		c := newTestClient(t, kind, conf)
+		before, err := post(t.Context(), c, s.Addr(), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := post(t.Context(), c, s.Addr(), "wait")
+			waiting <- err
+		}()
+		<-started
+		c.Reset(s.Addr())
+		if err := <-waiting; err == nil {
+			t.Error("call in flight succeeded after Reset")
+		}
+		after, err := post(t.Context(), c, s.Addr(), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if before == after {
+			t.Errorf("call after Reset came from %s again", after)
+		}
+	})
+}
+
+// Guards against calls that failed together and each ask for a reset, of which the later ones end
+// the repeats of the earlier ones on the new connection.
+func TestRepeatedResetKeepsNewConnection(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		started, release := make(chan struct{}), make(chan struct{})
+		s := startServer(t, kind, conf, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if body, _ := io.ReadAll(r.Body); string(body) == "wait" {
+				close(started)
+				<-release
+			}
+		}))
+		c := newTestClient(t, kind, conf)
+		c.(*client).pause = time.Hour
+		if _, err := post(t.Context(), c, s.Addr(), ""); err != nil {
+			t.Fatal(err)
+		}
+		c.Reset(s.Addr())
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := post(t.Context(), c, s.Addr(), "wait")
+			waiting <- err
+		}()
+		<-started
+		c.Reset(s.Addr())
+		close(release)
+		if err := <-waiting; err != nil {
+			t.Errorf("call on the new connection failed: %v", err)
+		}
+	})
+}
+
+// Guards against peers that are not part of the system: a client without a certificate, a client
+// with a certificate of another CA, and a server with one of another CA.
+func TestPeerWithoutRightKeyIsRefused(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf, other := testTLS(t), testTLS(t)
+		var handled atomic.Int32
+		s := startServer(t, kind, conf, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
+		anonymous := conf.Clone()
+		anonymous.Certificates = nil
+		stranger := other.Clone()
+		stranger.RootCAs = conf.RootCAs
+		cases := map[string]*tls.Config{"no certificate": anonymous, "other CA": stranger, "server of other CA": other}
+		for name, conf := range cases {
+			if _, err := post(t.Context(), newTestClient(t, kind, conf), s.Addr(), "x"); err == nil {
+				t.Errorf("%s: call succeeded", name)
+			}
+		}
+		if n := handled.Load(); n != 0 {
+			t.Errorf("%d calls of strangers reached the handler", n)
+		}
+	})
+}
+
+// Guards against a retry below the caller that repeats a request after it was written. The handler
+// breaks the connection after it read the request, and a retry would reach it a second time.
+func TestWrittenRequestReachesHandlerOnce(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		var handled atomic.Int32
+		s := startServer(t, kind, conf, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if handled.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		c := newTestClient(t, kind, conf)
+		if _, err := post(t.Context(), c, s.Addr(), "x"); err == nil {
+			t.Error("call succeeded although its stream was aborted")
+		}
+		if n := handled.Load(); n != 1 {
+			t.Errorf("request reached the handler %d times, want 1", n)
+		}
+		if _, err := post(t.Context(), c, s.Addr(), "x"); err != nil {
+			t.Errorf("next call failed: %v", err)
+		}
+	})
+}
+
+// Guards against the loss of a whole connection being answered by a repeat on a new one.
+func TestBrokenConnectionIsNotRepeated(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		var handled atomic.Int32
+		started := make(chan struct{}, 2)
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			handled.Add(1)
+			started <- struct{}{}
+			<-r.Context().Done()
+		})
+		s := startServer(t, kind, conf, h)
+		relay := newRelay(t, kind, s.Addr())
+		c := newTestClient(t, kind, conf)
+		result := make(chan error, 1)
+		go func() {
+			_, err := post(t.Context(), c, relay.addr, "x")
+			result <- err
+		}()
+		<-started
+		relay.silence()
+		if err := <-result; err == nil {
+			t.Error("call succeeded over a silent connection")
+		}
+		if n := handled.Load(); n != 1 {
+			t.Errorf("request reached the handler %d times, want 1", n)
+		}
+	})
+}
+
+// Guards against a silent connection that holds calls for ever, and against a peer that stays
+// unreachable although new connections work.
+func TestSilentConnectionFailsAndNextCallWorks(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		s := startServer(t, kind, conf, http.HandlerFunc(echoRemote))
+		relay := newRelay(t, kind, s.Addr())
+		c := newTestClient(t, kind, conf)
+		if _, err := post(t.Context(), c, relay.addr, "x"); err != nil {
+			t.Fatal(err)
+		}
+		relay.silence()
+		begin := time.Now()
+		if _, err := post(t.Context(), c, relay.addr, "x"); err == nil {
+			t.Error("call succeeded over a silent connection")
+		}
+		if d := time.Since(begin); d > 5*testDeadPeer {
+			t.Errorf("call failed after %v, limit is %v", d, testDeadPeer)
+		}
+		if _, err := post(t.Context(), c, relay.addr, "x"); err != nil {
+			t.Errorf("call over a new connection failed: %v", err)
+		}
+	})
+}
+
+// Guards against connections to quiet peers that stay open and send keep-alives for ever.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		s := startServer(t, kind, conf, http.HandlerFunc(echoRemote))
+		c := newTestClient(t, kind, conf).(*client)
+		c.idle = time.Millisecond
+		if _, err := post(t.Context(), c, s.Addr(), "x"); err != nil {
+			t.Fatal(err)
+		}
+		p := c.peer(s.Addr())
+		for deadline := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+			p.mu.Lock()
+			closed := p.cur == nil
+			p.mu.Unlock()
+			if closed {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatal("connection is still open")
+			}
+		}
+		if _, err := post(t.Context(), c, s.Addr(), "x"); err != nil {
+			t.Errorf("call after the idle limit failed: %v", err)
+		}
+	})
+}
+
+// Guards against a graceful stop that interrupts a call.
+func TestShutdownWaitsForCalls(t *testing.T) {
+	eachKind(t, func(t *testing.T, kind string) {
+		conf := testTLS(t)
+		started, release := make(chan struct{}), make(chan struct{})
+		s := startServer(t, kind, conf, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-release
+			_, _ = io.WriteString(w, "done")
+		}))
+		c := newTestClient(t, kind, conf)
+		type reply struct {
+			answer string
+			err    error
+		}
+		replies := make(chan reply, 1)
+		go func() {
+			answer, err := post(t.Context(), c, s.Addr(), "x")
+			replies <- reply{answer, err}
+		}()
+		<-started
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(context.Background()) }()
+		close(release)
+		if r := <-replies; r.err != nil || r.answer != "done" {
+			t.Errorf("call during Shutdown returned %q, %v", r.answer, r.err)
+		}
+		c.Close()
+		if err := <-stopped; err != nil {
+			t.Errorf("Shutdown returned %v", err)
+		}
+	})
+}
+
+// Guards against gRPC clients being refused on the unencrypted listeners.
+func TestPlainServerSpeaksBothProtocols(t *testing.T) {
+	s, err := NewPlainServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Proto)
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, s)
+	for _, want := range []string{"HTTP/1.1", "HTTP/2.0"} {
+		var protocols http.Protocols
+		protocols.SetHTTP1(want == "HTTP/1.1")
+		protocols.SetUnencryptedHTTP2(want == "HTTP/2.0")
+		transport := &http.Transport{Protocols: &protocols}
+		resp, err := (&http.Client{Transport: transport}).Get("http://" + s.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		transport.CloseIdleConnections()
+		if string(got) != want {
+			t.Errorf("protocol is %s, want %s", got, want)
+		}
+	}
+}
