Agree on configuration and entry table

Cause: entries need one view of the configuration and of the entry table that survives a store that is down, slow, loses replies or comes back with an older value. Apply is idempotent by change ID. Conclusion: open are the loss of more than half of the entries at once, which needs their return with the same IDs, and a change whose answer was lost when an entry asked later has skipped its version.

--- /dev/null
+++ b/daemon/tool/files.go
@@ -0,0 +1,24 @@
+package tool
+
+import (
+	"errors"
+	"io/fs"
+)
+
+// tomlFiles reads the files of a directory whose names end in .toml.
+func tomlFiles(dir fs.FS) (map[string][]byte, error) {
+	names, err := fs.Glob(dir, "*.toml")
+	if err != nil {
+		return nil, err
+	}
+	if len(names) == 0 {
+		return nil, errors.New("no file with the extension .toml")
+	}
+	files := make(map[string][]byte, len(names))
+	for _, n := range names {
+		if files[n], err = fs.ReadFile(dir, n); err != nil {
+			return nil, err
+		}
+	}
+	return files, nil
+}
--- /dev/null
+++ b/daemon/tool/submit.go
@@ -0,0 +1,143 @@
+package tool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
+)
+
+// maxResends bounds how often an unanswered submission is sent again, with the same submission ID.
+const maxResends = 3
+
+func submitCommand() *cli.Command {
+	return &cli.Command{
+		Name: "submit", Usage: "run a job and show its results", ArgsUsage: "[FILE]",
+		Description: "FILE holds a SubmitJobRequest in protobuf JSON. Without it the flags describe a job of equal tasks.",
+		Flags: callerFlags(
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service"},
+			&cli.StringFlag{Name: "team", Usage: "`NAME` of the team"},
+			&cli.StringFlag{Name: "kind", Usage: "`NAME` of the kind of all tasks"},
+			&cli.StringFlag{Name: "payload", Usage: "`TEXT` that every task gets"},
+			&cli.IntFlag{Name: "tasks", Usage: "`NUMBER` of tasks", Value: 1},
+			&cli.BoolFlag{Name: "repeatable", Usage: "tasks may be run more than once"},
+			&cli.StringFlag{Name: "id", Usage: "submission `ID` (UUIDv7); default: a new one"},
+		),
+		OnUsageError: usageError, Action: action(submit),
+	}
+}
+
+func submit(ctx context.Context, c *cli.Command) error {
+	req, err := job(c)
+	if err != nil {
+		return err
+	}
+	id := uuid.UUID(req.GetSubmissionId()).String()
+	resp, err := send(ctx, dispatcher(c), req)
+	if err != nil {
+		var f failure
+		if errors.As(jobFailed(err), &f) && f.code == ExitUnreachable {
+			f.code = ExitUnknown // An unanswered submission may have run.
+		}
+		return fail(f.code, fmt.Errorf("submission %s: %w", id, f.error))
+	}
+	return show(c, resp, func(w io.Writer) {
+		row(w, "submission "+id+" complete")
+		printResults(w, resp)
+	})
+}
+
+// send submits the job, again with the same submission ID when no answer arrived.
+func send(ctx context.Context, d poplargwv1connect.DispatcherClient, req *poplargwv1.SubmitJobRequest) (*poplargwv1.SubmitJobResponse, error) {
+	for i := 0; ; i++ {
+		resp, err := d.SubmitJob(ctx, connect.NewRequest(req))
+		if err == nil {
+			return resp.Msg, nil
+		}
+		if !unanswered(err) || failureOf(err) != nil || i >= maxResends || ctx.Err() != nil {
+			return nil, err
+		}
+		select {
+		case <-time.After(askPause):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+func job(c *cli.Command) (*poplargwv1.SubmitJobRequest, error) {
+	req, err := jobFrom(c)
+	if err != nil {
+		return nil, err
+	}
+	if req.GetCaller() == "" {
+		req.Caller = c.String("caller")
+	}
+	if req.GetTimeout() == nil {
+		req.Timeout = durationpb.New(min(c.Duration("timeout"), time.Minute))
+	}
+	switch {
+	case c.String("id") != "":
+		req.SubmissionId, err = parseID(c.String("id"))
+	case len(req.GetSubmissionId()) == 0:
+		var id uuid.UUID
+		id, err = uuid.NewV7()
+		req.SubmissionId = id[:]
+	case len(req.GetSubmissionId()) != 16:
+		err = fail(ExitUsage, errors.New("submission_id: 16 bytes are required"))
+	}
+	return req, err
+}
+
+func jobFrom(c *cli.Command) (*poplargwv1.SubmitJobRequest, error) {
+	if c.Args().Len() == 0 {
+		return jobFromFlags(c)
+	}
+	name, err := oneArgument(c, "FILE")
+	if err != nil {
+		return nil, err
+	}
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fail(ExitUsage, err)
+	}
+	var req poplargwv1.SubmitJobRequest
+	if err := protojson.Unmarshal(b, &req); err != nil {
+		return nil, fail(ExitUsage, fmt.Errorf("%s: %w", name, err))
+	}
+	return &req, nil
+}
+
+func jobFromFlags(c *cli.Command) (*poplargwv1.SubmitJobRequest, error) {
+	for _, name := range []string{"service", "kind", "team"} {
+		if c.String(name) == "" {
+			return nil, fail(ExitUsage, fmt.Errorf("--%s or a job file is required", name))
+		}
+	}
+	n := c.Int("tasks")
+	if n < 1 || n > 400 {
+		return nil, fail(ExitUsage, fmt.Errorf("--tasks %d: allowed: 1 to 400", n))
+	}
+	req := &poplargwv1.SubmitJobRequest{Service: c.String("service"), Team: c.String("team"), Repeatable: c.Bool("repeatable")}
+	for range n {
+		req.Tasks = append(req.Tasks, &poplargwv1.Task{Kind: c.String("kind"), Payload: []byte(c.String("payload"))})
+	}
+	return req, nil
+}
+
+func printResults(w io.Writer, r *poplargwv1.SubmitJobResponse) {
+	row(w, "TASK", "BYTES", "RESULT")
+	for i, t := range r.GetResults() {
+		row(w, i, len(t.GetPayload()), fmt.Sprintf("%.60q", t.GetPayload()))
+	}
+}
--- /dev/null
+++ b/daemon/tool/tool_test.go
@@ -0,0 +1,203 @@
+package tool
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/types/known/durationpb"
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
+)
+
+// entry is an operator service that answers Apply as a test scripts it.
+type entry struct {
+	poplargwv1connect.UnimplementedOperatorHandler
+	mu      sync.Mutex
+	record  *poplargwv1.ConfigRecord
+	applies []*poplargwv1.ApplyRequest
+	// script answers the first calls of Apply; later ones succeed.
+	script []func(*entry, *poplargwv1.ApplyRequest) *poplargwv1.ApplyResponse
+}
+
+func (e *entry) GetConfig(context.Context, *connect.Request[poplargwv1.GetConfigRequest]) (*connect.Response[poplargwv1.GetConfigResponse], error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return connect.NewResponse(&poplargwv1.GetConfigResponse{Record: e.record}), nil
+}
+
+func (e *entry) GetStatus(context.Context, *connect.Request[poplargwv1.GetStatusRequest]) (*connect.Response[poplargwv1.GetStatusResponse], error) {
+	return connect.NewResponse(&poplargwv1.GetStatusResponse{Entry: "e0"}), nil
+}
+
+func (e *entry) Apply(_ context.Context, r *connect.Request[poplargwv1.ApplyRequest]) (*connect.Response[poplargwv1.ApplyResponse], error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.applies = append(e.applies, r.Msg)
+	if len(e.script) > 0 {
+		f := e.script[0]
+		e.script = e.script[1:]
+		return connect.NewResponse(f(e, r.Msg)), nil
+	}
+	return connect.NewResponse(accept(e, r.Msg)), nil
+}
+
+func accept(e *entry, r *poplargwv1.ApplyRequest) *poplargwv1.ApplyResponse {
+	if e.record.GetChangeId() != r.GetChangeId() {
+		e.record = &poplargwv1.ConfigRecord{Version: e.record.GetVersion() + 1, ChangeId: r.GetChangeId(), Config: r.GetConfig()}
+	}
+	return &poplargwv1.ApplyResponse{State: poplargwv1.ApplyState_APPLY_STATE_ACCEPTED, Version: e.record.GetVersion(),
+		Unconfirmed: []string{"agent a7"}}
+}
+
+// loseReply makes the change and breaks the connection.
+func loseReply(e *entry, r *poplargwv1.ApplyRequest) *poplargwv1.ApplyResponse {
+	accept(e, r)
+	panic(http.ErrAbortHandler)
+}
+
+func answerState(s poplargwv1.ApplyState, version uint64) func(*entry, *poplargwv1.ApplyRequest) *poplargwv1.ApplyResponse {
+	return func(*entry, *poplargwv1.ApplyRequest) *poplargwv1.ApplyResponse {
+		return &poplargwv1.ApplyResponse{State: s, Version: version, Conflict: &poplargwv1.ConfigRecord{
+			Version: version, ChangeId: "other-change", Author: "other"}}
+	}
+}
+
+func newEntry(t *testing.T) (*entry, string) {
+	e := &entry{record: &poplargwv1.ConfigRecord{Version: 4, Config: &poplargwv1.Config{
+		Domains: []*poplargwv1.FailureDomain{{Name: "left", Region: "r"}},
+	}}}
+	_, h := poplargwv1connect.NewOperatorHandler(e)
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return e, strings.TrimPrefix(s.URL, "http://")
+}
+
+// run runs the tool and returns its exit code and output.
+func run(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	var out bytes.Buffer
+	root := &cli.Command{Name: "poplargw", Commands: Commands(), Writer: &out, ErrWriter: io.Discard,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}}
+	err := root.Run(t.Context(), append([]string{"poplargw"}, args...))
+	if err == nil {
+		return ExitOK, out.String()
+	}
+	code := ExitFailed
+	if coded, ok := err.(cli.ExitCoder); ok {
+		code = coded.ExitCode()
+	}
+	return code, out.String() + err.Error()
+}
+
+func wantRun(t *testing.T, code int, text string, args ...string) {
+	t.Helper()
+	if got, out := run(t, args...); got != code || !strings.Contains(out, text) {
+		t.Fatalf("exit code %d, want %d with %q; output:\n%s", got, code, text, out)
+	}
+}
+
+// Guards against a change that is made twice, or reported as failed, because the answer was lost.
+func TestLostAnswerIsSettledWithTheSameChangeID(t *testing.T) {
+	e, addr := newEntry(t)
+	e.script = append(e.script, loseReply)
+	wantRun(t, ExitOK, "not confirmed yet: agent a7", "domain", "out", "--entry", addr, "left")
+	if len(e.applies) != 2 || e.applies[0].GetChangeId() != e.applies[1].GetChangeId() || e.record.GetVersion() != 5 {
+		t.Fatalf("%d calls, version %d", len(e.applies), e.record.GetVersion())
+	}
+}
+
+// Guards against "rejected" from an entry that cannot know whether an earlier call wrote the change.
+func TestRejectionAfterUnknownIsNotFinal(t *testing.T) {
+	e, addr := newEntry(t)
+	e.script = append(e.script,
+		answerState(poplargwv1.ApplyState_APPLY_STATE_UNKNOWN, 5),
+		answerState(poplargwv1.ApplyState_APPLY_STATE_REJECTED, 0),
+		answerState(poplargwv1.ApplyState_APPLY_STATE_CONFLICT, 7))
+	wantRun(t, ExitOK, "accepted: version 5", "domain", "out", "--entry", addr, "left")
+	e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_UNKNOWN, 6))
+	for range 20 {
+		e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_REJECTED, 0))
+	}
+	wantRun(t, ExitUnknown, "outcome of the change is unknown", "domain", "in", "--entry", addr, "--timeout", "1s", "left")
+}
+
+// Guards against a domain that stays in service because another operator changed something else, and
+// against overwriting that other change.
+func TestDomainOutIsTriedAgainAfterConflict(t *testing.T) {
+	e, addr := newEntry(t)
+	e.script = append(e.script, func(e *entry, _ *poplargwv1.ApplyRequest) *poplargwv1.ApplyResponse {
+		e.record = &poplargwv1.ConfigRecord{Version: 5, ChangeId: "other", Config: &poplargwv1.Config{
+			Domains: e.record.GetConfig().GetDomains(), Teams: []*poplargwv1.Team{{Name: "new"}}}}
+		return answerState(poplargwv1.ApplyState_APPLY_STATE_CONFLICT, 5)(e, nil)
+	})
+	wantRun(t, ExitOK, "~ domain left out: false -> true", "domain", "out", "--entry", addr, "left")
+	if c := e.record.GetConfig(); !c.GetDomains()[0].GetOut() || len(c.GetTeams()) != 1 {
+		t.Fatalf("got %v", c)
+	}
+}
+
+// Guards against exit codes and messages that scripts cannot rely on.
+func TestApplyDirectory(t *testing.T) {
+	e, addr := newEntry(t)
+	dir := t.TempDir()
+	wantRun(t, ExitUsage, "no file with the extension .toml", "plan", "--entry", addr, dir)
+	file := filepath.Join(dir, "teams.toml")
+	if err := os.WriteFile(file, []byte("[[team]]\nname = \"lab\"\nquota_slots = 5\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	wantRun(t, ExitOK, "+ team lab quota_slots=5", "plan", "--entry", addr, dir)
+	wantRun(t, ExitConflict, "planned on version 3", "apply", "--entry", addr, "--base", "3", dir)
+	e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_CONFLICT, 5))
+	wantRun(t, ExitConflict, "change other-change of other", "apply", "--entry", addr, dir)
+	e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_STORED, 5))
+	wantRun(t, ExitUnknown, "not confirmed by a majority", "apply", "--entry", addr, dir)
+	wantRun(t, ExitOK, `"state":`, "apply", "--entry", addr, "--output", "json", dir)
+	wantRun(t, ExitUsage, "exactly one argument", "apply", "--entry", addr)
+	wantRun(t, ExitUsage, "allowed: table, json", "status", "--entry", addr, "--output", "xml")
+	wantRun(t, ExitUnreachable, "", "status", "--entry", "127.0.0.1:1")
+}
+
+// caller is a dispatcher that loses its first answer.
+type caller struct {
+	poplargwv1connect.UnimplementedDispatcherHandler
+	ids [][]byte
+}
+
+func (d *caller) SubmitJob(_ context.Context, r *connect.Request[poplargwv1.SubmitJobRequest]) (*connect.Response[poplargwv1.SubmitJobResponse], error) {
+	d.ids = append(d.ids, r.Msg.GetSubmissionId())
+	switch len(d.ids) {
+	case 1:
+		panic(http.ErrAbortHandler)
+	case 2:
+		return connect.NewResponse(&poplargwv1.SubmitJobResponse{Results: make([]*poplargwv1.TaskResult, len(r.Msg.GetTasks()))}), nil
+	}
+	err := connect.NewError(connect.CodeUnavailable, errors.New("busy"))
+	d2, _ := connect.NewErrorDetail(&poplargwv1.Failure{Code: 2001, Effect: poplargwv1.Effect_EFFECT_NOT_RUN, RetryAfter: durationpb.New(1e9)})
+	err.AddDetail(d2)
+	return nil, err
+}
+
+// Guards against a job that runs twice because the tool sends it again under another ID.
+func TestSubmitIsSentAgainWithTheSameID(t *testing.T) {
+	d := &caller{}
+	_, h := poplargwv1connect.NewDispatcherHandler(d)
+	s := httptest.NewServer(h)
+	defer s.Close()
+	args := []string{"submit", "--caller-address", strings.TrimPrefix(s.URL, "http://"), "--service", "s", "--kind", "k", "--team", "t", "--tasks", "3"}
+	wantRun(t, ExitOK, "complete", args...)
+	if len(d.ids) != 2 || !bytes.Equal(d.ids[0], d.ids[1]) {
+		t.Fatalf("submission IDs %x", d.ids)
+	}
+	wantRun(t, ExitFailed, "code 2001, not run: ; come back in 1s", args...)
+}
