Add the entry's data path, mains, demo and proofs with separate processes

Cause: the whole path has to run as separate processes, and what must always hold has to be proved under failure. Change: entry (receiver, home, starts, claims, drain), server, poplargwd, poplargw, demo and its driver, docs. daemon/prove starts a store, entries, agents and backend servers as processes with a forwarder before each peers' port, and checks every start that the backend servers recorded.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := api dispatch store daemon
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: build test lint format-check generate generate-check
+.PHONY: build test lint format-check generate generate-check demo
 
 build:
 	mkdir -p bin
@@ -10,6 +10,10 @@
 test:
 	go test -race $(PACKAGES)
 
+# Runs the demonstration on loopback addresses; see README.md.
+demo: build
+	deploy/demo/run.sh
+
 lint:
 	go vet $(PACKAGES)
 	cd tools && GOWORK=off go build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
--- /dev/null
+++ b/daemon/cmd/demo/wait.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
+)
+
+// pollEvery is how often the state of a process is asked for.
+const pollEvery = 100 * time.Millisecond
+
+func waitHTTP(ctx context.Context, url string) error {
+	return poll(ctx, url, func() error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %s", resp.Status)
+		}
+		return nil
+	})
+}
+
+// waitServers waits until the entry knows the number of backend servers.
+func waitServers(ctx context.Context, address string, servers int) error {
+	client := poplargwv1connect.NewOperatorClient(http.DefaultClient, "http://"+address)
+	return poll(ctx, address, func() error {
+		resp, err := client.GetStatus(ctx, connect.NewRequest(&poplargwv1.GetStatusRequest{}))
+		if err != nil {
+			return err
+		}
+		known := 0
+		for _, a := range resp.Msg.GetAgents() {
+			known += len(a.GetServers())
+		}
+		if known < servers {
+			return fmt.Errorf("knows %d of %d backend servers", known, servers)
+		}
+		return nil
+	})
+}
+
+// poll calls f until it succeeds, and returns its last error when ctx ends.
+func poll(ctx context.Context, what string, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		if !sleep(ctx, pollEvery) {
+			return fmt.Errorf("wait for %s: %w", what, err)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/cmd/poplargw/main_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/urfave/cli/v3"
+
+	"poplargw.example/daemon/pki"
+	"poplargw.example/daemon/transport"
+)
+
+// Guards against development certificates that the processes cannot load.
+func TestCertMakesLoadableFiles(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "tls")
+	root := &cli.Command{Name: "poplargw", Commands: []*cli.Command{certCommand()}}
+	if err := root.Run(t.Context(), []string{"poplargw", "cert", "--out", dir, "--ip", "127.0.0.1", "--ip", "::1"}); err != nil {
+		t.Fatal(err)
+	}
+	file := func(name string) string { return filepath.Join(dir, name) }
+	if _, err := transport.LoadTLS(file(pki.CertFile), file(pki.KeyFile), file(pki.CAFile)); err != nil {
+		t.Error(err)
+	}
+	if err := root.Run(t.Context(), []string{"poplargw", "cert", "--out", dir + "2", "--ip", "localhost"}); err == nil {
+		t.Error("a name was accepted as an IP address")
+	}
+}
--- /dev/null
+++ b/daemon/cmd/poplargwd/dev.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/server"
+)
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "run a whole development system in one process on loopback addresses",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "log-level", Usage: "least severe `LEVEL` that is logged: debug, info, warn or error", Value: "warn",
+		}},
+		Action: dev,
+	}
+}
+
+func dev(_ context.Context, c *cli.Command) error {
+	signals := server.Notify()
+	log, err := event.Open(c.String("log-level"), event.FormatAuto, os.Stderr)
+	if err != nil {
+		return err
+	}
+	return server.RunDev(signals, log, c.Root().Writer)
+}
--- /dev/null
+++ b/daemon/cmd/poplargwd/main.go
@@ -0,0 +1,40 @@
+// Command poplargwd is the daemon of poplargw. Its settings say whether it is an entry or an agent.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:           "poplargwd",
+		Usage:          "dispatch short tasks to backend servers",
+		HideVersion:    true,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands:       []*cli.Command{runCommand(), checkCommand(), devCommand(), versionCommand()},
+	}
+}
+
+// settingsFile returns the single argument of a command.
+func settingsFile(c *cli.Command) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", fmt.Errorf("%s needs one settings file", c.FullName())
+	}
+	return c.Args().First(), nil
+}
--- /dev/null
+++ b/daemon/cmd/poplargwd/main_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"poplargw.example/daemon/pki"
+	"poplargw.example/daemon/settings"
+)
+
+// agentFile has the certificate files relative to the working directory.
+const agentFile = `
+role = "agent"
+[node]
+id = "agent-1"
+domain = "demo-a"
+region = "demo"
+[listen]
+peers = "127.0.0.1:7210"
+operators = "127.0.0.1:7220"
+local = "127.0.0.1:7230"
+[transport]
+entries = ["127.0.0.1:7110"]
+[tls]
+cert = "cert.pem"
+key = "key.pem"
+ca = "ca.pem"
+`
+
+func runCheck(t *testing.T, text string) (string, error) {
+	t.Helper()
+	if err := os.WriteFile("agent.toml", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	c := command()
+	c.Writer = &out
+	err := c.Run(t.Context(), []string{"poplargwd", "check", "agent.toml"})
+	return out.String(), err
+}
+
+// Guards against a check that passes a file with which the daemon would not start, or the reverse.
+func TestCheck(t *testing.T) {
+	t.Chdir(t.TempDir())
+	var problems settings.Problems
+	if _, err := runCheck(t, agentFile); !errors.As(err, &problems) || problems[0].Code != settings.BadFile {
+		t.Errorf("missing certificates: %v", err)
+	}
+	set, err := pki.New(time.Now(), []net.IP{net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := set.Write("."); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := runCheck(t, agentFile); err != nil || !strings.Contains(out, "agent agent-1 are valid") {
+		t.Errorf("valid file: %q, %v", out, err)
+	}
+	if _, err := runCheck(t, strings.Replace(agentFile, `role = "agent"`, `role = "x"`, 1)); !errors.As(err, &problems) {
+		t.Errorf("wrong role: %v", err)
+	}
+	if err := command().Run(t.Context(), []string{"poplargwd", "check"}); err == nil {
+		t.Error("no file is no error")
+	}
+}
--- /dev/null
+++ b/daemon/cmd/poplargwd/run.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/server"
+	"poplargw.example/daemon/settings"
+)
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "run the daemon until SIGTERM or SIGINT; a second signal ends it at once",
+		ArgsUsage: "FILE",
+		Action:    run,
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	// Signals count from here, so that one during the start is not lost.
+	signals := server.Notify()
+	name, err := settingsFile(c)
+	if err != nil {
+		return err
+	}
+	s, err := settings.Load(name)
+	if err != nil {
+		return err
+	}
+	log, err := event.Open(s.Log.Level, s.Log.Format, os.Stderr)
+	if err != nil {
+		return err
+	}
+	return server.Run(signals, s, log)
+}
--- /dev/null
+++ b/daemon/entry/status.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/dispatch/sched"
+)
+
+// statusLimit bounds the wait for a busy home loop.
+const statusLimit = 2 * time.Second
+
+// Status describes the agents, backend servers and queues that this entry knows. The
+// fields that concern the cluster are left empty.
+func (e *Entry) Status() *poplargwv1.GetStatusResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	defer cancel()
+	s, ok := ask(ctx, e.home, func(out chan<- *poplargwv1.GetStatusResponse) message { return statusMsg{out: out} })
+	if !ok {
+		return &poplargwv1.GetStatusResponse{Entry: e.self}
+	}
+	return s
+}
+
+// statusMsg asks for the status.
+type statusMsg struct {
+	out chan<- *poplargwv1.GetStatusResponse
+}
+
+func (m statusMsg) apply(h *home, now time.Time) {
+	st := h.sched.Stats()
+	s := &poplargwv1.GetStatusResponse{Entry: h.e.self, Agents: h.agentStatus(now, st.Servers)}
+	for _, q := range st.Queues {
+		s.Queues = append(s.Queues, &poplargwv1.QueueStatus{
+			Service: q.Service, Kind: q.Kind, Queued: uint32(q.Queued), Running: uint32(q.Running),
+		})
+	}
+	m.out <- s
+}
+
+func (h *home) agentStatus(now time.Time, servers []sched.ServerStats) []*poplargwv1.AgentStatus {
+	byAgent := make(map[string][]*poplargwv1.ServerStatus)
+	for _, v := range servers {
+		byAgent[v.At.Agent] = append(byAgent[v.At.Agent], &poplargwv1.ServerStatus{
+			Name: v.At.Server, Service: v.Service, Slots: uint32(max(v.Slots, 0)), FreeSlots: uint32(max(v.FreeSlots, 0)),
+			Out: v.Out, Leaving: v.Leaving, Suspended: v.Suspended,
+		})
+	}
+	var out []*poplargwv1.AgentStatus
+	for id, a := range h.dir.agents {
+		if a.lost {
+			continue
+		}
+		out = append(out, &poplargwv1.AgentStatus{
+			Id: id, Domain: a.state.GetDomain(), ConfigVersion: a.config,
+			LastReport: durationpb.New(now.Sub(a.heard)), Servers: byAgent[id],
+		})
+	}
+	slices.SortFunc(out, func(a, b *poplargwv1.AgentStatus) int { return cmp.Compare(a.Id, b.Id) })
+	return out
+}
+
+// exportQueues updates the queue metrics.
+func (h *home) exportQueues() {
+	for _, q := range h.sched.Stats().Queues {
+		h.e.metrics.queue(q.Service, q.Kind, q.Queued, q.Running)
+	}
+}
--- /dev/null
+++ b/daemon/prove/connection_test.go
@@ -0,0 +1,89 @@
+package prove
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"poplargw.example/daemon/sample"
+)
+
+// links returns all forwarders between processes.
+func (s *system) links() []*forwarder {
+	var all []*forwarder
+	for _, f := range s.peers {
+		all = append(all, f)
+	}
+	return all
+}
+
+// TestSilentConnections guards against calls that hang, start twice or get a
+// foreign answer when open connections go silent for good while new ones work.
+func TestSilentConnections(t *testing.T) {
+	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
+	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 80})
+	silenced := 0
+	for range 3 {
+		time.Sleep(1500 * time.Millisecond)
+		for _, f := range s.links() {
+			for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
+				silenced += f.silenceOpen(p.ip)
+			}
+		}
+	}
+	time.Sleep(5 * time.Second)
+	jobs := l.stop()
+	report(t, "%d open connections went silent: %v", silenced, count(jobs))
+	if silenced == 0 {
+		t.Error("no connection was silenced")
+	}
+	s.verify(jobs...)
+	late := newJob("quick", 6, 20, loadTimeout)
+	if o := late.send(s, 0); o.answer == nil {
+		t.Errorf("a job after the silence: %v", o)
+	}
+}
+
+// TestAnswersOutOfOrder guards against an answer that reaches another call when
+// replies are delayed differently and overtake each other.
+func TestAnswersOutOfOrder(t *testing.T) {
+	s := newSystem(t, layout{entries: 2, agents: 3, slots: 16})
+	for i, e := range s.entries {
+		for k, a := range s.agents {
+			s.peers[a.name].setDelay(e.ip, time.Duration(i*7+k*11)*time.Millisecond)
+		}
+	}
+	var jobs []*job
+	var outcomes []<-chan send
+	for i := range 40 {
+		j := newJob("quick", 5, 0, loadTimeout)
+		for k, task := range j.request.Tasks {
+			// Earlier tasks take longer, so that answers come in the reverse order.
+			task.Payload, _ = json.Marshal(sample.Work{MS: (5 - k) * 15, Echo: j.id.String()})
+		}
+		jobs = append(jobs, j)
+		outcomes = append(outcomes, j.sendAsync(s, i%2))
+	}
+	for i, c := range outcomes {
+		if o := <-c; o.answer == nil {
+			t.Errorf("job %d: %v", i, o)
+		}
+	}
+	s.verify(jobs...)
+}
+
+// TestEntryRestartOnSamePort guards against answers of an earlier incarnation
+// that reach callers of a restarted entry on the same address.
+func TestEntryRestartOnSamePort(t *testing.T) {
+	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
+	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 100, resend: true})
+	for range 3 {
+		time.Sleep(time.Second)
+		s.entries[0].kill()
+		s.entries[0].start()
+	}
+	time.Sleep(6 * time.Second)
+	jobs := l.stop()
+	report(t, "an entry killed and restarted three times: %v", count(jobs))
+	s.verify(jobs...)
+}
--- /dev/null
+++ b/daemon/prove/path_test.go
@@ -0,0 +1,27 @@
+package prove
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPath guards against a break anywhere on the whole path with separate
+// processes: a job through each entry comes back whole.
+func TestPath(t *testing.T) {
+	s := newSystem(t, layout{entries: 2, agents: 3, slots: 4})
+	var jobs []*job
+	var outcomes []<-chan send
+	for i := range 20 {
+		j := newJob("quick", 1+i, 20, 10*time.Second)
+		jobs = append(jobs, j)
+		outcomes = append(outcomes, j.sendAsync(s, i%2))
+	}
+	for i, c := range outcomes {
+		o := <-c
+		t.Logf("job %d: %v", i, o)
+		if o.answer == nil {
+			t.Errorf("job %d: %v", i, o)
+		}
+	}
+	s.verify(jobs...)
+}
--- /dev/null
+++ b/daemon/prove/worker_test.go
@@ -0,0 +1,181 @@
+package prove
+
+import (
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+)
+
+// TestAgentKilled guards against a second start and a false "not run" when an
+// agent dies with tasks running and comes back with an empty memory.
+func TestAgentKilled(t *testing.T) {
+	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
+	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 150})
+	for range 2 {
+		time.Sleep(1500 * time.Millisecond)
+		s.agents[0].kill()
+		time.Sleep(200 * time.Millisecond)
+		s.agents[0].start()
+	}
+	time.Sleep(3 * time.Second)
+	jobs := l.stop()
+	report(t, "an agent killed and restarted twice: %v", count(jobs))
+	s.verify(jobs...)
+	late := newJob("quick", 12, 20, loadTimeout)
+	if o := late.send(s, 0); o.answer == nil {
+		t.Errorf("a job after the restart: %v", o)
+	}
+}
+
+// TestServerKilled guards against a second start and a false "not run" when a
+// backend server dies in mid-task.
+func TestServerKilled(t *testing.T) {
+	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
+	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 150})
+	time.Sleep(1500 * time.Millisecond)
+	s.servers[0].kill()
+	time.Sleep(4 * time.Second)
+	s.servers[0].start()
+	time.Sleep(2 * time.Second)
+	jobs := l.stop()
+	report(t, "a backend server killed and restarted: %v", count(jobs))
+	if c := count(jobs); c.complete < len(jobs)*8/10 {
+		t.Errorf("too few jobs completed on the remaining backend servers: %v", c)
+	}
+	s.verify(jobs...)
+}
+
+// TestServerFailsEverything guards against a backend server that fails every
+// task and, being always free, attracts all work.
+func TestServerFailsEverything(t *testing.T) {
+	s := newSystem(t, layout{entries: 2, agents: 3, slots: 8, serverArgs: map[int][]string{0: {"-fail-all"}}})
+	l := s.startLoad(loadShape{entries: []int{0, 1}, every: 25 * time.Millisecond, tasks: 2, ms: 50})
+	time.Sleep(6 * time.Second)
+	jobs := l.stop()
+	report(t, "one of three backend servers fails every task: %v", count(jobs))
+	late := jobs[len(jobs)/2:]
+	report(t, "second half of that: %v", count(late))
+	if c := count(late); c.complete < len(late)*9/10 {
+		t.Errorf("the failing backend server still gets work: %v", c)
+	}
+	s.verify(jobs...)
+}
+
+// TestServerHangs guards against a hung backend server that holds jobs beyond
+// the time limit of their kind, and keeps getting work.
+func TestServerHangs(t *testing.T) {
+	s := newSystem(t, layout{entries: 2, agents: 3, slots: 4, serverArgs: map[int][]string{0: {"-hang"}}})
+	record := s.current(0)
+	record.GetConfig().GetServices()[0].GetKinds()[0].TimeLimit = durationpb.New(time.Second)
+	if res, err := s.apply(0, record.GetConfig(), record.GetVersion()); err != nil || res.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED {
+		t.Fatalf("apply: %v %v", res, err)
+	}
+	l := s.startLoad(loadShape{entries: []int{0, 1}, every: 50 * time.Millisecond, tasks: 2, ms: 50})
+	time.Sleep(8 * time.Second)
+	jobs := l.stop()
+	report(t, "one of three backend servers hangs: %v", count(jobs))
+	for _, j := range jobs {
+		if o := j.last(); o.took > 5*time.Second {
+			t.Errorf("job %s: %v", j.id, o)
+		}
+	}
+	s.verify(jobs...)
+}
+
+// TestCancelWave guards against queued tasks that start after a wave of cancellations.
+func TestCancelWave(t *testing.T) {
+	s := newSystem(t, layout{entries: 2, agents: 2, slots: 2})
+	// A long job keeps all slots busy, so that the jobs of the wave queue up.
+	blocker := newJob("quick", 4, 3000, loadTimeout)
+	first := blocker.sendAsync(s, 0)
+	s.eventually(readyLimit, "all slots are busy", func() bool { return len(s.starts()) == 4 })
+	const wave = 1000
+	jobs := make([]*job, wave)
+	outcomes := make([]<-chan send, wave)
+	for i := range jobs {
+		jobs[i] = newJob("quick", 4, 500, 14*time.Second)
+		outcomes[i] = jobs[i].sendAsync(s, i%2)
+	}
+	s.eventually(readyLimit, "the wave is queued or refused", func() bool { return s.queued() >= 400 })
+	begin := time.Now()
+	for _, j := range jobs {
+		req := &poplargwv1.CancelJobRequest{Caller: j.request.GetCaller(), SubmissionId: j.id[:]}
+		if _, err := s.dispatcher(0).CancelJob(s.context(), connect.NewRequest(req)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	took := time.Since(begin)
+	for _, c := range outcomes {
+		<-c
+	}
+	report(t, "%d jobs cancelled in %v: %v", wave, took.Round(time.Millisecond), count(jobs))
+	if o := <-first; o.answer == nil {
+		t.Errorf("the running job: %v", o)
+	}
+	s.verify(append(jobs, blocker)...)
+}
+
+// queued returns the number of queued tasks at all entries.
+func (s *system) queued() int {
+	n := 0
+	for i := range s.entries {
+		res, err := s.operator(i).GetStatus(s.context(), connect.NewRequest(&poplargwv1.GetStatusRequest{}))
+		if err != nil {
+			continue
+		}
+		for _, q := range res.Msg.GetQueues() {
+			n += int(q.GetQueued())
+		}
+	}
+	return n
+}
+
+// TestImpossibleJob guards against a job that can never run and blocks others,
+// or gets its refusal late.
+func TestImpossibleJob(t *testing.T) {
+	s := newSystem(t, layout{entries: 2, agents: 2, slots: 2})
+	record := s.current(0)
+	record.GetConfig().GetServices()[0].GetKinds()[1].Slots = 16
+	if res, err := s.apply(0, record.GetConfig(), record.GetVersion()); err != nil || res.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED {
+		t.Fatalf("apply: %v %v", res, err)
+	}
+	s.inForce(record.GetVersion()+1, forceBound)
+	impossible, other := newJob("long", 1, 10, loadTimeout), newJob("quick", 4, 10, loadTimeout)
+	if o := impossible.send(s, 0); o.failure.GetCode() != 1009 || o.took > time.Second {
+		t.Errorf("the impossible job: %v", o)
+	}
+	if o := other.send(s, 0); o.answer == nil {
+		t.Errorf("another job: %v", o)
+	}
+	s.verify(impossible, other)
+}
+
+// TestWrongDeclarations guards against declared run times that are wrong by a
+// factor of ten and cause refusals or failures.
+func TestWrongDeclarations(t *testing.T) {
+	s := newSystem(t, layout{entries: 2, agents: 3, slots: 4})
+	var jobs []*job
+	var outcomes []<-chan send
+	for i := range 30 {
+		j := newJob("quick", 6, 50, loadTimeout)
+		for _, task := range j.request.Tasks {
+			declared := 500 * time.Millisecond
+			if i%2 == 0 {
+				declared = 5 * time.Millisecond
+			}
+			task.DeclaredDuration = durationpb.New(declared)
+		}
+		jobs = append(jobs, j)
+		outcomes = append(outcomes, j.sendAsync(s, i%2))
+	}
+	for i, c := range outcomes {
+		if o := <-c; o.answer == nil {
+			t.Errorf("job %d: %v", i, o)
+		}
+	}
+	s.verify(jobs...)
+}
--- /dev/null
+++ b/daemon/server/signals.go
@@ -0,0 +1,27 @@
+package server
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Signals says when a daemon stops. Stop starts the graceful stop. Kill cuts it short.
+type Signals struct {
+	Stop <-chan struct{}
+	Kill <-chan struct{}
+}
+
+// Notify turns the first SIGTERM or SIGINT into Stop and the second into Kill.
+func Notify() Signals {
+	in := make(chan os.Signal, 2)
+	signal.Notify(in, syscall.SIGTERM, syscall.SIGINT)
+	stop, kill := make(chan struct{}), make(chan struct{})
+	go func() {
+		<-in
+		close(stop)
+		<-in
+		close(kill)
+	}()
+	return Signals{Stop: stop, Kill: kill}
+}
