Report burn over all entries and make the tool's output stable

Cause: burn showed the counters of one entry, and the status had only peer addresses. Unknown commands exited with the code of a conflict. An agent lost during the wait counted as having confirmed a change. A submission that was never sent was reported as possibly run. Errors in declarations did not name the file. Ruled out: only a list of addresses on the command line, which goes out of date as entries are replaced; a store of counters in the tool; a fixed alert factor, which a target of 0.9 could never reach. Calls without an answer go to the next entry with the same change ID. JSON and exit codes are documented in docs/tool.md. New command config prints the configuration as declarations. The cert test ignores cli's exit handler, since usage errors now carry an exit code, and checks that code.

--- a/daemon/cluster/membership.go
+++ b/daemon/cluster/membership.go
@@ -69,6 +69,7 @@
 	s := c.o.Settings
 	return member.Join(st.Table(), &peerv1.EntryMember{
 		Id: s.Node.ID, Incarnation: c.o.Incarnation, Address: s.Listen.PeerAddress(), Domain: s.Node.Domain, Region: s.Node.Region,
+		Operators: s.Listen.OperatorAddress(),
 	})
 }
 
--- a/daemon/cluster/status.go
+++ b/daemon/cluster/status.go
@@ -18,7 +18,7 @@
 	c.inspect(func(st *member.State, now time.Time) {
 		r.StoreReachable = st.StoreReachable()
 		for _, m := range s.table.GetMembers() {
-			e := &poplargwv1.EntryStatus{Id: m.GetId(), Address: m.GetAddress()}
+			e := &poplargwv1.EntryStatus{Id: m.GetId(), Address: m.GetAddress(), Operators: m.GetOperators()}
 			if m.GetId() == r.Entry {
 				e.ConfigVersion, e.LastContact = r.ConfigVersion, durationpb.New(0)
 			} else if a, contact := st.Peer(m.GetId()); !contact.IsZero() {
--- a/daemon/cmd/poplargw/main_test.go
+++ b/daemon/cmd/poplargw/main_test.go
@@ -1,19 +1,22 @@
 package main
 
 import (
+	"context"
 	"path/filepath"
 	"testing"
 
 	"github.com/urfave/cli/v3"
 
 	"poplargw.example/daemon/pki"
+	"poplargw.example/daemon/tool"
 	"poplargw.example/daemon/transport"
 )
 
 // Guards against development certificates that the processes cannot load.
 func TestCertMakesLoadableFiles(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "tls")
-	root := &cli.Command{Name: "poplargw", Commands: []*cli.Command{certCommand()}}
+	root := &cli.Command{Name: "poplargw", Commands: tool.Commands(),
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}}
 	if err := root.Run(t.Context(), []string{"poplargw", "cert", "--out", dir, "--ip", "127.0.0.1", "--ip", "::1"}); err != nil {
 		t.Fatal(err)
 	}
@@ -21,7 +24,7 @@
 	if _, err := transport.LoadTLS(file(pki.CertFile), file(pki.KeyFile), file(pki.CAFile)); err != nil {
 		t.Error(err)
 	}
-	if err := root.Run(t.Context(), []string{"poplargw", "cert", "--out", dir + "2", "--ip", "localhost"}); err == nil {
-		t.Error("a name was accepted as an IP address")
+	if err := root.Run(t.Context(), []string{"poplargw", "cert", "--out", dir + "2", "--ip", "localhost"}); err == nil || exitCode(err) != tool.ExitUsage {
+		t.Errorf("a name as an IP address: got %v", err)
 	}
 }
--- a/daemon/operator/operator.go
+++ b/daemon/operator/operator.go
@@ -88,7 +88,9 @@
 	case poplargwv1.ApplyState_APPLY_STATE_ACCEPTED:
 		resp.Unconfirmed = s.wait(ctx, resp.GetVersion())
 	case poplargwv1.ApplyState_APPLY_STATE_STORED:
-		resp.Unconfirmed = unconfirmed(s.status(), resp.GetVersion())
+		c := NewConfirmation(resp.GetVersion(), nil)
+		c.Observe(s.status())
+		resp.Unconfirmed = c.Unconfirmed()
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -102,37 +104,23 @@
 	return r
 }
 
-// wait returns the processes whose last known configuration version is lower when
-// all have confirmed it, forceLimit has passed or ctx ends.
+// wait returns the processes that have not confirmed the version when none of those that are heard of
+// is left, forceLimit has passed or ctx ends.
 func (s *service) wait(ctx context.Context, version uint64) []string {
 	ctx, cancel := context.WithTimeout(ctx, forceLimit)
 	defer cancel()
 	t := time.NewTicker(forcePoll)
 	defer t.Stop()
+	c := NewConfirmation(version, nil)
 	for {
-		behind := unconfirmed(s.status(), version)
-		if len(behind) == 0 {
-			return nil
+		c.Observe(s.status())
+		if !c.Waiting() {
+			return c.Unconfirmed()
 		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return behind
+			return c.Unconfirmed()
 		}
 	}
 }
-
-func unconfirmed(r *poplargwv1.GetStatusResponse, version uint64) []string {
-	var ids []string
-	for _, e := range r.GetEntries() {
-		if e.GetConfigVersion() < version {
-			ids = append(ids, "entry "+e.GetId())
-		}
-	}
-	for _, a := range r.GetAgents() {
-		if a.GetConfigVersion() < version {
-			ids = append(ids, "agent "+a.GetId())
-		}
-	}
-	return ids
-}
--- a/daemon/operator/operator_test.go
+++ b/daemon/operator/operator_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// Guards against an agent that is lost while it is behind, and so counts as having confirmed.
+func TestLostProcessStaysUnconfirmed(t *testing.T) {
+	c := NewConfirmation(2, []string{"agent a0"})
+	c.Observe(&poplargwv1.GetStatusResponse{Entries: []*poplargwv1.EntryStatus{{Id: "e0", ConfigVersion: 2}}})
+	want := []string{"agent a0 (not heard of any more)"}
+	if c.Waiting() || !slices.Equal(c.Unconfirmed(), want) {
+		t.Fatalf("waiting %v for %q", c.Waiting(), c.Unconfirmed())
+	}
+}
+
 // Guards against a wait after a change that did not take effect.
 func TestConflictIsAnsweredAtOnce(t *testing.T) {
 	op := serve(t, &system{state: poplargwv1.ApplyState_APPLY_STATE_CONFLICT})
--- a/daemon/tool/burn.go
+++ b/daemon/tool/burn.go
@@ -5,82 +5,104 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
+	"os"
+	"time"
 
-	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/dispatch/burn"
 )
 
 func burnCommand() *cli.Command {
 	return &cli.Command{
-		Name: "burn", Usage: "show how fast the error budgets of the objectives are used, as one entry counts",
-		Flags: commonFlags(), OnUsageError: usageError, Action: action(burn),
+		Name: "burn", Usage: "show how fast the error budgets of the objectives are used, over all entries",
+		Description: "Asks one entry of --entry for the list of all entries and every entry for its counters of the last hour.\n" +
+			"A burn rate of 1 uses exactly the budget that the target allows. A series alerts while its burn rate is\n" +
+			"above the factor in both windows; the factor is limited to the rate at which half of the requests fail.\n" +
+			"Entries that did not answer and counters lost in a restart are named.",
+		Flags: commonFlags(
+			&cli.DurationFlag{Name: "short", Usage: "short `WINDOW` of the alert rule", Value: burn.DefaultShort},
+			&cli.DurationFlag{Name: "long", Usage: "long `WINDOW` of the alert rule, at most 1h", Value: burn.DefaultLong},
+			&cli.Float64Flag{Name: "factor", Usage: "burn `RATE` above which both windows alert", Value: burn.DefaultFactor},
+			&cli.StringFlag{Name: "html", Usage: "also write a page with plots to `FILE`"},
+		),
+		OnUsageError: OnUsageError, Action: action(showBurn),
 	}
 }
 
-func burn(ctx context.Context, c *cli.Command) error {
-	op := operator(c)
-	record, err := current(ctx, op)
+func showBurn(ctx context.Context, c *cli.Command) error {
+	rule := burn.Rule{Short: c.Duration("short"), Long: c.Duration("long"), Factor: c.Float64("factor")}
+	if err := checkRule(rule); err != nil {
+		return fail(ExitUsage, err)
+	}
+	es := entriesOf(c)
+	record, err := es.current(ctx)
 	if err != nil {
 		return err
 	}
-	resp, err := op.GetObjectives(ctx, connect.NewRequest(&poplargwv1.GetObjectivesRequest{}))
+	st, err := es.status(ctx)
 	if err != nil {
-		return callFailed(err)
+		return err
 	}
-	return show(c, resp.Msg, func(w io.Writer) {
-		row(w, "SERVICE", "KIND", "TEAM", "GOOD", "TOTAL", "TARGET", "BURN RATE")
-		sums := sumWindows(resp.Msg.GetWindows())
-		for _, s := range slices.SortedFunc(maps.Keys(sums), compareSeries) {
-			target := targetOf(record.GetConfig(), s.service, s.kind)
-			row(w, s.service, s.kind, s.team, sums[s].good, sums[s].total, targetText(target), burnText(sums[s], target))
+	answers := askObjectives(ctx, st, es.addresses)
+	now := time.Now()
+	doc := newBurnDocument(now, rule, answers, burn.Compute(now, samplesOf(answers), objectivesOf(record.GetConfig()), rule))
+	if name := c.String("html"); name != "" {
+		if err := writePage(name, doc); err != nil {
+			return fail(ExitFailed, err)
 		}
-	})
-}
-
-type series struct{ service, kind, team string }
-
-type sum struct{ good, total uint64 }
-
-func compareSeries(a, b series) int {
-	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.kind, b.kind), cmp.Compare(a.team, b.team))
+	}
+	return showDocument(c, doc, func(w io.Writer) { printBurn(w, doc) })
 }
 
-func sumWindows(ws []*poplargwv1.ObjectiveWindow) map[series]sum {
-	sums := make(map[series]sum)
-	for _, w := range ws {
-		k := series{w.GetService(), w.GetKind(), w.GetTeam()}
-		sums[k] = sum{sums[k].good + w.GetGood(), sums[k].total + w.GetTotal()}
+func checkRule(r burn.Rule) error {
+	switch {
+	case r.Long < time.Minute || r.Long > burn.DefaultLong:
+		return fmt.Errorf("--long %v: allowed: 1m to %v, the time for which entries hold counters", r.Long, burn.DefaultLong)
+	case r.Short < 10*time.Second || r.Short > r.Long:
+		return fmt.Errorf("--short %v: allowed: 10s to --long", r.Short)
+	case !(r.Factor > 0): // The negated form also refuses NaN.
+		return fmt.Errorf("--factor %v: allowed: above 0", r.Factor)
 	}
-	return sums
+	return nil
 }
 
-// targetOf returns the target of a kind, or 0 if it has no objective.
-func targetOf(c *poplargwv1.Config, service, kind string) float64 {
+func objectivesOf(c *poplargwv1.Config) func(burn.Series) *burn.Objective {
+	type kind struct{ service, kind string }
+	known := make(map[kind]*burn.Objective)
 	for _, s := range c.GetServices() {
 		for _, k := range s.GetKinds() {
-			if s.GetName() == service && k.GetName() == kind {
-				return k.GetObjective().GetTarget()
+			if o := k.GetObjective(); o != nil {
+				known[kind{s.GetName(), k.GetName()}] = &burn.Objective{ResponseTime: o.GetResponseTime().AsDuration(), Target: o.GetTarget()}
 			}
 		}
 	}
-	return 0
+	return func(s burn.Series) *burn.Objective { return known[kind{s.Service, s.Kind}] }
 }
 
-func targetText(target float64) string {
-	if target == 0 {
-		return "-"
+func printBurn(w io.Writer, d *burnDocument) {
+	row(w, "SERVICE", "KIND", "TEAM", "OBJECTIVE", "GOOD", "TOTAL", "BUDGET LEFT", "BURN "+d.ShortWindow, "BURN "+d.LongWindow, "ALERT ABOVE", "STATE")
+	for _, s := range d.Series {
+		row(w, s.Service, s.Kind, cmp.Or(s.Team, "(other teams)"), s.ObjectiveText(), s.Good, s.Total, s.BudgetText(),
+			rateText(s.BurnShort), rateText(s.BurnLong), rateText(s.AlertFactor), s.StateText())
+	}
+	row(w)
+	for _, n := range d.Notes() {
+		row(w, n)
 	}
-	return fmt.Sprint(target)
 }
 
-// burnText returns the share of bad requests as a multiple of the share that the target allows.
-func burnText(s sum, target float64) string {
-	if s.total == 0 || target == 0 {
-		return "-"
+func writePage(name string, d *burnDocument) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	err = burnPage.Execute(f, newPage(d))
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
 	}
-	bad := float64(s.total-min(s.good, s.total)) / float64(s.total)
-	return fmt.Sprintf("%.2f", bad/(1-target))
+	return nil
 }
--- a/daemon/tool/cancel.go
+++ b/daemon/tool/cancel.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"connectrpc.com/connect"
+	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 )
@@ -13,10 +14,19 @@
 func cancelCommand() *cli.Command {
 	return &cli.Command{
 		Name: "cancel", Usage: "cancel a submission", ArgsUsage: "ID",
-		Flags: callerFlags(), OnUsageError: usageError, Action: action(cancelJob),
+		Description: "Queued tasks will not start; results of running tasks are dropped. Cancelling a submission that the system\n" +
+			"does not know is no error; \"poplargw outcome ID\" shows its state.",
+
+		Flags: callerFlags(), OnUsageError: OnUsageError, Action: action(cancelJob),
 	}
 }
 
+// cancelDocument is the JSON form of a cancellation.
+type cancelDocument struct {
+	SubmissionID string `json:"submission_id"`
+	NotStarted   uint32 `json:"not_started"`
+}
+
 func cancelJob(ctx context.Context, c *cli.Command) error {
 	id, err := submissionID(c)
 	if err != nil {
@@ -28,7 +38,8 @@
 	if err != nil {
 		return jobFailed(err)
 	}
-	return show(c, resp.Msg, func(w io.Writer) {
-		row(w, fmt.Sprintf("cancelled; %d tasks will not start", resp.Msg.GetNotStarted()))
+	doc := cancelDocument{uuid.UUID(id).String(), resp.Msg.GetNotStarted()}
+	return showDocument(c, doc, func(w io.Writer) {
+		row(w, fmt.Sprintf("cancellation of %s accepted; %d queued tasks will not start", doc.SubmissionID, doc.NotStarted))
 	})
 }
--- a/daemon/tool/domain.go
+++ b/daemon/tool/domain.go
@@ -10,7 +10,7 @@
 
 func domainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "domain", Usage: "take a failure domain out of service or return it",
+		Name: "domain", Usage: "take a failure domain out of service or return it", Action: Group,
 		Commands: []*cli.Command{
 			switchCommand("out", "take the failure domain out of service", setDomain(true)),
 			switchCommand("in", "return the failure domain to service", setDomain(false)),
@@ -20,7 +20,7 @@
 
 func switchCommand(name, usage string, set func(*poplargwv1.Config, string) (*poplargwv1.Config, error)) *cli.Command {
 	return &cli.Command{
-		Name: name, Usage: usage, ArgsUsage: "NAME", Flags: commonFlags(authorFlag()), OnUsageError: usageError,
+		Name: name, Usage: usage, ArgsUsage: "NAME", Flags: changeFlags(), OnUsageError: OnUsageError,
 		Action: action(func(ctx context.Context, c *cli.Command) error {
 			arg, err := oneArgument(c, "NAME")
 			if err != nil {
--- a/daemon/tool/files.go
+++ b/daemon/tool/files.go
@@ -2,7 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io/fs"
+	"os"
+
+	"poplargw.example/dispatch/decl"
 )
 
 // tomlFiles reads the files of a directory whose names end in .toml.
@@ -22,3 +26,16 @@
 	}
 	return files, nil
 }
+
+// readDir reads the declaration files of a directory.
+func readDir(dir string) (*decl.Declared, error) {
+	files, err := tomlFiles(os.DirFS(dir))
+	if err != nil {
+		return nil, fail(ExitUsage, fmt.Errorf("%s: %w", dir, err))
+	}
+	d, err := decl.Parse(files)
+	if err != nil {
+		return nil, fail(ExitUsage, fmt.Errorf("%s: %w", dir, err))
+	}
+	return d, nil
+}
--- a/daemon/tool/jobs.go
+++ b/daemon/tool/jobs.go
@@ -1,8 +1,11 @@
 package tool
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"strings"
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
@@ -27,6 +30,42 @@
 	return id[:], nil
 }
 
+// jobDocument is the JSON form of what is known of a submission. Answer and Failure are null
+// unless the state has one.
+type jobDocument struct {
+	SubmissionID string          `json:"submission_id"`
+	State        string          `json:"state"`
+	Answer       json.RawMessage `json:"answer"`
+	Failure      json.RawMessage `json:"failure"`
+	// Message is the text of the error, or empty.
+	Message string `json:"message"`
+}
+
+// showJob writes what is known of a submission and returns err with its exit code.
+func showJob(c *cli.Command, id []byte, o *poplargwv1.GetOutcomeResponse, err error) error {
+	b, encodeErr := messageJSON(o)
+	if encodeErr != nil {
+		return fail(ExitFailed, errors.Join(encodeErr, err))
+	}
+	doc := jobDocument{SubmissionID: uuid.UUID(id).String()}
+	if err := json.Unmarshal(b, &doc); err != nil {
+		return fail(ExitFailed, fmt.Errorf("encode output: %w", err))
+	}
+	if err != nil {
+		doc.Message = err.Error()
+	}
+	showErr := showDocument(c, doc, func(w io.Writer) {
+		row(w, "submission "+doc.SubmissionID+" "+strings.ToLower(strings.TrimPrefix(doc.State, "STATE_")))
+		if o.GetAnswer() != nil {
+			printResults(w, o.GetAnswer())
+		}
+	})
+	if f := (failure{}); errors.As(err, &f) {
+		return failShown(f.code, err)
+	}
+	return showErr
+}
+
 // failureOf returns the Failure that an error of the dispatcher carries, or nil.
 func failureOf(err error) *poplargwv1.Failure {
 	var ce *connect.Error
--- a/daemon/tool/outcome.go
+++ b/daemon/tool/outcome.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"strings"
 
 	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
@@ -13,7 +11,8 @@
 func outcomeCommand() *cli.Command {
 	return &cli.Command{
 		Name: "outcome", Usage: "show what is known of a submission", ArgsUsage: "ID",
-		Flags: callerFlags(), OnUsageError: usageError, Action: action(showOutcome),
+		Description: "The caller must be the one that submitted the job; submissions are known for about two minutes.",
+		Flags:       callerFlags(), OnUsageError: OnUsageError, Action: action(showOutcome),
 	}
 }
 
@@ -28,14 +27,8 @@
 	if err != nil {
 		return jobFailed(err)
 	}
-	err = show(c, resp.Msg, func(w io.Writer) {
-		row(w, strings.ToLower(strings.TrimPrefix(resp.Msg.GetState().String(), "STATE_")))
-		if resp.Msg.GetAnswer() != nil {
-			printResults(w, resp.Msg.GetAnswer())
-		}
-	})
-	if err == nil && resp.Msg.GetFailure() != nil {
-		return failed(resp.Msg.GetFailure())
+	if f := resp.Msg.GetFailure(); f != nil {
+		err = failed(f)
 	}
-	return err
+	return showJob(c, id, resp.Msg, err)
 }
--- a/daemon/tool/plan.go
+++ b/daemon/tool/plan.go
@@ -5,17 +5,24 @@
 	"io"
 
 	"github.com/urfave/cli/v3"
-	"google.golang.org/protobuf/types/known/structpb"
 	"poplargw.example/dispatch/decl"
 )
 
 func planCommand() *cli.Command {
 	return &cli.Command{
 		Name: "plan", Usage: "show what apply would change", ArgsUsage: "DIR",
-		Flags: commonFlags(), OnUsageError: usageError, Action: action(plan),
+		Description: "Compares the files DIR/*.toml with the configuration in force. \"+\" marks what would be added, \"~\" what\n" +
+			"would change and \"-\" what would be removed. Give the printed version to apply --plan-version.",
+		Flags: commonFlags(), OnUsageError: OnUsageError, Action: action(plan),
 	}
 }
 
+// planDocument is the JSON form of a plan.
+type planDocument struct {
+	BaseVersion uint64   `json:"base_version,string"`
+	Changes     []string `json:"changes"`
+}
+
 func plan(ctx context.Context, c *cli.Command) error {
 	dir, err := oneArgument(c, "DIR")
 	if err != nil {
@@ -25,18 +32,11 @@
 	if err != nil {
 		return err
 	}
-	base, err := current(ctx, operator(c))
+	base, err := entriesOf(c).current(ctx)
 	if err != nil {
 		return err
 	}
 	lines := decl.Diff(base.GetConfig(), declared.Config(base.GetConfig()))
-	changes := make([]any, len(lines))
-	for i, l := range lines {
-		changes[i] = l
-	}
-	m, err := structpb.NewStruct(map[string]any{"base_version": float64(base.GetVersion()), "changes": changes})
-	if err != nil {
-		return fail(ExitFailed, err)
-	}
-	return show(c, m, func(w io.Writer) { printDiff(w, base.GetVersion(), lines) })
+	doc := planDocument{base.GetVersion(), append([]string{}, lines...)}
+	return showDocument(c, doc, func(w io.Writer) { printDiff(w, base.GetVersion(), lines) })
 }
--- a/daemon/tool/status.go
+++ b/daemon/tool/status.go
@@ -3,34 +3,35 @@
 import (
 	"context"
 	"io"
+	"time"
 
-	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/types/known/durationpb"
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 )
 
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show the processes, backend servers and queues that an entry knows",
-		Flags: commonFlags(), OnUsageError: usageError, Action: action(status),
+		Flags: commonFlags(), OnUsageError: OnUsageError, Action: action(status),
 	}
 }
 
 func status(ctx context.Context, c *cli.Command) error {
-	resp, err := operator(c).GetStatus(ctx, connect.NewRequest(&poplargwv1.GetStatusRequest{}))
+	resp, err := entriesOf(c).status(ctx)
 	if err != nil {
-		return callFailed(err)
+		return err
 	}
-	return show(c, resp.Msg, func(w io.Writer) { printStatus(w, resp.Msg) })
+	return show(c, resp, func(w io.Writer) { printStatus(w, resp) })
 }
 
 func printStatus(w io.Writer, s *poplargwv1.GetStatusResponse) {
 	row(w, "ENTRY", "CONFIG", "TABLE", "SYNCED", "FRESH", "STORE")
 	row(w, s.GetEntry(), s.GetConfigVersion(), s.GetTableVersion(), s.GetSynced(), s.GetFresh(), s.GetStoreReachable())
 	row(w)
-	row(w, "MEMBER", "ADDRESS", "CONFIG", "LAST CONTACT")
+	row(w, "MEMBER", "PEERS", "OPERATORS", "CONFIG", "LAST CONTACT")
 	for _, e := range s.GetEntries() {
-		row(w, e.GetId(), e.GetAddress(), e.GetConfigVersion(), e.GetLastContact().AsDuration())
+		row(w, e.GetId(), e.GetAddress(), e.GetOperators(), e.GetConfigVersion(), ago(e.GetLastContact()))
 	}
 	row(w)
 	row(w, "AGENT", "DOMAIN", "CONFIG", "LAST REPORT", "SERVER", "SERVICE", "FREE", "SLOTS", "STATE")
@@ -46,10 +47,10 @@
 
 func printAgent(w io.Writer, a *poplargwv1.AgentStatus) {
 	if len(a.GetServers()) == 0 {
-		row(w, a.GetId(), a.GetDomain(), a.GetConfigVersion(), a.GetLastReport().AsDuration(), "-", "-", 0, 0, "-")
+		row(w, a.GetId(), a.GetDomain(), a.GetConfigVersion(), ago(a.GetLastReport()), "-", "-", 0, 0, "-")
 	}
 	for _, s := range a.GetServers() {
-		row(w, a.GetId(), a.GetDomain(), a.GetConfigVersion(), a.GetLastReport().AsDuration(),
+		row(w, a.GetId(), a.GetDomain(), a.GetConfigVersion(), ago(a.GetLastReport()),
 			s.GetName(), s.GetService(), s.GetFreeSlots(), s.GetSlots(), serverState(s))
 	}
 }
@@ -65,3 +66,11 @@
 	}
 	return "in"
 }
+
+// ago formats a time that has passed, or "never".
+func ago(d *durationpb.Duration) string {
+	if d == nil {
+		return "never"
+	}
+	return d.AsDuration().Round(time.Millisecond).String()
+}
--- a/daemon/tool/submit.go
+++ b/daemon/tool/submit.go
@@ -17,13 +17,19 @@
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
 )
 
-// maxResends bounds how often an unanswered submission is sent again, with the same submission ID.
-const maxResends = 3
+const (
+	// maxResends bounds how often an unanswered submission is sent again, with the same submission ID.
+	maxResends = 3
+	// answerTime is above the time that an entry needs to answer a job that reached its timeout.
+	answerTime = 2 * time.Second
+)
 
 func submitCommand() *cli.Command {
 	return &cli.Command{
 		Name: "submit", Usage: "run a job and show its results", ArgsUsage: "[FILE]",
-		Description: "FILE holds a SubmitJobRequest in protobuf JSON. Without it the flags describe a job of equal tasks.",
+		Description: "FILE holds a SubmitJobRequest in protobuf JSON. Without it the flags describe a job of equal tasks.\n" +
+			"A failure is printed with its code, its effect (whether a task has run), the time after which a repeat\n" +
+			"helps, and a message. Repeat with the printed submission ID (--id): work is then not done twice.",
 		Flags: callerFlags(
 			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service"},
 			&cli.StringFlag{Name: "team", Usage: "`NAME` of the team"},
@@ -33,7 +39,7 @@
 			&cli.BoolFlag{Name: "repeatable", Usage: "tasks may be run more than once"},
 			&cli.StringFlag{Name: "id", Usage: "submission `ID` (UUIDv7); default: a new one"},
 		),
-		OnUsageError: usageError, Action: action(submit),
+		OnUsageError: OnUsageError, Action: action(submit),
 	}
 }
 
@@ -42,35 +48,41 @@
 	if err != nil {
 		return err
 	}
-	id := uuid.UUID(req.GetSubmissionId()).String()
-	resp, err := send(ctx, dispatcher(c), req)
-	if err != nil {
-		var f failure
-		if errors.As(jobFailed(err), &f) && f.code == ExitUnreachable {
-			f.code = ExitUnknown // An unanswered submission may have run.
-		}
-		return fail(f.code, fmt.Errorf("submission %s: %w", id, f.error))
+	resp, sent, err := send(ctx, dispatcher(c), req)
+	if err == nil {
+		done := &poplargwv1.GetOutcomeResponse{State: poplargwv1.State_STATE_COMPLETE, Answer: resp}
+		return showJob(c, req.GetSubmissionId(), done, nil)
 	}
-	return show(c, resp, func(w io.Writer) {
-		row(w, "submission "+id+" complete")
-		printResults(w, resp)
-	})
+	return submitFailed(c, req.GetSubmissionId(), sent, err)
 }
 
-// send submits the job, again with the same submission ID when no answer arrived.
-func send(ctx context.Context, d poplargwv1connect.DispatcherClient, req *poplargwv1.SubmitJobRequest) (*poplargwv1.SubmitJobResponse, error) {
+// submitFailed shows a failed submission. One that was sent and has no answer may have run.
+func submitFailed(c *cli.Command, id []byte, sent bool, err error) error {
+	o := &poplargwv1.GetOutcomeResponse{State: poplargwv1.State_STATE_FAILED, Failure: failureOf(err)}
+	var f failure
+	errors.As(jobFailed(err), &f)
+	if f.code == ExitUnreachable && sent {
+		f.code, o.State = ExitUnknown, poplargwv1.State_STATE_UNKNOWN
+	}
+	return showJob(c, id, o, fail(f.code, f.error))
+}
+
+// send submits the job, again with the same submission ID when no answer arrived. It also tells whether
+// an entry may have received the job.
+func send(ctx context.Context, d poplargwv1connect.DispatcherClient, req *poplargwv1.SubmitJobRequest) (_ *poplargwv1.SubmitJobResponse, sent bool, _ error) {
 	for i := 0; ; i++ {
 		resp, err := d.SubmitJob(ctx, connect.NewRequest(req))
 		if err == nil {
-			return resp.Msg, nil
+			return resp.Msg, true, nil
 		}
+		sent = sent || !neverSent(err)
 		if !unanswered(err) || failureOf(err) != nil || i >= maxResends || ctx.Err() != nil {
-			return nil, err
+			return nil, sent, err
 		}
 		select {
 		case <-time.After(askPause):
 		case <-ctx.Done():
-			return nil, err
+			return nil, sent, err
 		}
 	}
 }
@@ -84,7 +96,7 @@
 		req.Caller = c.String("caller")
 	}
 	if req.GetTimeout() == nil {
-		req.Timeout = durationpb.New(min(c.Duration("timeout"), time.Minute))
+		req.Timeout = durationpb.New(jobTimeout(c.Duration("timeout")))
 	}
 	switch {
 	case c.String("id") != "":
@@ -99,6 +111,11 @@
 	return req, err
 }
 
+// jobTimeout leaves time to receive the answer to a job that reaches its timeout.
+func jobTimeout(limit time.Duration) time.Duration {
+	return min(limit-min(limit/4, answerTime), time.Minute)
+}
+
 func jobFrom(c *cli.Command) (*poplargwv1.SubmitJobRequest, error) {
 	if c.Args().Len() == 0 {
 		return jobFromFlags(c)
--- a/daemon/tool/tool.go
+++ b/daemon/tool/tool.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -33,6 +35,7 @@
 	defaultEntry   = "127.0.0.1:7103"
 	defaultCallers = "127.0.0.1:7101"
 	defaultTimeout = 30 * time.Second
+	dialLimit      = 3 * time.Second
 	tableOutput    = "table"
 	jsonOutput     = "json"
 )
@@ -40,8 +43,8 @@
 // Commands returns the commands of the tool.
 func Commands() []*cli.Command {
 	return []*cli.Command{
-		planCommand(), applyCommand(), domainCommand(), serverCommand(), statusCommand(),
-		submitCommand(), outcomeCommand(), cancelCommand(), burnCommand(),
+		configCommand(), planCommand(), applyCommand(), domainCommand(), serverCommand(), statusCommand(),
+		submitCommand(), outcomeCommand(), cancelCommand(), burnCommand(), certCommand(),
 	}
 }
 
@@ -49,6 +52,8 @@
 type failure struct {
 	error
 	code int
+	// shown is set if the output of the command says what failed already.
+	shown bool
 }
 
 // ExitCode implements cli.ExitCoder.
@@ -59,10 +64,12 @@
 
 func fail(code int, err error) error { return failure{error: err, code: code} }
 
+func failShown(code int, err error) error { return failure{error: err, code: code, shown: true} }
+
 // callFailed gives the error of a call that changes nothing its exit code.
 func callFailed(err error) error {
 	if unanswered(err) {
-		return fail(ExitUnreachable, err)
+		return fail(ExitUnreachable, fmt.Errorf("the entry does not answer: %w", cause(err)))
 	}
 	return fail(ExitFailed, err)
 }
@@ -79,8 +86,8 @@
 
 func commonFlags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
-		&cli.StringFlag{Name: "entry", Usage: "operator `ADDRESS` of an entry", Value: defaultEntry},
-		&cli.StringFlag{Name: "output", Usage: "`FORMAT` of the output: table or json", Value: tableOutput, Validator: checkOutput},
+		&cli.StringSliceFlag{Name: "entry", Usage: "operator `ADDRESS` of an entry; of several, separated by commas, one that answers is used", Value: []string{defaultEntry}},
+		outputFlag(),
 		&cli.DurationFlag{Name: "timeout", Usage: "`TIME` limit of the whole command", Value: defaultTimeout},
 	}, more...)
 }
@@ -89,11 +96,15 @@
 	return append([]cli.Flag{
 		&cli.StringFlag{Name: "caller-address", Usage: "caller `ADDRESS` of an entry", Value: defaultCallers},
 		&cli.StringFlag{Name: "caller", Usage: "`NAME` of the caller", Value: "operator"},
-		&cli.StringFlag{Name: "output", Usage: "`FORMAT` of the output: table or json", Value: tableOutput, Validator: checkOutput},
+		outputFlag(),
 		&cli.DurationFlag{Name: "timeout", Usage: "`TIME` limit of the whole command", Value: defaultTimeout},
 	}, more...)
 }
 
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Usage: "`FORMAT` of the output: table or json", Value: tableOutput, Validator: checkOutput}
+}
+
 func checkOutput(s string) error {
 	if s != tableOutput && s != jsonOutput {
 		return errors.New("allowed: table, json")
@@ -102,11 +113,7 @@
 }
 
 // client ignores proxy settings of the environment, which must not redirect a change silently.
-var client = &http.Client{Transport: &http.Transport{}}
-
-func operator(c *cli.Command) poplargwv1connect.OperatorClient {
-	return poplargwv1connect.NewOperatorClient(client, "http://"+c.String("entry"))
-}
+var client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext}}
 
 func dispatcher(c *cli.Command) poplargwv1connect.DispatcherClient {
 	return poplargwv1connect.NewDispatcherClient(client, "http://"+c.String("caller-address"))
@@ -117,12 +124,45 @@
 	return func(ctx context.Context, c *cli.Command) error {
 		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 		defer cancel()
-		return f(ctx, c)
+		err := checkAddresses(c)
+		if err == nil {
+			err = f(ctx, c)
+		}
+		if err != nil {
+			showFailure(c, err)
+		}
+		return err
+	}
+}
+
+// checkAddresses finds addresses without a port before anything is sent.
+func checkAddresses(c *cli.Command) error {
+	for flag, list := range map[string][]string{"entry": c.StringSlice("entry"), "caller-address": {c.String("caller-address")}} {
+		for _, a := range list {
+			if _, _, err := net.SplitHostPort(a); err != nil && a != "" {
+				return fail(ExitUsage, fmt.Errorf("--%s: %w; allowed: ADDRESS:PORT", flag, err))
+			}
+		}
 	}
+	return nil
+}
+
+// Group is the action of a command that only holds others: its arguments name no command.
+func Group(_ context.Context, c *cli.Command) error {
+	if name := c.Args().First(); name != "" {
+		return fail(ExitUsage, fmt.Errorf("%s has no command %q; see %s --help", c.FullName(), name, c.FullName()))
+	}
+	return fail(ExitUsage, fmt.Errorf("%s needs a command; see %s --help", c.FullName(), c.FullName()))
+}
+
+// neverSent tells whether a call failed before its connection was made.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// usageError gives wrong flags the exit code of usage errors.
-func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+// OnUsageError gives wrong flags the exit code of usage errors.
+func OnUsageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
 	return fail(ExitUsage, err)
 }
 
--- a/daemon/tool/tool_test.go
+++ b/daemon/tool/tool_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
@@ -26,6 +27,8 @@
 	mu      sync.Mutex
 	record  *poplargwv1.ConfigRecord
 	applies []*poplargwv1.ApplyRequest
+	id      string
+	members []*poplargwv1.EntryStatus
 	// script answers the first calls of Apply; later ones succeed.
 	script []func(*entry, *poplargwv1.ApplyRequest) *poplargwv1.ApplyResponse
 }
@@ -37,7 +40,12 @@
 }
 
 func (e *entry) GetStatus(context.Context, *connect.Request[poplargwv1.GetStatusRequest]) (*connect.Response[poplargwv1.GetStatusResponse], error) {
-	return connect.NewResponse(&poplargwv1.GetStatusResponse{Entry: "e0"}), nil
+	return connect.NewResponse(&poplargwv1.GetStatusResponse{Entry: e.id, Entries: e.members, Agents: []*poplargwv1.AgentStatus{{Id: "a7"}}}), nil
+}
+
+func (e *entry) GetObjectives(context.Context, *connect.Request[poplargwv1.GetObjectivesRequest]) (*connect.Response[poplargwv1.GetObjectivesResponse], error) {
+	return connect.NewResponse(&poplargwv1.GetObjectivesResponse{Entry: e.id, StartedUnixMs: time.Now().UnixMilli(), Windows: []*poplargwv1.ObjectiveWindow{{
+		Service: "s", Kind: "k", Team: "<t>", BeginUnixMs: time.Now().UnixMilli(), Length: durationpb.New(1e10), Good: 4, Total: 10}}}), nil
 }
 
 func (e *entry) Apply(_ context.Context, r *connect.Request[poplargwv1.ApplyRequest]) (*connect.Response[poplargwv1.ApplyResponse], error) {
@@ -74,7 +82,7 @@
 }
 
 func newEntry(t *testing.T) (*entry, string) {
-	e := &entry{record: &poplargwv1.ConfigRecord{Version: 4, Config: &poplargwv1.Config{
+	e := &entry{id: "e0", members: []*poplargwv1.EntryStatus{{Id: "e0", ConfigVersion: 99}}, record: &poplargwv1.ConfigRecord{Version: 4, Config: &poplargwv1.Config{
 		Domains: []*poplargwv1.FailureDomain{{Name: "left", Region: "r"}},
 	}}}
 	_, h := poplargwv1connect.NewOperatorHandler(e)
@@ -111,7 +119,7 @@
 func TestLostAnswerIsSettledWithTheSameChangeID(t *testing.T) {
 	e, addr := newEntry(t)
 	e.script = append(e.script, loseReply)
-	wantRun(t, ExitOK, "not confirmed yet: agent a7", "domain", "out", "--entry", addr, "left")
+	wantRun(t, ExitOK, "not confirmed yet: agent a7", "domain", "out", "--entry", addr, "--wait", "1s", "left")
 	if len(e.applies) != 2 || e.applies[0].GetChangeId() != e.applies[1].GetChangeId() || e.record.GetVersion() != 5 {
 		t.Fatalf("%d calls, version %d", len(e.applies), e.record.GetVersion())
 	}
@@ -124,7 +132,7 @@
 		answerState(poplargwv1.ApplyState_APPLY_STATE_UNKNOWN, 5),
 		answerState(poplargwv1.ApplyState_APPLY_STATE_REJECTED, 0),
 		answerState(poplargwv1.ApplyState_APPLY_STATE_CONFLICT, 7))
-	wantRun(t, ExitOK, "accepted: version 5", "domain", "out", "--entry", addr, "left")
+	wantRun(t, ExitOK, "accepted: version 5", "domain", "out", "--entry", addr, "--wait", "0s", "left")
 	e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_UNKNOWN, 6))
 	for range 20 {
 		e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_REJECTED, 0))
@@ -141,7 +149,7 @@
 			Domains: e.record.GetConfig().GetDomains(), Teams: []*poplargwv1.Team{{Name: "new"}}}}
 		return answerState(poplargwv1.ApplyState_APPLY_STATE_CONFLICT, 5)(e, nil)
 	})
-	wantRun(t, ExitOK, "~ domain left out: false -> true", "domain", "out", "--entry", addr, "left")
+	wantRun(t, ExitOK, "~ domain left out: false -> true", "domain", "out", "--entry", addr, "--wait", "0s", "left")
 	if c := e.record.GetConfig(); !c.GetDomains()[0].GetOut() || len(c.GetTeams()) != 1 {
 		t.Fatalf("got %v", c)
 	}
@@ -151,19 +159,23 @@
 func TestApplyDirectory(t *testing.T) {
 	e, addr := newEntry(t)
 	dir := t.TempDir()
+	wantRun(t, ExitFailed, "declared: left", "domain", "out", "--entry", addr, "right")
 	wantRun(t, ExitUsage, "no file with the extension .toml", "plan", "--entry", addr, dir)
 	file := filepath.Join(dir, "teams.toml")
 	if err := os.WriteFile(file, []byte("[[team]]\nname = \"lab\"\nquota_slots = 5\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	wantRun(t, ExitOK, "+ team lab quota_slots=5", "plan", "--entry", addr, dir)
-	wantRun(t, ExitConflict, "planned on version 3", "apply", "--entry", addr, "--base", "3", dir)
+	wantRun(t, ExitConflict, "planned on version 3", "apply", "--entry", addr, "--plan-version", "3", dir)
 	e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_CONFLICT, 5))
 	wantRun(t, ExitConflict, "change other-change of other", "apply", "--entry", addr, dir)
 	e.script = append(e.script, answerState(poplargwv1.ApplyState_APPLY_STATE_STORED, 5))
 	wantRun(t, ExitUnknown, "not confirmed by a majority", "apply", "--entry", addr, dir)
-	wantRun(t, ExitOK, `"state":`, "apply", "--entry", addr, "--output", "json", dir)
+	wantRun(t, ExitOK, `"state":`, "apply", "--entry", addr, "--wait", "0s", "--output", "json", dir)
+	wantRun(t, ExitOK, "nothing to change", "apply", "--entry", addr, "--plan-version", "4", "--wait", "0s", dir)
+	wantRun(t, ExitOK, "quota_slots = 5", "config", "--entry", "127.0.0.1:1,"+addr)
 	wantRun(t, ExitUsage, "exactly one argument", "apply", "--entry", addr)
+	wantRun(t, ExitUsage, `no command "sideways"`, "domain", "sideways")
 	wantRun(t, ExitUsage, "allowed: table, json", "status", "--entry", addr, "--output", "xml")
 	wantRun(t, ExitUnreachable, "", "status", "--entry", "127.0.0.1:1")
 }
@@ -200,4 +212,46 @@
 		t.Fatalf("submission IDs %x", d.ids)
 	}
 	wantRun(t, ExitFailed, "code 2001, not run: ; come back in 1s", args...)
+	wantRun(t, ExitFailed, `"failure":{"code":2001,"effect":"EFFECT_NOT_RUN","retry_after":"1s","message":""}`, append(args, "--output", "json")...)
+	wantRun(t, ExitUnreachable, "does not answer", append(args, "--caller-address", "127.0.0.1:1")...)
+}
+
+// Guards against a report that counts an entry twice, hides that one is missing or was restarted, or
+// takes names from other processes as markup.
+func TestBurnCoversAllEntries(t *testing.T) {
+	one, addr := newEntry(t)
+	two, addr2 := newEntry(t)
+	two.id = "e1"
+	one.members = []*poplargwv1.EntryStatus{{Id: "e0", Operators: addr}, {Id: "e1", Operators: addr2}, {Id: "e2", Operators: "127.0.0.1:1"}}
+	one.record.Config.Services = []*poplargwv1.Service{{Name: "s", Kinds: []*poplargwv1.Kind{{Name: "k",
+		Objective: &poplargwv1.Objective{ResponseTime: durationpb.New(1e9), Target: 0.9}}}}}
+	file := filepath.Join(t.TempDir(), "burn.html")
+	args := []string{"burn", "--entry", addr + "," + addr2, "--html", file}
+	wantRun(t, ExitOK, "missing: entry e2 at 127.0.0.1:1 did not answer", args...)
+	wantRun(t, ExitOK, "missing: counters of entry e1 before", args...)
+	wantRun(t, ExitOK, `"good":"8","total":"20","budget_left":-5,"burn_short":6,"burn_long":6,"alert_factor":5,"alert":true`, append(args, "--output", "json")...)
+	b, err := os.ReadFile(file)
+	if err != nil || !strings.Contains(string(b), "&lt;t&gt;") || strings.Contains(string(b), "<t>") || strings.Contains(string(b), "://") {
+		t.Fatalf("%v, got %s", err, b)
+	}
+}
+
+// Guards against a command, a flag or an exit code that the document lacks.
+func TestDocumentMatchesCode(t *testing.T) {
+	b, err := os.ReadFile("../../docs/tool.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	wants := []string{"| 0 | the command", "| 1 | it failed", "| 2 | arguments", "| 3 | conflict", "| 4 | the outcome", "| 5 | no entry"}
+	for _, c := range Commands() {
+		wants = append(wants, "\n| `"+c.Name)
+		for _, f := range c.Flags {
+			wants = append(wants, "`--"+f.Names()[0]+"`")
+		}
+	}
+	for _, w := range wants {
+		if !strings.Contains(string(b), w) {
+			t.Errorf("docs/tool.md lacks %q", w)
+		}
+	}
 }
--- a/dispatch/decl/decl_test.go
+++ b/dispatch/decl/decl_test.go
@@ -110,6 +110,21 @@
 	if lines := Diff(current, in.Config(current)); !slices.Equal(lines, []string{"~ domain astana-left out: true -> false"}) {
 		t.Fatalf("got %q", lines)
 	}
+	server := parse(t, sample+"[[server]]\nname = \"s1\"\n")
+	if lines := Diff(current, server.Config(current)); !slices.Equal(lines, []string{"- server s1"}) {
+		t.Fatalf("got %q", lines)
+	}
+	if lines := Diff(d.Config(nil), server.Config(nil)); len(lines) != 0 {
+		t.Fatalf("got %q", lines)
+	}
+}
+
+// Guards against an error in one of several files that does not say which one.
+func TestParseErrorsNameTheFile(t *testing.T) {
+	_, err := Parse(map[string][]byte{"a.toml": []byte(sample), "b.toml": []byte("[[team]]\nname = \"lab\"")})
+	if want := "b.toml: teams[0].name: \"lab\" is not allowed"; err == nil || !strings.HasPrefix(err.Error(), want) {
+		t.Errorf("got %v, want %q", err, want)
+	}
 }
 
 // Guards against changes that an operator does not see before applying them.
--- a/dispatch/decl/state.go
+++ b/dispatch/decl/state.go
@@ -1,8 +1,10 @@
 package decl
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
@@ -21,7 +23,11 @@
 			return c, nil
 		}
 	}
-	return nil, fmt.Errorf("%w: %s", ErrUnknownDomain, name)
+	names := make([]string, 0, len(c.GetDomains()))
+	for _, d := range c.GetDomains() {
+		names = append(names, d.GetName())
+	}
+	return nil, fmt.Errorf("%w: %q; declared: %s", ErrUnknownDomain, name, cmp.Or(strings.Join(names, ", "), "none"))
 }
 
 // SetServer returns a copy of the configuration in which the backend server is out or in service.
--- a/dispatch/decl/toml.go
+++ b/dispatch/decl/toml.go
@@ -76,11 +76,12 @@
 type Declared struct {
 	config  *poplargwv1.Config
 	domains map[string]bool
+	places  places
 }
 
 // Parse reads declaration files, given by name. Unknown keys are errors that name the file and the key.
 func Parse(files map[string][]byte) (*Declared, error) {
-	d := &Declared{config: &poplargwv1.Config{}, domains: make(map[string]bool)}
+	d := &Declared{config: &poplargwv1.Config{}, domains: make(map[string]bool), places: make(places)}
 	for _, name := range slices.Sorted(maps.Keys(files)) {
 		var f file
 		meta, err := toml.Decode(string(files[name]), &f)
@@ -90,10 +91,11 @@
 		if unknown := meta.Undecoded(); len(unknown) > 0 {
 			return nil, fmt.Errorf("%s: %s: unknown key", name, unknown[0])
 		}
+		d.places.add(name, &f)
 		d.add(&f)
 	}
 	if err := Validate(d.config); err != nil {
-		return nil, err
+		return nil, d.places.locate(err)
 	}
 	return d, nil
 }
@@ -111,6 +113,8 @@
 	for _, s := range c.GetServers() {
 		declared[s.GetServer()] = true
 	}
+	// A server that is in needs no override. One would show as a change each time an operator removed it.
+	c.Servers = slices.DeleteFunc(c.Servers, func(s *poplargwv1.ServerOverride) bool { return !s.GetOut() })
 	for _, s := range current.GetServers() {
 		if !declared[s.GetServer()] {
 			c.Servers = append(c.Servers, &poplargwv1.ServerOverride{Server: s.GetServer(), Out: s.GetOut()})
--- a/dispatch/decl/validate.go
+++ b/dispatch/decl/validate.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -23,6 +24,8 @@
 
 // FieldError reports a value outside its allowed range.
 type FieldError struct {
+	// File is the declaration file, if the value came from one. Indices in Path count within it.
+	File string
 	// Path names the field, for example services[0].kinds[1].slots.
 	Path string
 	// Value is the value found, Allowed what is allowed instead.
@@ -32,7 +35,11 @@
 
 // Error implements error.
 func (e *FieldError) Error() string {
-	return fmt.Sprintf("%s: %s is not allowed; allowed: %s", e.Path, e.Value, e.Allowed)
+	text := fmt.Sprintf("%s: %s is not allowed; allowed: %s", e.Path, e.Value, e.Allowed)
+	if e.File != "" {
+		return e.File + ": " + text
+	}
+	return text
 }
 
 // Validate checks a whole configuration and returns a *FieldError for the first value that is
@@ -82,7 +89,7 @@
 		paths[i] = fmt.Sprintf("%s[%d]", list, i)
 		v.name(paths[i]+".name", name(i))
 		if seen[name(i)] {
-			v.fail(paths[i]+".name", fmt.Sprintf("%q", name(i)), "a name that occurs once in "+list)
+			v.fail(paths[i]+".name", fmt.Sprintf("%q", name(i)), "a name that occurs once in "+list[strings.LastIndex(list, ".")+1:])
 		}
 		seen[name(i)] = true
 	}
