Answer at once, and truthfully, at an entry that is cut off

Cause: an entry without contact to the store and the other entries held its callers' calls until their deadline (15.5 s), and said "not run" (2005) of submissions that the others had run meanwhile. A task whose agent had restarted ended with the internal code 4010. Ruled out: shortening the wait only; the refusal itself was false, since another entry may be the home by then. Change: calls of callers end with 2005, effect unknown and a time to come back once the entry has been cut off for peer_silence. A home that may not start tasks says "unknown" in place of "not run". An unreachable home is "unknown" as well. 4010 of an attach becomes 3007. Conclusion: a caller that gets 2005 sends the same ID through another entry.

--- a/daemon/entry/claim.go
+++ b/daemon/entry/claim.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	known, err := c.Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{}))
+	known, err := c.Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Agents: true}))
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -48,16 +48,18 @@
 
 // Entry receives submissions and is the home of a share of them.
 type Entry struct {
-	o        Options
-	self     string
-	started  time.Time
-	window   submission.Window
-	peers    *peerClients
-	home     *home
-	counts   *objectives
-	changes  *changes
-	metrics  *entryMetrics
-	draining atomic.Bool
+	o       Options
+	self    string
+	started time.Time
+	window  submission.Window
+	peers   *peerClients
+	home    *home
+	counts  *objectives
+	changes *changes
+	// isolation ends the calls of callers when this entry is cut off.
+	isolation *isolation
+	metrics   *entryMetrics
+	draining  atomic.Bool
 	// calls counts the calls of callers and peers that have not been answered.
 	calls atomic.Int64
 	// warned is the second of the last warning about an unreachable home.
@@ -75,6 +77,8 @@
 		peers:   newPeerClients(o.Client),
 		counts:  newObjectives(),
 		changes: newChanges(),
+
+		isolation: newIsolation(),
 	}
 	e.metrics = newEntryMetrics(o.Metrics)
 	e.home = newHome(e)
--- a/daemon/entry/handlers.go
+++ b/daemon/entry/handlers.go
@@ -75,6 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !r.Msg.GetAgents() {
+		return connect.NewResponse(m), nil
+	}
 	agents, ok := ask(ctx, p.e.home, func(out chan<- []*peerv1.AgentState) message { return agentsMsg{out: out} })
 	if !ok {
 		return nil, errNotAnswered
--- a/daemon/entry/submissions.go
+++ b/daemon/entry/submissions.go
@@ -131,7 +131,7 @@
 		return
 	}
 	if f := checkRepeatable(h.config.GetConfig(), m.job); f != nil && !resumed {
-		m.out <- reply{failure: f}
+		m.out <- reply{failure: h.truthful(now, f)}
 		return
 	}
 	if h.unfit(now) && !resumed {
@@ -145,7 +145,7 @@
 }
 
 // finish keeps the outcome of a job and answers those who wait for it.
-func (h *home) finish(a sched.FinishJob) {
+func (h *home) finish(now time.Time, a sched.FinishJob) {
 	x := h.held[a.Key]
 	if x == nil || x.done {
 		return
@@ -154,9 +154,9 @@
 	h.pending.Add(-1)
 	x.failure, x.results = a.Outcome.Failure, a.Outcome.Results
 	if f := x.failure; f != nil && x.shed != nil {
-		x.shed.Effect = f.Effect
 		x.failure = x.shed
 	}
+	x.failure = h.truthful(now, x.failure)
 	if f := x.failure; f != nil && x.resumed && f.Effect == result.NotRun {
 		// An agent recorded a start of this job before it was resumed here.
 		g := *f
@@ -173,10 +173,24 @@
 	h.keep(x)
 }
 
-// repeatable tells whether a resend is a new submission: nothing was started and the
+// truthful turns "not run" into "unknown" while this entry may not start tasks: others may
+// have replaced it as the home of the submission and run it.
+func (h *home) truthful(now time.Time, f *result.Failure) *result.Failure {
+	if f == nil || f.Effect != result.NotRun || h.mayStart(now) {
+		return f
+	}
+	g := *f
+	g.Effect = result.Unknown
+	return &g
+}
+
+// repeatable tells whether a resend is a new submission: nothing was started here and the
 // caller was told to come back.
 func (x *execution) repeatable() bool {
-	return x.failure != nil && x.failure.Effect == result.NotRun && x.failure.RetryAfter > 0
+	if x.failure == nil || x.failure.RetryAfter == 0 {
+		return false
+	}
+	return x.failure.Effect == result.NotRun || !x.launched && !x.resumed
 }
 
 // keep counts the results of an execution and drops the oldest ones over the bound.
--- a/daemon/event/entry.go
+++ b/daemon/event/entry.go
@@ -10,6 +10,8 @@
 	DrainStarted    ID = 306
 	DrainEnded      ID = 307
 	HomeUnreachable ID = 308
+
+	DrainTableUnchanged ID = 309
 )
 
 var entryTexts = map[ID]string{
@@ -21,4 +23,6 @@
 	DrainStarted:    "drain started",
 	DrainEnded:      "drain ended",
 	HomeUnreachable: "call to the home of a submission failed",
+
+	DrainTableUnchanged: "drain goes on without a change of the entry table",
 }
--- a/daemon/prove/config_test.go
+++ b/daemon/prove/config_test.go
@@ -56,6 +56,8 @@
 // TestTwoOperators guards against two conflicting changes at the same moment
 // that are both accepted, or both lost.
 func TestTwoOperators(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	for range 10 {
 		base := s.current(0)
@@ -107,6 +109,8 @@
 // TestApplyWhileStoreDown guards against a change that is reported as accepted
 // although the store does not hold it.
 func TestApplyWhileStoreDown(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	base := s.current(0)
 	s.storeFaults(store.Faults{Unavailable: true})
@@ -130,6 +134,8 @@
 // TestStoreRestoresOlderValue guards against an accepted change that reverts
 // when the store comes back with an older value.
 func TestStoreRestoresOlderValue(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	s.storeAdmin(http.MethodPost, "/admin/snapshot", nil)
 	s.setDomain(0, "d1", true)
@@ -161,6 +167,8 @@
 // TestWatchFaults guards against a configuration that goes back or stays behind
 // when watch events come late, twice and out of order.
 func TestWatchFaults(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	for round := range 5 {
 		s.storeFaults(store.Faults{WatchDelay: 2 * time.Second, WatchDuplicates: 3, WatchStale: 3})
--- a/daemon/prove/connection_test.go
+++ b/daemon/prove/connection_test.go
@@ -20,6 +20,8 @@
 // TestSilentConnections guards against calls that hang, start twice or get a
 // foreign answer when open connections go silent for good while new ones work.
 func TestSilentConnections(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 80})
 	silenced := 0
@@ -75,6 +77,8 @@
 // TestEntryRestartOnSamePort guards against answers of an earlier incarnation
 // that reach callers of a restarted entry on the same address.
 func TestEntryRestartOnSamePort(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 100, resend: true})
 	for range 3 {
--- a/daemon/prove/once_test.go
+++ b/daemon/prove/once_test.go
@@ -77,6 +77,8 @@
 // TestHomeKilled guards against a second start, a partial answer and a lost job
 // when the home dies in mid-job. Jobs that another entry received have to complete whole.
 func TestHomeKilled(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	var jobs []*job
 	var outcomes []<-chan send
@@ -99,6 +101,8 @@
 // TestReceiverKilled guards against a second start when the entry that received
 // a job dies and the caller sends the same submission elsewhere.
 func TestReceiverKilled(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 20 * time.Millisecond, tasks: 5, ms: 100, resend: true})
 	time.Sleep(time.Second)
@@ -116,6 +120,8 @@
 // TestHomeFrozen guards against starts that a home sends after it was frozen,
 // removed from the table and replaced.
 func TestHomeFrozen(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 4})
 	var jobs []*job
 	var outcomes []<-chan send
@@ -147,6 +153,8 @@
 // that waited in the socket buffer of a frozen entry while the same submission
 // was sent elsewhere, started, and its home was killed.
 func TestFirstSendInFrozenReceiver(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	s.entries[0].freeze()
 	var jobs []*job
@@ -173,6 +181,8 @@
 // TestTableChanges guards against a second start while an entry joins and
 // submissions are sent again through old and new entries.
 func TestTableChanges(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	if err := s.entries[2].terminate(readyLimit); err != nil {
 		t.Fatalf("graceful stop: %v", err)
@@ -201,6 +211,8 @@
 // TestUnknownAfterAgentRestart guards against a second start of a task whose
 // start record died with its agent, when the home is lost too.
 func TestUnknownAfterAgentRestart(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	var jobs []*job
 	var outcomes []<-chan send
@@ -225,6 +237,58 @@
 	s.verify(jobs...)
 }
 
+// TestNotRunAtCutOffEntry guards against an entry that is cut off from the others and
+// says "not run" of a submission that ran elsewhere, and against calls that it holds
+// until their deadline although it cannot finish them.
+func TestNotRunAtCutOffEntry(t *testing.T) {
+	slow(t)
+	t.Parallel()
+	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
+	var waiting, done []*job
+	var outcomes []<-chan send
+	for i := range 6 {
+		waiting = append(waiting, s.jobHomedAt(i%3, 2, 8000))
+	}
+	s.cut(2)
+	for _, j := range waiting {
+		outcomes = append(outcomes, j.sendAsync(s, 2))
+	}
+	time.Sleep(5 * time.Second)
+	for i := range 6 {
+		j := s.jobHomedAt(i%3, 2, 10)
+		done = append(done, j)
+		if o := j.send(s, i%2); o.answer == nil {
+			t.Errorf("through the majority: %v", o)
+		}
+		if o := j.send(s, 2); o.answer != nil || o.took > time.Second {
+			t.Errorf("through the entry that is cut off: %v", o)
+		}
+	}
+	for i, c := range outcomes {
+		if o := <-c; o.answer == nil && o.took > 10*time.Second {
+			t.Errorf("job %d was held until its deadline: %v", i, o)
+		}
+	}
+	report(t, "calls at an entry that is cut off: %v; after the majority ran them: %v", count(waiting), count(done))
+	s.verify(append(waiting, done...)...)
+}
+
+// TestTwoEntriesOneKilled guards against a system of two entries that does not go on
+// after the loss of either of them.
+func TestTwoEntriesOneKilled(t *testing.T) {
+	slow(t)
+	t.Parallel()
+	for lost := range 2 {
+		s := newSystem(t, layout{entries: 2, agents: 2, slots: 4})
+		s.entries[lost].kill()
+		j := s.jobHomedAt(lost, 4, 50)
+		if o := j.send(s, 1-lost); o.answer == nil {
+			t.Errorf("entry %d killed: %v", lost, o)
+		}
+		s.verify(j)
+	}
+}
+
 // TestIDFromThePast guards against a start of a submission that is older than
 // what the records cover.
 func TestIDFromThePast(t *testing.T) {
--- a/daemon/prove/stop_test.go
+++ b/daemon/prove/stop_test.go
@@ -9,6 +9,8 @@
 // interrupts a request. Callers are moved away first, as the load balancer does
 // once the entry is not ready.
 func TestGracefulStop(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	// Calls in flight at the entry that stops.
 	var jobs []*job
@@ -43,6 +45,8 @@
 // TestRefusedWhileDraining guards against a draining entry that accepts new work or
 // interrupts the call that it still holds.
 func TestRefusedWhileDraining(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 2, agents: 2, slots: 4})
 	long := newJob("quick", 1, 3000, loadTimeout)
 	first := long.sendAsync(s, 0)
--- a/daemon/prove/worker_test.go
+++ b/daemon/prove/worker_test.go
@@ -13,6 +13,8 @@
 // TestAgentKilled guards against a second start and a false "not run" when an
 // agent dies with tasks running and comes back with an empty memory.
 func TestAgentKilled(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 150})
 	for range 2 {
@@ -34,6 +36,8 @@
 // TestServerKilled guards against a second start and a false "not run" when a
 // backend server dies in mid-task.
 func TestServerKilled(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	l := s.startLoad(loadShape{entries: []int{0, 1, 2}, every: 25 * time.Millisecond, tasks: 4, ms: 150})
 	time.Sleep(1500 * time.Millisecond)
@@ -52,6 +56,8 @@
 // TestServerFailsEverything guards against a backend server that fails every
 // task and, being always free, attracts all work.
 func TestServerFailsEverything(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 2, agents: 3, slots: 8, serverArgs: map[int][]string{0: {"-fail-all"}}})
 	l := s.startLoad(loadShape{entries: []int{0, 1}, every: 25 * time.Millisecond, tasks: 2, ms: 50})
 	time.Sleep(6 * time.Second)
@@ -68,6 +74,8 @@
 // TestServerHangs guards against a hung backend server that holds jobs beyond
 // the time limit of their kind, and keeps getting work.
 func TestServerHangs(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 2, agents: 3, slots: 4, serverArgs: map[int][]string{0: {"-hang"}}})
 	record := s.current(0)
 	record.GetConfig().GetServices()[0].GetKinds()[0].TimeLimit = durationpb.New(time.Second)
@@ -88,6 +96,8 @@
 
 // TestCancelWave guards against queued tasks that start after a wave of cancellations.
 func TestCancelWave(t *testing.T) {
+	slow(t)
+	t.Parallel()
 	s := newSystem(t, layout{entries: 2, agents: 2, slots: 2})
 	// A long job keeps all slots busy, so that the jobs of the wave queue up.
 	blocker := newJob("quick", 4, 3000, loadTimeout)
--- a/dispatch/result/catalogue.go
+++ b/dispatch/result/catalogue.go
@@ -61,9 +61,9 @@
 	Overloaded:      {"Overloaded", notRunOrUnk, Later, "a queue is full"},
 	OverQuota:       {"OverQuota", notRun, Later, "the team has used its share and no share is free to borrow"},
 	DeadlineUnmet:   {"DeadlineUnmet", notRun, Later, "the job cannot end within its deadline at the present load"},
-	Draining:        {"Draining", notRun, Later, "this entry is leaving; another entry takes the request"},
+	Draining:        {"Draining", notRunOrUnk, Later, "this entry is leaving; another entry takes the request"},
 	NotReady:        {"NotReady", notRunOrUnk, Later, "this entry may not start tasks yet or at present"},
-	HomeUnreachable: {"HomeUnreachable", notRunOrUnk, Later, "the entry that holds the submission cannot be reached"},
+	HomeUnreachable: {"HomeUnreachable", unknown, Ask, "the entry that holds the submission cannot be reached"},
 	RangeClosed:     {"RangeClosed", unknown, Ask, "the submission's key range is being recovered from an entry that was lost"},
 	RetriesUsed:     {"RetriesUsed", notRunOrAny, Later, "a task was refused by agents more often than the retry budget allows"},
 }
--- a/dispatch/sched/scheduler.go
+++ b/dispatch/sched/scheduler.go
@@ -330,6 +330,12 @@
 			return
 		}
 		s.reorder(j)
+	case a.attach && r.Failure.Code == result.NoRecord:
+		// The record existed at the claim, so the task has started and its trace is lost.
+		s.fail(now, j, result.Failure{
+			Code:    result.OutcomeUnknown,
+			Message: fmt.Sprintf("agent %s lost the start record of task %d", a.to.Agent, a.ref.Task),
+		})
 	case r.Failure.Effect == result.NotRun:
 		s.refused(now, a, r.Failure)
 	default:
@@ -346,12 +352,6 @@
 func (s *Scheduler) refused(now time.Time, a *attempt, f *result.Failure) {
 	j, t := a.job, &a.job.tasks[a.ref.Task]
 	switch {
-	case a.attach && f.Code == result.NoRecord:
-		// The record existed at the claim, so the task has started and its trace is lost.
-		s.fail(now, j, result.Failure{
-			Code:    result.OutcomeUnknown,
-			Message: fmt.Sprintf("agent %s lost the start record of task %d", a.to.Agent, a.ref.Task),
-		})
 	case behind(f.Code):
 		t.stale++
 		s.againAfter(now, j, a.ref.Task, staleDelay(t.stale))
