--- a/daemon/settings/fields.go
+++ b/daemon/settings/fields.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"net/url"
 	"time"
+
+	"poplargw.example/dispatch/sched"
 )
 
 // maxEntries is the largest number of entry addresses of an agent.
@@ -24,6 +26,7 @@
 	c.tls(&s.TLS)
 	c.store(s.Role, &s.Store)
 	c.limits(&s.Limits)
+	c.scheduler(s.Role, &s.Scheduler)
 	c.oneOf("log.level", &s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", &s.Log.Format, "auto", "text", "json")
 	c.crossCheck(&s)
@@ -118,6 +121,17 @@
 	l.QueueTasks, l.RetryBudget = int(queue), int(budget)
 }
 
+func (c *checker) scheduler(role Role, s *Scheduler) {
+	switch role {
+	case RoleEntry:
+		c.oneOf("scheduler.policy", &s.Policy, sched.Policies()...)
+	case RoleAgent:
+		c.notForRole("scheduler.policy", role)
+	default:
+		c.ignore("scheduler.policy")
+	}
+}
+
 // notForRole reports a key that the role does not use: a setting without effect misleads.
 func (c *checker) notForRole(key string, role Role) {
 	if v, ok := c.take(key); ok {
--- a/daemon/settings/file.go
+++ b/daemon/settings/file.go
@@ -84,5 +84,5 @@
 
 // sections are the tables of a settings file.
 var sections = map[string]bool{
-	"node": true, "listen": true, "transport": true, "tls": true, "store": true, "limits": true, "log": true,
+	"node": true, "listen": true, "transport": true, "tls": true, "store": true, "limits": true, "scheduler": true, "log": true,
 }
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -1,7 +1,12 @@
 // Package settings reads and checks the TOML settings of a daemon.
 package settings
 
-import "time"
+import (
+	"net/netip"
+	"time"
+
+	"poplargw.example/dispatch/sched"
+)
 
 // Role is what a daemon does.
 type Role string
@@ -21,6 +26,7 @@
 	TLS       TLS
 	Store     Store
 	Limits    Limits
+	Scheduler Scheduler
 	Log       Log
 }
 
@@ -55,6 +61,17 @@
 	return l.Peers
 }
 
+// OperatorAddress returns where operators reach this process: the operators' listener, at the IP
+// of the peer address if it listens on all addresses.
+func (l *Listen) OperatorAddress() string {
+	own, err := netip.ParseAddrPort(l.Operators)
+	peer, peerErr := netip.ParseAddrPort(l.PeerAddress())
+	if err != nil || peerErr != nil || !own.Addr().IsUnspecified() {
+		return l.Operators
+	}
+	return netip.AddrPortFrom(peer.Addr(), own.Port()).String()
+}
+
 // Transport is how processes of the system talk to each other.
 type Transport struct {
 	// Kind is "quic" or "tcp".
@@ -102,6 +119,12 @@
 	RetryBudget int
 }
 
+// Scheduler says how an entry chooses backend servers.
+type Scheduler struct {
+	// Policy is one of sched.Policies. Those other than sched.PolicyCompletion serve comparisons.
+	Policy string
+}
+
 // Log says what is logged and how.
 type Log struct {
 	// Level is debug, info, warn or error.
@@ -127,6 +150,7 @@
 			ResultBytes:      16 << 20,
 			RetryBudget:      8,
 		},
-		Log: Log{Level: "info", Format: "auto"},
+		Scheduler: Scheduler{Policy: sched.PolicyCompletion},
+		Log:       Log{Level: "info", Format: "auto"},
 	}
 }
