--- a/daemon/prove/domain_test.go
+++ b/daemon/prove/domain_test.go
@@ -137,6 +137,39 @@
 	s.verify(jobs...)
 }
 
+// TestDomainOutStartDelayed guards against a start that the network delivers late to an
+// agent that could not hear of the change either.
+func TestDomainOutStartDelayed(t *testing.T) {
+	slow(t)
+	t.Parallel()
+	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
+	l := s.startLoad(steady)
+	time.Sleep(time.Second)
+	hold := func(m linkMode, toAgent bool) {
+		for _, e := range s.entries {
+			if toAgent {
+				s.peers[s.agents[0].name].set(e.ip, m)
+			} else {
+				s.peers[e.name].set(s.agents[0].ip, m)
+			}
+		}
+	}
+	hold(linkHold, false)
+	hold(linkHold, true)
+	time.Sleep(300 * time.Millisecond)
+	out := s.setDomain(0, "d1", true)
+	time.Sleep(time.Until(out.Add(stopBound + 500*time.Millisecond)))
+	hold(linkOpen, true)
+	time.Sleep(500 * time.Millisecond)
+	hold(linkOpen, false)
+	time.Sleep(2 * time.Second)
+	end := time.Now()
+	jobs := l.stop()
+	report(t, "starts to an agent delivered late: %v", count(jobs))
+	s.noStartsAfter("server-1", out, end)
+	s.verify(jobs...)
+}
+
 // TestServerLeaves guards against new work for a backend server that is leaving,
 // and against interrupting its running tasks.
 func TestServerLeaves(t *testing.T) {
--- a/daemon/prove/forward_test.go
+++ b/daemon/prove/forward_test.go
@@ -15,6 +15,9 @@
 	linkSilent
 	// linkRefuse closes connections at once.
 	linkRefuse
+	// linkHold keeps what the source sends and delivers it later, also if the source has
+	// closed the connection by then.
+	linkHold
 )
 
 // forwarder forwards TCP connections to one process. The source IP tells which
@@ -136,6 +139,9 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		for from == c.in && f.mode(c) == linkHold {
+			time.Sleep(10 * time.Millisecond)
+		}
 		if n > 0 && f.mode(c) == linkOpen {
 			time.Sleep(f.delayOf(c))
 			if _, err := to.Write(buf[:n]); err != nil {
