Wrap errors of the packages with I/O

Cause: the house style names gravitational/trace for errors inside, and no package used it. Ruled out: messages of trace.Wrap itself, which become lines of their own in the log. Conclusion: tests of the changed packages pass; messages are unchanged.

--- a/daemon/cluster/apply.go
+++ b/daemon/cluster/apply.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"time"
 
+	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/daemon/event"
 	"poplargw.example/dispatch/decl"
@@ -80,16 +82,16 @@
 
 func checkRequest(r *poplargwv1.ApplyRequest) error {
 	if n := len(r.GetChangeId()); n == 0 || n > maxID {
-		return fmt.Errorf("change_id has %d bytes; allowed: 1 to %d", n, maxID)
+		return trace.BadParameter("change_id has %d bytes; allowed: 1 to %d", n, maxID)
 	}
 	if n := len(r.GetAuthor()); n > maxID {
-		return fmt.Errorf("author has %d bytes; allowed: 0 to %d", n, maxID)
+		return trace.BadParameter("author has %d bytes; allowed: 0 to %d", n, maxID)
 	}
 	if err := decl.Validate(r.GetConfig()); err != nil {
 		return err
 	}
 	if n := proto.Size(r.GetConfig()); n > store.MaxValue-1024 {
-		return fmt.Errorf("the configuration has %d bytes; allowed: up to %d", n, store.MaxValue-1024)
+		return trace.BadParameter("the configuration has %d bytes; allowed: up to %d", n, store.MaxValue-1024)
 	}
 	return nil
 }
--- a/daemon/cluster/records.go
+++ b/daemon/cluster/records.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"time"
 
+	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/daemon/event"
@@ -123,7 +125,7 @@
 	}
 	if err != nil {
 		c.metrics.storeErrors.Inc()
-		return store.Item{}, nil, fmt.Errorf("read %s: %w", rec.name, err)
+		return store.Item{}, nil, trace.Wrap(fmt.Errorf("read %s: %w", rec.name, err))
 	}
 	if err := proto.Unmarshal(item.Value, r); err != nil {
 		c.o.Log.Error(event.RecordUnreadable, event.Fields{"record": rec.name, "revision": item.Revision, "error": err.Error()})
@@ -165,7 +167,7 @@
 func (c *Cluster) swap(ctx context.Context, rec record, r versioned, revision uint64) (store.Item, error) {
 	value, err := proto.Marshal(r)
 	if err != nil {
-		return store.Item{}, fmt.Errorf("encode %s: %w", rec.name, err)
+		return store.Item{}, trace.Wrap(fmt.Errorf("encode %s: %w", rec.name, err))
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.o.Settings.Store.Timeout)
 	defer cancel()
@@ -175,7 +177,7 @@
 		if errors.Is(err, store.ErrUnavailable) {
 			c.metrics.storeErrors.Inc()
 		}
-		return store.Item{}, fmt.Errorf("write %s: %w", rec.name, err)
+		return store.Item{}, trace.Wrap(fmt.Errorf("write %s: %w", rec.name, err))
 	}
 	return item, nil
 }
--- a/daemon/cmd/poplargwd/run.go
+++ b/daemon/cmd/poplargwd/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
+	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
 	"poplargw.example/daemon/event"
@@ -35,5 +37,9 @@
 	if err != nil {
 		return err
 	}
-	return server.Run(signals, s, log)
+	err = server.Run(signals, s, log)
+	if err != nil && s.Log.Level == "debug" {
+		fmt.Fprintln(os.Stderr, trace.DebugReport(err))
+	}
+	return err
 }
--- a/daemon/event/output.go
+++ b/daemon/event/output.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/text"
+	"github.com/gravitational/trace"
 	"golang.org/x/term"
 )
 
@@ -33,7 +34,7 @@
 func open(level, format string, out io.Writer) (*Logger, error) {
 	l, err := log.ParseLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("log level %q: %w", level, err)
+		return nil, trace.Wrap(fmt.Errorf("log level %q: %w", level, err))
 	}
 	h, err := handler(format, out)
 	if err != nil {
@@ -49,5 +50,5 @@
 	case FormatJSON:
 		return json.New(out), nil
 	}
-	return nil, fmt.Errorf("unknown log format %q", format)
+	return nil, trace.BadParameter("unknown log format %q", format)
 }
--- a/daemon/pki/pki.go
+++ b/daemon/pki/pki.go
@@ -16,6 +16,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // Names of the files that Write makes.
@@ -151,7 +153,7 @@
 func (s *Set) Pair() (tls.Certificate, *x509.CertPool, error) {
 	cert, err := tls.X509KeyPair(s.Cert, s.Key)
 	if err != nil {
-		return tls.Certificate{}, nil, fmt.Errorf("development certificate: %w", err)
+		return tls.Certificate{}, nil, trace.Wrap(fmt.Errorf("development certificate: %w", err))
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(s.CA) {
--- a/daemon/sample/sample.go
+++ b/daemon/sample/sample.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
+	"github.com/gravitational/trace"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
@@ -94,7 +95,7 @@
 	l, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		starts.close()
-		return nil, fmt.Errorf("sample server: %w", err)
+		return nil, trace.Wrap(fmt.Errorf("sample server: %w", err))
 	}
 	return &Server{
 		o:        o,
@@ -154,7 +155,7 @@
 			Address:     s.Address(),
 		}))
 		if connect.CodeOf(err) == connect.CodeInvalidArgument && connect.IsWireError(err) {
-			return fmt.Errorf("the agent refuses the announcement: %w", err)
+			return trace.Wrap(fmt.Errorf("the agent refuses the announcement: %w", err))
 		}
 		select {
 		case <-ctx.Done():
--- a/daemon/sample/startlog.go
+++ b/daemon/sample/startlog.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	apiv1 "poplargw.example/api/gen/poplargw/v1"
 )
 
@@ -35,7 +37,7 @@
 	}
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return nil, fmt.Errorf("start log: %w", err)
+		return nil, trace.Wrap(fmt.Errorf("start log: %w", err))
 	}
 	return &startLog{file: f}, nil
 }
@@ -73,7 +75,7 @@
 	for lines.Scan() {
 		var s Start
 		if err := json.Unmarshal(lines.Bytes(), &s); err != nil {
-			return nil, fmt.Errorf("%s: line %d: %w", path, len(all)+1, err)
+			return nil, trace.Wrap(fmt.Errorf("%s: line %d: %w", path, len(all)+1, err))
 		}
 		all = append(all, s)
 	}
--- a/daemon/server/dev.go
+++ b/daemon/server/dev.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
+	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
@@ -181,7 +182,7 @@
 		return err
 	})
 	if err != nil {
-		return fmt.Errorf("apply the development configuration: %w", err)
+		return trace.Wrap(fmt.Errorf("apply the development configuration: %w", err))
 	}
 	return poll(ctx, func() error {
 		resp, err := op.GetStatus(ctx, connect.NewRequest(&poplargwv1.GetStatusRequest{}))
--- a/daemon/server/listen.go
+++ b/daemon/server/listen.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
 
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/transport"
@@ -39,7 +40,7 @@
 func (p *process) add(name string, open func() (transport.Server, error)) error {
 	s, err := open()
 	if err != nil {
-		return fmt.Errorf("listen for %s: %w", name, err)
+		return trace.Wrap(fmt.Errorf("listen for %s: %w", name, err))
 	}
 	p.servers = append(p.servers, s)
 	p.log.Info(event.Listening, event.Fields{"listener": name, "address": s.Addr()})
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
 	"poplargw.example/daemon/event"
@@ -75,7 +76,7 @@
 	case settings.RoleAgent:
 		p.role = newAgent(p)
 	default:
-		return nil, fmt.Errorf("unknown role %q", s.Role)
+		return nil, trace.BadParameter("unknown role %q", s.Role)
 	}
 	if err := p.listen(conf); err != nil {
 		p.abandon()
@@ -158,7 +159,7 @@
 		return ErrForced
 	}
 	p.log.Error(event.DrainFailed, event.Fields{"error": err.Error()})
-	return fmt.Errorf("graceful stop: %w", err)
+	return trace.Wrap(fmt.Errorf("graceful stop: %w", err))
 }
 
 // closeServers ends the listeners together.
--- a/daemon/transport/client.go
+++ b/daemon/transport/client.go
@@ -2,13 +2,13 @@
 
 import (
 	"crypto/tls"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
 
 	"poplargw.example/daemon/event"
 )
@@ -43,7 +43,7 @@
 // operating system chooses if it is nil.
 func NewObservedClient(kind string, conf *tls.Config, deadPeer time.Duration, local net.IP, log *event.Logger, set *metrics.Set) (Client, error) {
 	if deadPeer <= 0 {
-		return nil, fmt.Errorf("dead peer limit %v is not positive", deadPeer)
+		return nil, trace.BadParameter("dead peer limit %v is not positive", deadPeer)
 	}
 	d, err := newDialer(kind, conf, deadPeer, local)
 	if err != nil {
@@ -62,7 +62,7 @@
 	case KindQUIC:
 		return newQUICDialer(conf, deadPeer, local), nil
 	}
-	return nil, fmt.Errorf("unknown transport kind %q, allowed are %q and %q", kind, KindTCP, KindQUIC)
+	return nil, trace.BadParameter("unknown transport kind %q, allowed are %q and %q", kind, KindTCP, KindQUIC)
 }
 
 func (c *client) HTTP(addr string) *http.Client {
--- a/daemon/transport/tls.go
+++ b/daemon/transport/tls.go
@@ -5,6 +5,8 @@
 	"crypto/x509"
 	"fmt"
 	"os"
+
+	"github.com/gravitational/trace"
 )
 
 // LoadTLS reads the PEM files of a process and returns the configuration for both its server and
@@ -12,15 +14,15 @@
 func LoadTLS(certFile, keyFile, caFile string) (*tls.Config, error) {
 	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
 	if err != nil {
-		return nil, fmt.Errorf("load certificate %s with key %s: %w", certFile, keyFile, err)
+		return nil, trace.Wrap(fmt.Errorf("load certificate %s with key %s: %w", certFile, keyFile, err))
 	}
 	pem, err := os.ReadFile(caFile)
 	if err != nil {
-		return nil, fmt.Errorf("read CA: %w", err)
+		return nil, trace.Wrap(fmt.Errorf("read CA: %w", err))
 	}
 	ca := x509.NewCertPool()
 	if !ca.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("no certificate in CA file %s", caFile)
+		return nil, trace.BadParameter("no certificate in CA file %s", caFile)
 	}
 	return MutualTLS(cert, ca), nil
 }
