Measure capacity, and spend less on configuration changes and idle time

Cause: the design promises a page that derives each role's cost at the design size; the only figures were those of idle connections. The largest waste: every agent fetched the list of all agents with each configuration change, 240 KB each at 880 agents, once for each entry that announced the version. An idle entry spent 1.3% of a core on ticks of 10 ms. Ruled out: a single hot spot in reports. A profile at 880 agents shows HTTP/2, TLS and the Go scheduler side by side, so only fewer or cheaper reports help. Change: daemon/cmd/capacity measures slopes with real processes and stand-in agents; docs/CAPACITY.md computes the design size from them. An agent skips a fetch of a version that it has.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := api dispatch store daemon
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: build test lint format-check generate generate-check demo prove
+.PHONY: build test lint format-check generate generate-check demo prove replay capacity
 
 build:
 	mkdir -p bin
@@ -17,6 +17,19 @@
 	go test ./daemon/prove -count=1 -parallel 4 -timeout 20m -v > bin/prove.log 2>&1; status=$$?; \
 	grep -E '^ *--- |result: |^(ok|FAIL)' bin/prove.log; exit $$status
 
+# Replays the traces of deploy/replay with every policy and prints the figures of docs/policy.md,
+# then one scenario with two further seeds, and the cost of the dispatcher itself.
+replay: build
+	bin/replay
+	bin/replay -deployments umucyo -scenarios steady70 -seed 2
+	bin/replay -deployments umucyo -scenarios steady70 -seed 3
+	bin/replay -probe
+
+# Measures what docs/CAPACITY.md is computed from; takes about ten minutes.
+capacity: build
+	set -e; for m in state entry agent peers load queue config claim loss; do bin/capacity -window 8s $$m; done
+	bin/capacity -kinds tcp -agents 880 -sizes 0 claim
+
 # Runs the demonstration on loopback addresses; see README.md.
 demo: build
 	deploy/demo/run.sh
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -46,9 +46,9 @@
 	runCtx context.Context
 	cut    context.CancelFunc
 
-	// members wakes the membership duty, fetch carries entry addresses to the fetch duty.
+	// members wakes the membership duty, fetch tells the fetch duty who has a newer configuration.
 	members chan struct{}
-	fetch   chan string
+	fetch   chan newer
 
 	mu         sync.Mutex
 	fence      *fence.Fence
@@ -69,7 +69,7 @@
 	maxPayload = 64 << 10
 	// maxMessage bounds one message to the agent: a payload and its envelope.
 	maxMessage = 1 << 20
-	// fetchQueue bounds the addresses that wait for the fetch duty; more are dropped, since one answer serves all.
+	// fetchQueue bounds what waits for the fetch duty; more is dropped, since one answer serves all.
 	fetchQueue = 4
 )
 
@@ -82,7 +82,7 @@
 		incarnation: uuid.NewString(),
 		started:     time.Now(),
 		members:     make(chan struct{}, 1),
-		fetch:       make(chan string, fetchQueue),
+		fetch:       make(chan newer, fetchQueue),
 		backends:    make(map[string]*backend),
 		runs:        make(map[fence.Task]*run),
 		unread:      make(map[fence.Task]time.Duration),
--- a/daemon/agent/report.go
+++ b/daemon/agent/report.go
@@ -301,7 +301,7 @@
 	a.tableChanged(older)
 	if m.GetVersions().GetConfig() > a.fence.ConfigVersion() {
 		select {
-		case a.fetch <- r.address:
+		case a.fetch <- newer{address: r.address, config: m.GetVersions().GetConfig()}:
 		default:
 		}
 	}
@@ -317,14 +317,29 @@
 	wake(a.members)
 }
 
+// newer names an entry and the configuration version that it has.
+type newer struct {
+	address string
+	config  uint64
+}
+
+func (a *Agent) configVersion() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fence.ConfigVersion()
+}
+
 // fetchRecords gets the configuration from entries that have a newer one.
 func (a *Agent) fetchRecords(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case address := <-a.fetch:
-			a.fetchFrom(ctx, address)
+		case n := <-a.fetch:
+			// All entries announce a version within one reporting interval; one fetch serves them all.
+			if n.config > a.configVersion() {
+				a.fetchFrom(ctx, n.address)
+			}
 		}
 	}
 }
