--- a/daemon/prove/config_test.go
+++ b/daemon/prove/config_test.go
@@ -31,7 +31,7 @@
 	begin := time.Now()
 	s.eventually(limit, "the version is in force everywhere", func() bool {
 		for i, e := range s.entries {
-			if e.running() && !s.hasVersion(i, version) {
+			if e.Running() && !s.hasVersion(i, version) {
 				return false
 			}
 		}
--- a/daemon/prove/connection_test.go
+++ b/daemon/prove/connection_test.go
@@ -29,7 +29,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		for _, f := range s.links() {
 			for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-				silenced += f.silenceOpen(p.ip)
+				silenced += f.silenceOpen(p.IP)
 			}
 		}
 	}
@@ -52,7 +52,7 @@
 	s := newSystem(t, layout{entries: 2, agents: 3, slots: 16})
 	for i, e := range s.entries {
 		for k, a := range s.agents {
-			s.peers[a.name].setDelay(e.ip, time.Duration(i*7+k*11)*time.Millisecond)
+			s.peers[a.Name].setDelay(e.IP, time.Duration(i*7+k*11)*time.Millisecond)
 		}
 	}
 	var jobs []*job
--- a/daemon/prove/domain_test.go
+++ b/daemon/prove/domain_test.go
@@ -88,11 +88,11 @@
 // Agents and callers still reach it.
 func (s *system) cut(entry int) {
 	e := s.entries[entry]
-	s.stores[e.name].set(s.stores[e.name].anySource(), linkSilent)
+	s.stores[e.Name].set(s.stores[e.Name].anySource(), linkSilent)
 	for i, other := range s.entries {
 		if i != entry {
-			s.peers[e.name].set(other.ip, linkSilent)
-			s.peers[other.name].set(e.ip, linkSilent)
+			s.peers[e.Name].set(other.IP, linkSilent)
+			s.peers[other.Name].set(e.IP, linkSilent)
 		}
 	}
 }
@@ -148,9 +148,9 @@
 	hold := func(m linkMode, toAgent bool) {
 		for _, e := range s.entries {
 			if toAgent {
-				s.peers[s.agents[0].name].set(e.ip, m)
+				s.peers[s.agents[0].Name].set(e.IP, m)
 			} else {
-				s.peers[e.name].set(s.agents[0].ip, m)
+				s.peers[e.Name].set(s.agents[0].IP, m)
 			}
 		}
 	}
--- a/daemon/prove/once_test.go
+++ b/daemon/prove/once_test.go
@@ -17,11 +17,11 @@
 func (s *system) homeOf(j *job) int {
 	t := &peerv1.EntryTable{}
 	for _, e := range s.entries {
-		t.Members = append(t.Members, &peerv1.EntryMember{Id: e.name})
+		t.Members = append(t.Members, &peerv1.EntryMember{Id: e.Name})
 	}
 	home := table.Home(t, submission.Key{Caller: j.request.GetCaller(), ID: j.id})
 	for i, e := range s.entries {
-		if e.name == home.GetId() {
+		if e.Name == home.GetId() {
 			return i
 		}
 	}
@@ -195,7 +195,7 @@
 		outcomes = append(outcomes, j.sendAsync(s, i%2))
 	}
 	s.entries[2].start()
-	s.eventually(readyLimit, "the entry is ready again", func() bool { return s.get(s.entries[2], "/readyz") == 200 })
+	s.eventually(readyLimit, "the entry is ready again", func() bool { return s.entries[2].Get("/readyz") == 200 })
 	for _, j := range jobs {
 		outcomes = append(outcomes, j.sendAsync(s, 2))
 	}
--- a/daemon/prove/pairs_test.go
+++ b/daemon/prove/pairs_test.go
@@ -36,7 +36,7 @@
 func (s *system) silenceAll() {
 	for _, f := range s.peers {
 		for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-			f.silenceOpen(p.ip)
+			f.silenceOpen(p.IP)
 		}
 	}
 }
@@ -44,11 +44,11 @@
 // heal ends a cut.
 func (s *system) heal(entry int) {
 	e := s.entries[entry]
-	s.stores[e.name].set(s.stores[e.name].anySource(), linkOpen)
+	s.stores[e.Name].set(s.stores[e.Name].anySource(), linkOpen)
 	for i, other := range s.entries {
 		if i != entry {
-			s.peers[e.name].set(other.ip, linkOpen)
-			s.peers[other.name].set(e.ip, linkOpen)
+			s.peers[e.Name].set(other.IP, linkOpen)
+			s.peers[other.Name].set(e.IP, linkOpen)
 		}
 	}
 }
--- a/daemon/prove/stop_test.go
+++ b/daemon/prove/stop_test.go
@@ -53,7 +53,7 @@
 	s.eventually(readyLimit, "the task has started", func() bool { return len(s.starts()) == 1 })
 	done := make(chan error, 1)
 	go func() { done <- s.entries[0].terminate(readyLimit) }()
-	s.eventually(readyLimit, "the entry is not ready", func() bool { return s.get(s.entries[0], "/readyz") != 200 })
+	s.eventually(readyLimit, "the entry is not ready", func() bool { return s.entries[0].Get("/readyz") != 200 })
 	late := newJob("quick", 1, 10, loadTimeout)
 	if o := late.send(s, 0); o.broken == nil && o.failure.GetCode() != 2004 {
 		t.Errorf("a submission to a draining entry: %v", o)
--- a/daemon/prove/system_test.go
+++ b/daemon/prove/system_test.go
@@ -5,12 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
-	"path/filepath"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,23 +17,12 @@
 
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
-	"poplargw.example/daemon/pki"
 	"poplargw.example/daemon/sample"
+	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/testbed"
 	"poplargw.example/store"
 )
 
-// Ports of every process on its own loopback address. The peers' port is a
-// forwarder; the process itself listens on the port after it.
-const (
-	portPeers     = 7000
-	portPeersReal = 7001
-	portCallers   = 7002
-	portOperators = 7003
-	portLocal     = 7004
-	portServer    = 7005
-	portStore     = 7010
-)
-
 const (
 	readyLimit = 20 * time.Second
 	pollEvery  = 20 * time.Millisecond
@@ -52,8 +37,6 @@
 	slots   int
 	// serverArgs holds further arguments of backend servers, by index.
 	serverArgs map[int][]string
-	// limits replaces lines of the section [limits] in all settings files.
-	limits string
 }
 
 // system is a running set of processes: a stand-in store, entries, agents and
@@ -61,9 +44,8 @@
 // entry and the store.
 type system struct {
 	t       *testing.T
-	dir     string
-	prefix  string
 	layout  layout
+	net     *testbed.Network
 	store   *process
 	entries []*process
 	agents  []*process
@@ -75,23 +57,21 @@
 // logLines is how many lines of each log a failed test shows.
 const logLines = 40
 
-var systems atomic.Int32
-
 // newSystem starts the processes, applies the configuration and waits until all are ready.
 func newSystem(t *testing.T, l layout) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), layout: l, peers: map[string]*forwarder{}, stores: map[string]*forwarder{}}
-	// Each test process and each system has addresses of its own, so that tests
-	// of several checkouts can run at the same time.
-	s.prefix = fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, 1+int(systems.Add(1))%250)
-	s.certificates()
-	s.store = newProcess(t, s.dir, "store", s.ip(1), "standinstore", "-listen", s.addr(1, portStore))
+	net, err := testbed.NewNetwork(t.TempDir(), binaries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &system{t: t, net: net, layout: l, peers: map[string]*forwarder{}, stores: map[string]*forwarder{}}
+	s.store = s.process(net.Store())
 	s.store.start()
 	for i := range l.entries {
-		s.entries = append(s.entries, s.daemon("entry", i, 10+i))
+		s.entries = append(s.entries, s.entry(i))
 	}
 	for i := range l.agents {
-		s.agents = append(s.agents, s.daemon("agent", i, 50+i))
+		s.agents = append(s.agents, s.agent(i))
 		s.servers = append(s.servers, s.server(i))
 	}
 	t.Cleanup(s.stop)
@@ -104,61 +84,35 @@
 	return s
 }
 
-func (s *system) ip(n int) string { return fmt.Sprint(s.prefix, n) }
+func (s *system) process(p *testbed.Process) *process { return &process{Process: p, t: s.t} }
 
-func (s *system) addr(n, port int) string { return fmt.Sprintf("%s%d:%d", s.prefix, n, port) }
+// entry prepares an entry with forwarders before its peers' port and the store.
+func (s *system) entry(i int) *process {
+	host, name := testbed.FirstEntry+i, fmt.Sprintf("entry-%d", i+1)
+	store := s.net.Addr(host, testbed.PortStore)
+	s.stores[name] = s.forward(store, s.net.Addr(testbed.HostStore, testbed.PortStore))
+	return s.daemon(testbed.Daemon{Role: settings.RoleEntry, Name: name, Host: host, StoreURL: "http://" + store}, i)
+}
 
-func (s *system) certificates() {
-	s.t.Helper()
-	ips := []net.IP{}
-	for n := range 100 {
-		ips = append(ips, net.ParseIP(s.ip(n)))
-	}
-	set, err := pki.New(time.Now(), ips)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	for name, data := range map[string][]byte{"ca.pem": set.CA, "cert.pem": set.Cert, "key.pem": set.Key} {
-		if err := os.WriteFile(filepath.Join(s.dir, name), data, 0o600); err != nil {
-			s.t.Fatal(err)
-		}
-	}
+func (s *system) agent(i int) *process {
+	return s.daemon(testbed.Daemon{Role: settings.RoleAgent, Name: fmt.Sprintf("agent-%d", i+1),
+		Host: testbed.FirstAgent + i, Entries: s.layout.entries}, i)
 }
 
-// daemon writes the settings of an entry or agent and its forwarders.
-func (s *system) daemon(role string, i, n int) *process {
+func (s *system) daemon(d testbed.Daemon, i int) *process {
 	s.t.Helper()
-	name := fmt.Sprintf("%s-%d", role, i+1)
-	var b strings.Builder
-	fmt.Fprintf(&b, "role = %q\n[node]\nid = %q\ndomain = \"d%d\"\nregion = \"r1\"\n", role, name, i+1)
-	fmt.Fprintf(&b, "[listen]\npeers = %q\nadvertise_peers = %q\noperators = %q\n",
-		s.addr(n, portPeersReal), s.addr(n, portPeers), s.addr(n, portOperators))
-	if role == "entry" {
-		fmt.Fprintf(&b, "callers = %q\n[store]\nurl = \"http://%s\"\n", s.addr(n, portCallers), s.addr(n, portStore))
-		s.stores[name] = s.forward(s.addr(n, portStore), s.addr(1, portStore))
-	} else {
-		entries := []string{}
-		for e := range s.layout.entries {
-			entries = append(entries, fmt.Sprintf("%q", s.addr(10+e, portPeers)))
-		}
-		fmt.Fprintf(&b, "local = %q\n[transport]\nentries = [%s]\n", s.addr(n, portLocal), strings.Join(entries, ", "))
-	}
-	fmt.Fprintf(&b, "[tls]\ncert = %q\nkey = %q\nca = %q\n[limits]\n%s\n",
-		filepath.Join(s.dir, "cert.pem"), filepath.Join(s.dir, "key.pem"), filepath.Join(s.dir, "ca.pem"), s.layout.limits)
-	file := filepath.Join(s.dir, name+".toml")
-	if err := os.WriteFile(file, []byte(b.String()), 0o600); err != nil {
+	d.Domain, d.Region, d.PeersBehind = fmt.Sprintf("d%d", i+1), "r1", true
+	s.peers[d.Name] = s.forward(s.net.Addr(d.Host, testbed.PortPeers), s.net.Addr(d.Host, testbed.PortPeers+1))
+	p, err := s.net.Daemon(d)
+	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.peers[name] = s.forward(s.addr(n, portPeers), s.addr(n, portPeersReal))
-	return newProcess(s.t, s.dir, name, s.ip(n), "poplargwd", "run", file)
+	return s.process(p)
 }
 
 func (s *system) server(i int) *process {
-	name := fmt.Sprintf("server-%d", i+1)
-	args := []string{"sampleserver", "-name", name, "-service", "moulds", "-kinds", "quick,long",
-		"-slots", fmt.Sprint(s.layout.slots), "-listen", s.addr(50+i, portServer), "-agent", s.addr(50+i, portLocal),
-		"-start-log", filepath.Join(s.dir, name+".starts")}
-	return newProcess(s.t, s.dir, name, s.ip(50+i), append(args, s.layout.serverArgs[i]...)...)
+	return s.process(s.net.Server(fmt.Sprintf("server-%d", i+1), testbed.FirstAgent+i, "moulds", "quick,long",
+		s.layout.slots, s.layout.serverArgs[i]...))
 }
 
 func (s *system) forward(addr, target string) *forwarder {
@@ -174,11 +128,11 @@
 func (s *system) stop() {
 	for _, group := range [][]*process{s.servers, s.agents, s.entries, {s.store}} {
 		for _, p := range group {
-			if p.running() {
+			if p.Running() {
 				p.kill()
 			}
 			if s.t.Failed() {
-				s.t.Logf("--- log of %s\n%s", p.name, p.tail(logLines))
+				s.t.Logf("--- log of %s\n%s", p.Name, p.Tail(logLines))
 			}
 		}
 	}
@@ -204,14 +158,14 @@
 func (s *system) waitReady() {
 	s.t.Helper()
 	for _, e := range s.entries {
-		s.eventually(readyLimit, e.name+" serves operators", func() bool { return s.get(e, "/healthz") == http.StatusOK })
+		s.eventually(readyLimit, e.Name+" serves operators", func() bool { return e.Get("/healthz") == http.StatusOK })
 	}
 	s.eventually(readyLimit, "the first configuration is accepted", func() bool {
 		res, err := s.apply(0, s.config(), 0)
 		return err == nil && res.GetState() == poplargwv1.ApplyState_APPLY_STATE_ACCEPTED
 	})
 	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-		s.eventually(readyLimit, p.name+" is ready", func() bool { return s.get(p, "/readyz") == http.StatusOK })
+		s.eventually(readyLimit, p.Name+" is ready", func() bool { return p.Get("/readyz") == http.StatusOK })
 	}
 	for i := range s.entries {
 		s.eventually(readyLimit, "every entry knows all backend servers", func() bool { return s.knownServers(i) == len(s.servers) })
@@ -230,16 +184,6 @@
 	return n
 }
 
-func (s *system) get(p *process, path string) int {
-	client := http.Client{Timeout: time.Second}
-	res, err := client.Get(fmt.Sprintf("http://%s:%d%s", p.ip, portOperators, path))
-	if err != nil {
-		return 0
-	}
-	res.Body.Close()
-	return res.StatusCode
-}
-
 // eventually waits until the condition holds.
 func (s *system) eventually(limit time.Duration, what string, holds func() bool) {
 	s.t.Helper()
@@ -257,11 +201,11 @@
 }
 
 func (s *system) operator(entry int) poplargwv1connect.OperatorClient {
-	return poplargwv1connect.NewOperatorClient(http.DefaultClient, fmt.Sprintf("http://%s:%d", s.entries[entry].ip, portOperators))
+	return poplargwv1connect.NewOperatorClient(http.DefaultClient, fmt.Sprintf("http://%s:%d", s.entries[entry].IP, testbed.PortOperators))
 }
 
 func (s *system) dispatcher(entry int) poplargwv1connect.DispatcherClient {
-	return poplargwv1connect.NewDispatcherClient(http.DefaultClient, fmt.Sprintf("http://%s:%d", s.entries[entry].ip, portCallers))
+	return poplargwv1connect.NewDispatcherClient(http.DefaultClient, fmt.Sprintf("http://%s:%d", s.entries[entry].IP, testbed.PortCallers))
 }
 
 // apply replaces the configuration at an entry.
@@ -316,7 +260,7 @@
 
 func (s *system) storeAdmin(method, path string, body []byte) {
 	s.t.Helper()
-	req, err := http.NewRequest(method, "http://"+s.addr(1, portStore)+path, bytes.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+s.net.Addr(testbed.HostStore, testbed.PortStore)+path, bytes.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -335,7 +279,7 @@
 	s.t.Helper()
 	var all []sample.Start
 	for _, p := range s.servers {
-		list, err := sample.ReadStarts(filepath.Join(s.dir, p.name+".starts"))
+		list, err := sample.ReadStarts(s.net.File(p.Name + ".starts"))
 		if err != nil && !os.IsNotExist(err) {
 			s.t.Fatal(err)
 		}
