Move the capacity program to the shared test bed

Cause: it had its own copy of processes, addresses and settings files. Change: daemon/cmd/capacity uses daemon/testbed, which can replace the standard output.

--- a/daemon/cmd/capacity/claim.go
+++ b/daemon/cmd/capacity/claim.go
@@ -38,7 +38,7 @@
 	e := s.entries[0]
 	claims := len(s.claims(e))
 	resident := e.resident()
-	s.entries[1].kill()
+	s.entries[1].Kill()
 	// The entry is removed after 3 s of silence; processor time counts from shortly before that.
 	time.Sleep(2 * time.Second)
 	cpu, standIns := e.cpu(), s.standIns.p.cpu()
@@ -54,7 +54,7 @@
 type claimed struct{ took time.Duration }
 
 func (s *system) claims(p *process) []claimed {
-	file, err := os.Open(p.log)
+	file, err := os.Open(p.Log)
 	if err != nil {
 		return nil
 	}
--- a/daemon/cmd/capacity/config.go
+++ b/daemon/cmd/capacity/config.go
@@ -38,8 +38,8 @@
 		return err
 	}
 	time.Sleep(settle)
-	e, counts := s.entries[0], s.forwarder(s.entries[0]).of(s.ip(hostStandIn))
-	idle := s.watch(e, s.ip(hostStandIn), e)
+	e, counts := s.entries[0], s.forwarder(s.entries[0]).of(s.net.IP(hostStandIn))
+	idle := s.watch(e, s.net.IP(hostStandIn), e)
 	cpu, out, begin := e.cpu(), counts.out.Load(), time.Now()
 	before := s.storeCalls()
 	var times []time.Duration
--- a/daemon/cmd/capacity/idle.go
+++ b/daemon/cmd/capacity/idle.go
@@ -58,7 +58,7 @@
 	}
 	connected := e.cpu() - before
 	time.Sleep(settle)
-	w := s.watch(e, s.ip(hostStandIn), e)
+	w := s.watch(e, s.net.IP(hostStandIn), e)
 	t.add(n, w.cpu, w.resident, w.in, w.out, connected)
 	return nil
 }
@@ -75,7 +75,7 @@
 			if err = s.addAgents(1); err == nil {
 				time.Sleep(settle)
 				a := s.agents[0]
-				w := s.watch(a, a.ip, s.entries...)
+				w := s.watch(a, a.IP, s.entries...)
 				t.add(n, w.cpu, w.resident, w.in, w.out, s.fetches())
 			}
 			s.stop()
@@ -121,7 +121,7 @@
 	defer s.stop()
 	time.Sleep(settle)
 	before, begin := s.storeCalls(), time.Now()
-	w := s.watch(s.entries[0], s.entries[0].ip, s.entries...)
+	w := s.watch(s.entries[0], s.entries[0].IP, s.entries...)
 	rate := (s.storeCalls() - before) / time.Since(begin).Seconds()
 	t.add(n, w.cpu, w.resident, w.in, w.out, rate, s.callsPerChange(rate))
 	return nil
--- a/daemon/cmd/capacity/jobs.go
+++ b/daemon/cmd/capacity/jobs.go
@@ -15,6 +15,7 @@
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
 	"poplargw.example/daemon/sample"
+	"poplargw.example/daemon/testbed"
 )
 
 // callers submits jobs over a bounded number of connections.
@@ -31,7 +32,7 @@
 }
 
 func (c *callers) dispatcher(entry int) poplargwv1connect.DispatcherClient {
-	return poplargwv1connect.NewDispatcherClient(c.client, "http://"+c.s.addr(hostEntry+entry, portCallers))
+	return poplargwv1connect.NewDispatcherClient(c.client, "http://"+c.s.net.Addr(testbed.FirstEntry+entry, testbed.PortCallers))
 }
 
 // job returns a job of equal tasks that run for ms milliseconds.
--- a/daemon/cmd/capacity/loss.go
+++ b/daemon/cmd/capacity/loss.go
@@ -39,7 +39,7 @@
 	left := lossEntries - n
 	cpu, begin := s.entries[0].cpu(), time.Now()
 	for _, p := range s.entries[left:] {
-		p.kill()
+		p.Kill()
 	}
 	err = s.eventually("the other entries serve all keys", func() bool {
 		for e := range left {
--- a/daemon/cmd/capacity/standins.go
+++ b/daemon/cmd/capacity/standins.go
@@ -7,6 +7,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"poplargw.example/daemon/testbed"
 )
 
 // standIns is the process of stand-in agents as the measuring program sees it.
@@ -23,16 +25,18 @@
 	}
 	var entries []string
 	for e := range s.entries {
-		entries = append(entries, s.addr(hostEntry+e, portPeers))
+		entries = append(entries, s.net.Addr(testbed.FirstEntry+e, testbed.PortPeers))
 	}
 	output, out, err := os.Pipe()
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	p, err := start("stand-ins", s.ip(hostStandIn), s.path("stand-ins.log"), nil, out, self, standInCommand, "-kind", s.kind,
-		"-dir", s.dir, "-ip", s.ip(hostStandIn), "-entries", strings.Join(entries, ","),
+	standIn := s.net.Process("stand-ins", hostStandIn, "", standInCommand, "-kind", s.kind,
+		"-dir", s.net.Dir, "-ip", s.net.IP(hostStandIn), "-entries", strings.Join(entries, ","),
 		"-agents", fmt.Sprint(agents), "-records", fmt.Sprint(records))
+	standIn.Program, standIn.Stdout = self, out
+	p, err := start(standIn)
 	if err != nil {
 		return err
 	}
@@ -73,4 +77,4 @@
 	}
 }
 
-func (t *standIns) stop() { t.p.kill() }
+func (t *standIns) stop() { t.p.Kill() }
--- a/daemon/cmd/capacity/system.go
+++ b/daemon/cmd/capacity/system.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,30 +16,15 @@
 
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
-	"poplargw.example/daemon/pki"
+	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/testbed"
 	"poplargw.example/store"
 )
 
-// Ports of every process on its own loopback address. The peers' port is a forwarder; the process
-// itself listens on the port after it.
 const (
-	portPeers     = 7000
-	portPeersReal = 7001
-	portCallers   = 7002
-	portOperators = 7003
-	portLocal     = 7004
-	portServer    = 7005
-	portStore     = 7010
-	// portStandIn is the first of the ports of the stand-in agents.
-	portStandIn = 20000
-)
-
-// Last bytes of the addresses.
-const (
-	hostStore   = 1
+	// hostStandIn is the address of the stand-in agents, portStandIn the first of their ports.
 	hostStandIn = 3
-	hostEntry   = 10
-	hostAgent   = 50
+	portStandIn = 20000
 )
 
 const (
@@ -56,7 +39,8 @@
 // system is a set of processes with counting forwarders before the peers' ports.
 type system struct {
 	options
-	kind, dir, prefix        string
+	kind                     string
+	net                      *testbed.Network
 	env                      []string
 	store                    *process
 	entries, agents, servers []*process
@@ -70,9 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
-	pid := os.Getpid()
-	s := &system{options: o, kind: kind, dir: dir, env: env, forwarders: map[string]*forwarder{},
-		prefix: fmt.Sprintf("127.%d.%d.", 216+pid%30, 1+pid/30%250)}
+	net, err := testbed.NewNetwork(dir, o.bin)
+	if err != nil {
+		return nil, err
+	}
+	s := &system{options: o, kind: kind, net: net, env: env, forwarders: map[string]*forwarder{}}
 	if err := s.begin(entries); err != nil {
 		s.stop()
 		return nil, err
@@ -81,17 +67,12 @@
 }
 
 func (s *system) begin(entries int) error {
-	if err := s.certificates(); err != nil {
-		return err
-	}
 	var err error
-	s.store, err = start("store", s.ip(hostStore), s.path("store.log"), nil, nil,
-		s.program("standinstore"), "-listen", s.addr(hostStore, portStore))
-	if err != nil {
+	if s.store, err = start(s.net.Store()); err != nil {
 		return err
 	}
 	for i := range entries {
-		p, err := s.daemon("entry", i, hostEntry+i)
+		p, err := s.daemon(settings.RoleEntry, i, testbed.FirstEntry+i)
 		if err != nil {
 			return err
 		}
@@ -103,70 +84,35 @@
 	return s.eventually("the entries are ready", func() bool { return s.ready(s.entries) })
 }
 
-func (s *system) ip(host int) string              { return fmt.Sprint(s.prefix, host) }
-func (s *system) addr(host, port int) string      { return fmt.Sprintf("%s%d:%d", s.prefix, host, port) }
-func (s *system) path(name string) string         { return filepath.Join(s.dir, name) }
-func (s *system) program(name string) string      { return filepath.Join(s.bin, name) }
-func (s *system) forwarder(p *process) *forwarder { return s.forwarders[p.name] }
-
-func (s *system) certificates() error {
-	var ips []net.IP
-	for host := range 100 {
-		ips = append(ips, net.ParseIP(s.ip(host)))
-	}
-	set, err := pki.New(time.Now(), ips)
-	if err != nil {
-		return err
-	}
-	return set.Write(s.dir)
-}
+func (s *system) forwarder(p *process) *forwarder { return s.forwarders[p.Name] }
 
 // daemon starts an entry or an agent.
-func (s *system) daemon(role string, i, host int) (*process, error) {
+func (s *system) daemon(role settings.Role, i, host int) (*process, error) {
 	name := fmt.Sprintf("%s-%d", role, i+1)
-	f, err := newForwarder(s.addr(host, portPeers), s.addr(host, portPeersReal))
+	f, err := newForwarder(s.net.Addr(host, testbed.PortPeers), s.net.Addr(host, testbed.PortPeers+1))
 	if err != nil {
 		return nil, err
 	}
 	s.forwarders[name] = f
-	file := s.path(name + ".toml")
-	if err := os.WriteFile(file, []byte(s.settings(role, name, i, host)), 0o600); err != nil {
+	p, err := s.net.Daemon(testbed.Daemon{Role: role, Name: name, Host: host, Domain: fmt.Sprintf("d%d", i%5+1),
+		Region: fmt.Sprintf("r%d", i%2+1), PeersBehind: true, Entries: len(s.entries), Transport: s.kind})
+	if err != nil {
 		return nil, err
 	}
-	return start(name, s.ip(host), s.path(name+".log"), s.env, nil, s.program("poplargwd"), "run", file)
-}
-
-func (s *system) settings(role, name string, i, host int) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "role = %q\n[node]\nid = %q\ndomain = \"d%d\"\nregion = \"r%d\"\n", role, name, i%5+1, i%2+1)
-	fmt.Fprintf(&b, "[listen]\npeers = %q\nadvertise_peers = %q\noperators = %q\n",
-		s.addr(host, portPeersReal), s.addr(host, portPeers), s.addr(host, portOperators))
-	transport := fmt.Sprintf("[transport]\nkind = %q\n", s.kind)
-	if role == "entry" {
-		fmt.Fprintf(&b, "callers = %q\n%s[store]\nurl = \"http://%s\"\n", s.addr(host, portCallers), transport, s.addr(hostStore, portStore))
-	} else {
-		entries := []string{}
-		for e := range s.entries {
-			entries = append(entries, fmt.Sprintf("%q", s.addr(hostEntry+e, portPeers)))
-		}
-		fmt.Fprintf(&b, "local = %q\n%sentries = [%s]\n", s.addr(host, portLocal), transport, strings.Join(entries, ", "))
-	}
-	fmt.Fprintf(&b, "[tls]\ncert = %q\nkey = %q\nca = %q\n", s.path(pki.CertFile), s.path(pki.KeyFile), s.path(pki.CAFile))
-	return b.String()
+	p.Env = s.env
+	return start(p)
 }
 
 // addAgents starts agents with one backend server each and waits until all entries know them.
 func (s *system) addAgents(n int) error {
 	for i := range n {
-		p, err := s.daemon("agent", i, hostAgent+i)
+		p, err := s.daemon(settings.RoleAgent, i, testbed.FirstAgent+i)
 		if err != nil {
 			return err
 		}
 		s.agents = append(s.agents, p)
-		name := fmt.Sprintf("server-%d", i+1)
-		p, err = start(name, p.ip, s.path(name+".log"), nil, nil, s.program("sampleserver"), "-name", name,
-			"-service", "moulds", "-kinds", "quick,long,small", "-slots", fmt.Sprint(slots), "-connections", fmt.Sprint(slots),
-			"-listen", s.addr(hostAgent+i, portServer), "-agent", s.addr(hostAgent+i, portLocal))
+		p, err = start(s.net.Server(fmt.Sprintf("server-%d", i+1), testbed.FirstAgent+i, "moulds", "quick,long,small", slots,
+			"-connections", fmt.Sprint(slots)))
 		if err != nil {
 			return err
 		}
@@ -203,25 +149,19 @@
 	for _, group := range [][]*process{s.servers, s.agents, s.entries, {s.store}} {
 		for _, p := range group {
 			if p != nil {
-				p.kill()
+				p.Kill()
 			}
 		}
 	}
 	for _, f := range s.forwarders {
 		f.close()
 	}
-	_ = os.RemoveAll(s.dir)
+	_ = os.RemoveAll(s.net.Dir)
 }
 
 func (s *system) ready(ps []*process) bool {
-	client := http.Client{Timeout: time.Second}
 	for _, p := range ps {
-		res, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", p.ip, portOperators))
-		if err != nil {
-			return false
-		}
-		res.Body.Close()
-		if res.StatusCode != http.StatusOK {
+		if p.Get("/readyz") != http.StatusOK {
 			return false
 		}
 	}
@@ -238,7 +178,7 @@
 }
 
 func (s *system) operator(entry int) poplargwv1connect.OperatorClient {
-	return poplargwv1connect.NewOperatorClient(http.DefaultClient, "http://"+s.addr(hostEntry+entry, portOperators))
+	return poplargwv1connect.NewOperatorClient(http.DefaultClient, "http://"+s.net.Addr(testbed.FirstEntry+entry, testbed.PortOperators))
 }
 
 // apply applies a configuration of the design size: 38 teams and 5 failure domains.
@@ -276,7 +216,7 @@
 
 // storeCalls returns the number of calls that the store has received, 0 if it does not answer.
 func (s *system) storeCalls() float64 {
-	res, err := http.Get("http://" + s.addr(hostStore, portStore) + "/admin/counts")
+	res, err := http.Get("http://" + s.net.Addr(testbed.HostStore, testbed.PortStore) + "/admin/counts")
 	if err != nil {
 		return 0
 	}
--- a/daemon/testbed/process.go
+++ b/daemon/testbed/process.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -29,6 +30,8 @@
 	Args    []string
 	// Env is added to the environment.
 	Env []string
+	// Stdout replaces the log for the standard output; nil means the log.
+	Stdout io.Writer
 
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -44,6 +47,9 @@
 	defer out.Close()
 	cmd := exec.Command(p.Program, p.Args...)
 	cmd.Stdout, cmd.Stderr = out, out
+	if p.Stdout != nil {
+		cmd.Stdout = p.Stdout
+	}
 	cmd.Env = append(os.Environ(), p.Env...)
 	// The process must not outlive a program that is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
