Count the time until a change is in force from its request

Change: the bound counts from the request. TestSameIDWhileStoreDown sends one submission through three entries while the store is down.

--- a/daemon/prove/config_test.go
+++ b/daemon/prove/config_test.go
@@ -25,11 +25,11 @@
 	return c
 }
 
-// inForce waits until every running entry and agent has the version.
-func (s *system) inForce(version uint64, limit time.Duration) {
+// inForce waits until every running entry and agent has the version, and checks that this
+// is within the bound of the request. The reply of Apply itself waits for most of them.
+func (s *system) inForce(version uint64, requested time.Time) {
 	s.t.Helper()
-	begin := time.Now()
-	s.eventually(limit, "the version is in force everywhere", func() bool {
+	s.eventually(time.Until(requested.Add(forceBound)), "the version is in force everywhere", func() bool {
 		for i, e := range s.entries {
 			if e.Running() && !s.hasVersion(i, version) {
 				return false
@@ -37,7 +37,7 @@
 		}
 		return true
 	})
-	report(s.t, "version %d in force everywhere %v after acceptance", version, time.Since(begin).Round(time.Millisecond))
+	report(s.t, "version %d in force everywhere %v after the request", version, time.Since(requested).Round(time.Millisecond))
 }
 
 func (s *system) hasVersion(entry int, version uint64) bool {
@@ -60,7 +60,7 @@
 	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	for range 10 {
-		base := s.current(0)
+		base, requested := s.current(0), time.Now()
 		type reply struct {
 			res *poplargwv1.ApplyResponse
 			err error
@@ -89,7 +89,7 @@
 		if states[poplargwv1.ApplyState_APPLY_STATE_ACCEPTED] != 1 || states[poplargwv1.ApplyState_APPLY_STATE_CONFLICT] != 1 || won != named {
 			t.Fatalf("states %v, version %d won, the conflict names %d", states, won, named)
 		}
-		s.inForce(won, forceBound)
+		s.inForce(won, requested)
 	}
 }
 
@@ -99,11 +99,12 @@
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	base := s.current(0)
 	s.storeFaults(store.Faults{LoseReplies: 1})
+	requested := time.Now()
 	res, err := s.apply(0, edited(base.GetConfig(), "d1"), base.GetVersion())
 	if err != nil || res.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED || res.GetVersion() != base.GetVersion()+1 {
 		t.Fatalf("got %v %v", res, err)
 	}
-	s.inForce(res.GetVersion(), forceBound)
+	s.inForce(res.GetVersion(), requested)
 }
 
 // TestApplyWhileStoreDown guards against a change that is reported as accepted
@@ -138,9 +139,9 @@
 	t.Parallel()
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	s.storeAdmin(http.MethodPost, "/admin/snapshot", nil)
-	s.setDomain(0, "d1", true)
+	requested := s.setDomain(0, "d1", true)
 	version := s.current(0).GetVersion()
-	s.inForce(version, forceBound)
+	s.inForce(version, requested)
 	s.storeFaults(store.Faults{Unavailable: true})
 	time.Sleep(time.Second)
 	s.storeAdmin(http.MethodPost, "/admin/restore", nil)
@@ -172,7 +173,7 @@
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 2})
 	for round := range 5 {
 		s.storeFaults(store.Faults{WatchDelay: 2 * time.Second, WatchDuplicates: 3, WatchStale: 3})
-		s.setDomain(round%3, "d1", round%2 == 0)
-		s.inForce(s.current(round%3).GetVersion(), forceBound)
+		requested := s.setDomain(round%3, "d1", round%2 == 0)
+		s.inForce(s.current(round%3).GetVersion(), requested)
 	}
 }
--- a/daemon/prove/once_test.go
+++ b/daemon/prove/once_test.go
@@ -11,6 +11,7 @@
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/dispatch/submission"
 	"poplargw.example/dispatch/table"
+	"poplargw.example/store"
 )
 
 // homeOf returns the index of the entry that is the home of the job while all entries are in the table.
@@ -74,6 +75,26 @@
 	s.verify(jobs...)
 }
 
+// TestSameIDWhileStoreDown guards against a second start, or a stop of the work, when
+// the same submission reaches several entries while the store is down.
+func TestSameIDWhileStoreDown(t *testing.T) {
+	slow(t)
+	t.Parallel()
+	s := newSystem(t, layout{entries: 3, agents: 3, slots: 4})
+	s.storeFaults(store.Faults{Unavailable: true})
+	time.Sleep(3 * time.Second)
+	var jobs []*job
+	for range 10 {
+		j := newJob("quick", 8, 50, loadTimeout)
+		jobs = append(jobs, j)
+		first, second := j.sendAsync(s, 0), j.sendAsync(s, 1)
+		if a, b, c := <-first, <-second, j.send(s, 2); !sameAnswer(a, b) || !sameAnswer(a, c) {
+			t.Errorf("the answers differ: %v; %v; %v", a, b, c)
+		}
+	}
+	s.verify(jobs...)
+}
+
 // TestHomeKilled guards against a second start, a partial answer and a lost job
 // when the home dies in mid-job. Jobs that another entry received have to complete whole.
 func TestHomeKilled(t *testing.T) {
--- a/daemon/prove/worker_test.go
+++ b/daemon/prove/worker_test.go
@@ -150,10 +150,11 @@
 	s := newSystem(t, layout{entries: 2, agents: 2, slots: 2})
 	record := s.current(0)
 	record.GetConfig().GetServices()[0].GetKinds()[1].Slots = 16
+	requested := time.Now()
 	if res, err := s.apply(0, record.GetConfig(), record.GetVersion()); err != nil || res.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED {
 		t.Fatalf("apply: %v %v", res, err)
 	}
-	s.inForce(record.GetVersion()+1, forceBound)
+	s.inForce(record.GetVersion()+1, requested)
 	impossible, other := newJob("long", 1, 10, loadTimeout), newJob("quick", 4, 10, loadTimeout)
 	if o := impossible.send(s, 0); o.failure.GetCode() != 1009 || o.took > time.Second {
 		t.Errorf("the impossible job: %v", o)
