Share slots between entries, pool estimates, wait for faster servers

Cause: several entries start into the same slots on a view about 0.1 s old; a median of 9 run times misjudges a server's speed; tasks on the 0.3-speed server decide the slowest jobs. Change: within its share of a backend server's slots an entry uses any free slot, beyond it needs a recent count of two free ones or a high load. Estimates use 33 run times pooled over kinds. A task waits for a faster server if the gain exceeds the wait of its job and those before it, up to a load of 0.75. Smaller jobs go first.

--- a/daemon/entry/home.go
+++ b/daemon/entry/home.go
@@ -173,7 +173,7 @@
 }
 
 func (h *home) observe(now time.Time, t *peerv1.EntryTable) {
-	h.sched.SetEntries(serving(t))
+	h.sched.SetEntries(serving(t, h.e.self))
 	switch h.rec.Observe(now, t) {
 	case recovery.Dropped:
 		h.drop(now)
@@ -188,15 +188,18 @@
 	h.e.changes.fire()
 }
 
-// serving counts the members that get new submissions.
-func serving(t *peerv1.EntryTable) int {
-	n := 0
+// serving counts the members that get new submissions, and those of them before self.
+func serving(t *peerv1.EntryTable, self string) (n, before int) {
 	for _, m := range t.GetMembers() {
-		if !m.GetLeaving() {
-			n++
+		if m.GetLeaving() {
+			continue
+		}
+		n++
+		if m.GetId() < self {
+			before++
 		}
 	}
-	return n
+	return n, before
 }
 
 // drop forgets everything after this entry was removed from the table. The receivers
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -13,9 +13,13 @@
 
 const (
 	// samples is the number of newest run times whose median is the estimate of a
-	// server. One outlier among nine does not move it, and a change of speed shows
-	// after five tasks.
-	samples = 9
+	// server. Run times of a kind differ by a factor of four or more, so that the median
+	// of nine is off by a quarter often, and fast servers are taken for slow ones.
+	samples = 33
+	// newest is the number of run times that show a change of speed when all of them are
+	// above or below the median by changeFactor. The older ones are then forgotten.
+	newest       = 5
+	changeFactor = 1.5
 	// learned is the number of run times from which a server's own median counts alone.
 	learned = 3
 	// retention is how long the run times of an idle server are kept.
@@ -142,6 +146,9 @@
 	c.ring[c.n%samples] = d
 	c.n++
 	c.last = now
+	if c.n > newest && c.changed() {
+		c.keepNewest()
+	}
 	sorted := c.ring
 	used := sorted[:min(c.n, samples)]
 	slices.Sort(used)
@@ -153,6 +160,30 @@
 	c.kind.last = now
 }
 
+// changed tells whether the newest run times are all far above or all far below the median.
+func (c *Cell) changed() bool {
+	low, high := time.Duration(float64(c.median)/changeFactor), time.Duration(float64(c.median)*changeFactor)
+	above, below := 0, 0
+	for i := c.n - newest; i < c.n; i++ {
+		switch d := c.ring[i%samples]; {
+		case d > high:
+			above++
+		case d < low:
+			below++
+		}
+	}
+	return above == newest || below == newest
+}
+
+func (c *Cell) keepNewest() {
+	var kept [newest]time.Duration
+	for i := range newest {
+		kept[i] = c.ring[(c.n-newest+i)%samples]
+	}
+	copy(c.ring[:], kept[:])
+	c.n = newest
+}
+
 func (c *Cell) register() {
 	c.kind.cells[c.server] = c
 	c.speed = c.kind.servers[c.server]
@@ -171,10 +202,10 @@
 // other kinds; then the declared duration, then Default. With one or two own run times
 // the own median and the kind's are mixed.
 func (c *Cell) Expected(declared time.Duration) time.Duration {
+	base, servers := c.kind.Typical()
 	if c.Learned() {
-		return c.median
+		return c.pooled(base)
 	}
-	base, servers := c.kind.Typical()
 	switch {
 	case servers > 0:
 		base = time.Duration(float64(base) * c.kind.servers[c.server].factor())
@@ -185,6 +216,17 @@
 	return Default
 }
 
+// pooled is the mean of the server's own median and of the typical run time scaled by the
+// speed that the server shows over all kinds. The latter rests on more run times; it does not
+// count for a kind that the server runs at a clearly different speed than others.
+func (c *Cell) pooled(typical time.Duration) time.Duration {
+	scaled := time.Duration(float64(typical) * c.speed.factor())
+	if scaled <= 0 || float64(c.median) > changeFactor*float64(scaled) || float64(scaled) > changeFactor*float64(c.median) {
+		return c.median
+	}
+	return (c.median + scaled) / 2
+}
+
 // factor is the mean ratio of the server's run times to the typical ones, over the
 // kinds that it has learned; 1 if there are none.
 func (s *speed) factor() float64 {
--- a/dispatch/estimate/estimate_test.go
+++ b/dispatch/estimate/estimate_test.go
@@ -23,4 +23,36 @@
 	fast.Observe(now, time.Hour)
 	check("outlier", fast.Expected(0), 100*time.Millisecond)
 	check("other servers", unknown.Expected(time.Minute), 100*time.Millisecond)
+	for range newest {
+		fast.Observe(now, 300*time.Millisecond)
+	}
+	check("change of speed", fast.Expected(0), 300*time.Millisecond)
+}
+
+// Guards against two servers of equal speed that look different because of a few run times,
+// and against a kind for which a server is special being taken for one like the others.
+func TestPooled(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := New[string]()
+	observe := func(kind, server string, ms ...time.Duration) *Cell {
+		c := table.Kind(kind).Cell(server)
+		for range samples {
+			for _, d := range ms {
+				c.Observe(now, d*time.Millisecond)
+			}
+		}
+		return c
+	}
+	for _, server := range []string{"a", "c"} {
+		observe("check", server, 100)
+		observe("long", server, 1000)
+		observe("special", server, 100)
+	}
+	observe("long", "b", 1000)
+	if got := observe("check", "b", 130).Expected(0); got <= 100*time.Millisecond || got >= 130*time.Millisecond {
+		t.Errorf("pooled estimate is %v", got)
+	}
+	if got := observe("special", "b", 400).Expected(0); got != 400*time.Millisecond {
+		t.Errorf("estimate of a special kind is %v", got)
+	}
 }
--- a/dispatch/sched/config.go
+++ b/dispatch/sched/config.go
@@ -30,6 +30,9 @@
 	largest   int // largest number of slots of a server; -1 when not computed
 	queued    int
 	held      int       // slots of this entry's unanswered starts
+	startedAt time.Time // of the last start
+	load      float64   // smoothed share of slots in use, of loadAt
+	loadAt    time.Time
 	reachedAt time.Time // when held last reached this entry's part
 	dirty     bool
 	round     uint64
@@ -175,6 +178,10 @@
 	return nil
 }
 
-// SetEntries tells the number of entries that serve submissions. Each entry grants its
+// SetEntries tells the number of entries that serve submissions, and the position of this
+// one among them, from 0, in an order that is the same at all of them. Each entry grants its
 // part of the quotas and of the fair shares.
-func (s *Scheduler) SetEntries(n int) { s.entries = max(n, 1) }
+func (s *Scheduler) SetEntries(n, self int) {
+	s.entries = max(n, 1)
+	s.index = self
+}
--- a/dispatch/sched/contend.go
+++ b/dispatch/sched/contend.go
@@ -6,16 +6,21 @@
 // two one-way latencies of at most 1.5 ms and the delays of two processes.
 const settleTime = 6 * time.Millisecond
 
-// Several entries share the servers. Without a rule each of them would send a start
-// for every slot that comes free under load, and all but one would be refused: with
-// two entries more than a third of the starts were, in a simulation of an overloaded
-// fleet. The rule is:
-//   - An entry uses the slots that its own tasks return at once, unless it holds more
-//     than its part of the slots in use by over two slots.
-//   - Other slots it leaves alone for settleTime after they came free, in which their
-//     last holder may use them again; for twice that if it holds its part or more.
-//   - After that, it uses them in each further settleTime with a probability that
-//     leaves about one claimant, until claimTime.
+// Several entries share the servers, and an entry learns of the starts of others late: an
+// agent may send about ten reports of slots to an entry each second. Without a rule each
+// entry would send a start for every slot that it believes free, and many would be refused.
+// The rule is:
+//   - The slots of each server are divided among the entries. Within its share of a server
+//     an entry uses every slot that it believes free.
+//   - It uses further slots only if the server has another one free by a recent count. Under
+//     high load it also uses a single one, from 2 settleTime after it came free, in one of
+//     as many periods of settleTime as there are entries, chosen at random. This does not hold
+//     for tasks that need more slots than its share, which would else never start.
+//   - Of further slots it uses those that its own tasks return at once, unless it holds more
+//     than its part of the slots in use by over two slots. Others it leaves alone for
+//     settleTime after they came free, in which their last holder may use them again; for
+//     twice that if it holds its part or more. After that, it uses them in each further
+//     settleTime with a probability that leaves about one claimant, until claimTime.
 //   - When it reaches its part of all slots, it pauses for settleTime.
 
 // claimTime is the age from which a free slot is used without restriction.
@@ -24,9 +29,13 @@
 // mayUse tells whether this entry may use slots of an open server now.
 func (s *Scheduler) mayUse(now time.Time, v *server, slots int) bool {
 	sv := v.service
-	if s.entries == 1 {
+	if s.owns(v, slots) {
 		return true
 	}
+	if s.shareOf(v) >= slots && (v.free < 2*slots || now.Sub(v.countedAt) > borrowAge) {
+		window := uint64(now.Sub(v.freedAt) / settleTime)
+		return sv.load >= crowded && window >= 2 && s.draw(v, window) == 0
+	}
 	if sv.held >= s.part(sv) && now.Sub(sv.reachedAt) < settleTime {
 		return false
 	}
@@ -45,6 +54,28 @@
 	return s.draw(v, window) < claimants
 }
 
+// Bounds of the use of slots outside this entry's share of a server.
+const (
+	// crowded is the load from which a single free slot is used too. Left to the entries
+	// that have it in their share, it would often stay idle while tasks wait elsewhere.
+	crowded = 0.8
+	// borrowAge is the age from which a slot count says little: a tenth of a second is the
+	// time between two reports of slots from a busy agent.
+	borrowAge = 100 * time.Millisecond
+)
+
+// owns tells whether the slots, with those it holds, are within this entry's share of the server.
+func (s *Scheduler) owns(v *server, slots int) bool {
+	return s.entries == 1 || v.held+slots <= s.shareOf(v)
+}
+
+// shareOf is this entry's share of a server. The remainder of the division goes to other
+// entries at each server, so that the shares add up to the slots.
+func (s *Scheduler) shareOf(v *server) int {
+	rank := (s.index + int(v.hash%uint32(s.entries))) % s.entries
+	return (v.Slots + s.entries - 1 - rank) / s.entries
+}
+
 // tolerance is the number of slots that an entry may hold above its part before it
 // leaves its own slots to others. Entries that exchange slots over small differences
 // cause refusals and idle slots.
--- a/dispatch/sched/fleet.go
+++ b/dispatch/sched/fleet.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -73,8 +74,10 @@
 	drawnFor   time.Time
 	drawn      int
 	wasOut     bool
-	wasIn      bool // result of the last inService
-	index      int  // position in service.open; -1 when closed
+	wasIn      bool      // result of the last inService
+	hash       uint32    // of the name
+	countedAt  time.Time // of the last count
+	index      int       // position in service.open; -1 when closed
 	gone       bool
 	generation uint64
 }
@@ -159,6 +162,9 @@
 		Server: Server{Name: in.Name, Instance: in.Instance, Service: in.Service},
 		at:     Placement{Agent: a.name, Server: in.Name}, agent: a, service: sv, index: -1, position: len(sv.servers),
 	}
+	h := fnv.New32a()
+	h.Write([]byte(in.Name))
+	v.hash = h.Sum32()
 	sv.servers = append(sv.servers, v)
 	a.servers = append(a.servers, v)
 	if d, ok := sv.departed[in.Name]; ok {
@@ -254,6 +260,7 @@
 	s.setSlots(v, v.Slots, estimate)
 	v.counted, v.since = free, 0
 	v.counts++
+	v.countedAt = now
 }
 
 // slotsFromReply updates the slots of the server that answered.
--- a/dispatch/sched/pick.go
+++ b/dispatch/sched/pick.go
@@ -17,6 +17,8 @@
 	// Reserve is the time that longer tasks are expected to lose when this task takes
 	// a slot of the server.
 	Reserve time.Duration
+	// Shared means that another entry may claim the slot at the same moment.
+	Shared bool
 	// Local and SameRegion compare the server's location with this entry's.
 	Local, SameRegion bool
 }
@@ -35,6 +37,13 @@
 	otherRegionCost = 30 * time.Millisecond
 )
 
+// Costs of a slot outside this entry's share of the server: a refusal and the next start
+// take two round trips, and what is taken there is missing to another entry.
+const (
+	refusalCost = 5 * time.Millisecond
+	sharedShare = 8
+)
+
 // busyShare is the assumed share by which a fully used server is slower than an idle
 // one. It also spreads tasks over servers of equal speed.
 const busyShare = 10
@@ -60,6 +69,9 @@
 	if used := c.Slots - c.Free; used > 0 && c.Slots > 0 {
 		cost += c.Expected / busyShare * time.Duration(used) / time.Duration(c.Slots)
 	}
+	if c.Shared {
+		cost += c.Expected/sharedShare + refusalCost
+	}
 	switch {
 	case c.Local:
 	case c.SameRegion:
--- a/dispatch/sched/place.go
+++ b/dispatch/sched/place.go
@@ -97,7 +97,11 @@
 	if len(s.servers) == 0 {
 		return nil
 	}
-	return s.servers[s.opts.Picker.Pick(l.class.kind.name, s.candidates)]
+	i := s.opts.Picker.Pick(l.class.kind.name, s.candidates)
+	if s.holdSlow && sv.fasterSoon(now, l, s.candidates[i].Expected, s.entries) {
+		return nil
+	}
+	return s.servers[i]
 }
 
 func (s *Scheduler) hasRoom(now time.Time, v *server, l *lane) bool {
@@ -122,13 +126,10 @@
 		if !cell.Learned() {
 			expected = max(expected, time.Duration(float64(typical)*v.overdue(now)))
 		}
-		if s.holdSlow && v.service.fasterSoon(now.Sub(l.job.arrived), expected, typical) {
-			return Candidate{}, false
-		}
 	}
 	return Candidate{
 		At: v.at, Slots: v.Slots, Free: v.free, Outstanding: v.tasks,
-		Expected: expected, Reserve: v.reserveFor(k),
+		Expected: expected, Reserve: v.reserveFor(k), Shared: !s.owns(v, k.slots),
 		Local: v.agent.domain == s.opts.Domain, SameRegion: v.agent.region == s.opts.Region,
 	}, true
 }
@@ -147,13 +148,105 @@
 	return float64(now.Sub(a.at)) / float64(typical)
 }
 
-// fasterSoon tells whether a task that has waited for some time does better to wait
-// than to start where it is expected to take much longer than typical: faster servers
-// work off the whole queue in the difference. The wait is bounded by one typical run
-// time, so that a fleet left with slow servers is soon used.
-func (sv *service) fasterSoon(waited, expected, typical time.Duration) bool {
-	saved := expected - 2*typical
-	return saved > 0 && waited < min(saved, typical) && typical*time.Duration(sv.queued) < saved*time.Duration(sv.slots)
+// fasterSoon tells whether a task does better to wait for a slot of a faster server than to
+// start where it is expected to take the given time. It does if the gain exceeds the wait
+// of the job's queued tasks, and that of one slot for each queued job that goes before or
+// with it. The wait ends when nothing has started for as long as it would save, so that a
+// fleet left with slow servers is soon used.
+func (sv *service) fasterSoon(now time.Time, l *lane, expected time.Duration, entries int) bool {
+	k := l.class.kind
+	saved := expected - k.times.Fastest()
+	if sv.load >= holdNone || saved == expected || saved < expected/fasterMargin || now.Sub(sv.startedAt) > saved {
+		return false
+	}
+	rate, faster := sv.fasterSlots(k, expected-expected/fasterMargin)
+	if rate == 0 {
+		return false
+	}
+	// Other entries want the slots too: some of them all, some none.
+	interval := float64(entries+1) / 2 / rate
+	gain := (expected.Seconds() - faster) * min((holdNone-sv.load)/(holdNone-holdFull), 1)
+	return gain > float64(len(l.waiting))*interval && gain > float64(sv.lanesUpTo(k)+1)*interval
+}
+
+// fasterSlots returns the number of slots that come free in a second at servers where a
+// task of the kind takes less than the limit, and its mean run time there in seconds.
+func (sv *service) fasterSlots(k *kind, limit time.Duration) (rate, run float64) {
+	mean := sv.meanRun()
+	typical, _ := k.times.Typical()
+	if mean == 0 || typical == 0 {
+		return 0, 0
+	}
+	for _, v := range sv.servers {
+		cell := v.cells[k.name]
+		if cell == nil || !cell.Learned() || !v.wasIn || v.health.Suspended() {
+			continue
+		}
+		if e := cell.Expected(0); e < limit {
+			r := float64(v.Slots-v.free) / (mean.Seconds() * float64(e) / float64(typical))
+			rate += r
+			run += r * e.Seconds()
+		}
+	}
+	if rate == 0 {
+		return 0, 0
+	}
+	return rate, run / rate
+}
+
+// A slot that is kept free for a while lengthens all queues, the more so the higher the
+// load: up to holdFull the gain of a wait counts whole, from holdNone not at all.
+const (
+	holdFull = 0.55
+	holdNone = 0.75
+)
+
+// loadTime is the time over which the load is smoothed.
+const loadTime = 2 * time.Second
+
+// measureLoad updates the share of the slots of healthy servers that is in use.
+func (sv *service) measureLoad(now time.Time) {
+	slots, used := 0, 0
+	for _, v := range sv.servers {
+		if v.wasIn && !v.health.Suspended() {
+			slots += v.Slots
+			used += v.Slots - v.free
+		}
+	}
+	passed := now.Sub(sv.loadAt)
+	if slots == 0 || passed <= 0 {
+		return
+	}
+	weight := min(float64(passed)/float64(loadTime), 1)
+	sv.load += weight * (float64(used)/float64(slots) - sv.load)
+	sv.loadAt = now
+}
+
+// fasterMargin is the reciprocal of the share by which a server must be faster to be
+// worth a wait.
+const fasterMargin = 10
+
+// meanRun is the typical run time of the running tasks.
+func (sv *service) meanRun() time.Duration {
+	var total time.Duration
+	n := 0
+	for _, k := range sv.list {
+		typical, _ := k.times.Typical()
+		total += typical * time.Duration(k.running)
+		n += k.running
+	}
+	return total / time.Duration(max(n, 1))
+}
+
+// lanesUpTo counts the jobs with queued tasks of a kind and of those that go before it.
+func (sv *service) lanesUpTo(k *kind) int {
+	n := 0
+	for _, c := range sv.waiting {
+		if c.kind == k || c.kind.rank() > k.rank() {
+			n += len(c.ready) + len(c.capped)
+		}
+	}
+	return n
 }
 
 // findLongest sets the running kind with the longest typical run time.
@@ -205,6 +298,7 @@
 	}
 	j.held += a.slots
 	s.reserve(now, v, a)
+	j.service.startedAt = now
 	s.share(j)
 	s.emitStart(a)
 }
--- a/dispatch/sched/queue.go
+++ b/dispatch/sched/queue.go
@@ -9,14 +9,17 @@
 )
 
 // Weights of the order of jobs, as waiting time: a job that has waited longer by the
-// weight overtakes. The largest remaining weight (400 tasks) is 0.5 s, less than
-// urgentWeight, so that the order is priority, urgent, fewest remaining tasks, arrival
-// for jobs that arrive within 0.5 s of each other. No job starves, because the weights
-// are bounded (19.5 s in all).
+// weight overtakes. Up to manyTasks each remaining task weighs remainingWeight, so that small
+// jobs go before large ones that arrived within some tenths of a second; each further one
+// weighs manyWeight. The largest remaining weight (400 tasks) is 0.81 s, less than
+// urgentWeight, so that the order is priority, urgent, fewest remaining tasks, arrival for
+// jobs that arrive together. No job starves, because the weights are bounded (19.8 s in all).
 const (
 	priorityWeight  = 2 * time.Second
 	urgentWeight    = time.Second
-	remainingWeight = 1250 * time.Microsecond
+	remainingWeight = 10 * time.Millisecond
+	manyTasks       = 64
+	manyWeight      = 500 * time.Microsecond
 	maxPriority     = 9
 )
 
@@ -137,7 +140,8 @@
 	if k.urgent {
 		w -= urgentWeight
 	}
-	return int64(w + time.Duration(l.job.remaining)*remainingWeight)
+	n := l.job.remaining
+	return int64(w + time.Duration(min(n, manyTasks))*remainingWeight + time.Duration(max(n-manyTasks, 0))*manyWeight)
 }
 
 // class holds the lanes of one kind and team.
--- a/dispatch/sched/rules_test.go
+++ b/dispatch/sched/rules_test.go
@@ -220,3 +220,55 @@
 		}
 	}
 }
+
+// Guards against entries that all use the same free slot of a server: the shares must add up
+// to its slots, and a single slot beyond this entry's share stays free.
+func TestSharesOfEntries(t *testing.T) {
+	for _, entries := range []int{1, 2, 3, 5, 8} {
+		total := 0
+		for self := range entries {
+			s := newScheduler(t)
+			s.SetEntries(entries, self)
+			s.AgentReport(start, report("a", 1, "left", 8, 8))
+			total += s.shareOf(s.agents["a"].servers[0])
+		}
+		if total != 8 {
+			t.Errorf("the shares of %d entries are %d of 8 slots", entries, total)
+		}
+	}
+	s := newScheduler(t)
+	s.SetEntries(2, 0)
+	s.AgentReport(start, report("a", 1, "left", 8, 5))
+	if starts, _ := split(s.Submit(start, newJob(1, "check", 8))); len(starts) != 4 {
+		t.Errorf("%d starts, want 4", len(starts))
+	}
+	s = newScheduler(t)
+	s.SetEntries(8, 0)
+	s.AgentReport(start, report("a", 1, "left", 8, 8))
+	if starts, _ := split(s.Submit(start, newJob(1, "simulate", 1))); len(starts) != 1 {
+		t.Error("a task that needs more slots than the share of an entry does not start")
+	}
+}
+
+// Guards against a task that starts on a slow server although a slot of a fast one comes
+// free sooner, and against one that waits for a fast server that frees no slot.
+func TestWaitsForFasterServer(t *testing.T) {
+	s := newScheduler(t)
+	s.AgentReport(start, report("a", 1, "left", 8, 8))
+	first, _ := split(s.Submit(start, newJob(1, "check", 8)))
+	for i, st := range first {
+		s.StartReply(start, st.Ref, StartReply{Result: []byte{1}, RunTime: 100 * time.Millisecond, HasSlots: true, FreeSlots: 8, Sequence: uint64(2 + i)})
+	}
+	sv := s.service("mould")
+	s.Submit(start, newJob(2, "check", 8))
+	s.AgentReport(start, report("b", 1, "left", 8, 8))
+	for range 9 {
+		sv.servers[1].cells["check"].Observe(start, 400*time.Millisecond)
+	}
+	if starts, _ := split(s.Submit(start, newJob(3, "check", 1))); len(starts) != 0 {
+		t.Errorf("started at %v", starts[0].To)
+	}
+	if starts, _ := split(s.Tick(at(time.Second))); len(starts) != 1 || starts[0].To.Agent != "b" {
+		t.Errorf("after a second without starts: %v", starts)
+	}
+}
--- a/dispatch/sched/scheduler.go
+++ b/dispatch/sched/scheduler.go
@@ -39,6 +39,7 @@
 	opts     Options
 	active   bool
 	entries  int
+	index    int // position of this entry among them
 	base     time.Time
 	sequence uint64
 	attempt  uint32
@@ -220,6 +221,7 @@
 		s.sweep(now)
 	}
 	for _, sv := range s.serviceList {
+		sv.measureLoad(now)
 		if sv.queued > 0 && len(sv.open) > 0 {
 			s.touch(sv)
 		}
--- a/dispatch/sched/simulate_test.go
+++ b/dispatch/sched/simulate_test.go
@@ -44,7 +44,7 @@
 	f := &fleet{now: start, rng: rand.New(rand.NewPCG(7, 7)), broken: -1}
 	for range entries {
 		s := New(Options{Domain: "left", Region: "r", RetryBudget: 5, Picker: picker()})
-		s.SetEntries(entries)
+		s.SetEntries(entries, len(f.entries))
 		s.Configure(start, config())
 		s.SetActive(start, true)
 		f.entries = append(f.entries, s)
