--- a/daemon/replay/probe.go
+++ b/daemon/replay/probe.go
@@ -14,6 +14,7 @@
 
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
+	"poplargw.example/daemon/testbed"
 )
 
 // Times are quantiles of a response time.
@@ -26,7 +27,7 @@
 // one at a time.
 func (s *System) Lone(n, ms int) (Lone, error) {
 	server := poplargwv1connect.NewBackendServerClient(&http.Client{Transport: &http.Transport{}},
-		"http://"+s.address(firstAgent, portServer))
+		"http://"+s.net.Addr(testbed.FirstAgent, testbed.PortServer))
 	payload := fmt.Appendf(nil, `{"ms":%d}`, ms)
 	var direct, dispatched []time.Duration
 	for range n {
--- a/daemon/replay/run.go
+++ b/daemon/replay/run.go
@@ -181,7 +181,7 @@
 	}
 	seen := map[string]bool{}
 	for i, v := range p.t.Servers {
-		list, err := sample.ReadStarts(p.s.file(serverName(i) + ".starts"))
+		list, err := sample.ReadStarts(p.s.net.File(serverName(i) + ".starts"))
 		if err != nil {
 			return err
 		}
--- a/daemon/replay/system.go
+++ b/daemon/replay/system.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,26 +14,8 @@
 
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
-	"poplargw.example/daemon/pki"
-)
-
-// Ports of every process on its own loopback address. The ports for peers and callers are
-// those of delay lines, if there are any; the process itself then listens on the port after it.
-const (
-	portPeers     = 7000
-	portCallers   = 7002
-	portOperators = 7004
-	portLocal     = 7005
-	portServer    = 7006
-	portStore     = 7010
-)
-
-// Numbers of the processes' addresses.
-const (
-	storeNumber = 1
-	firstEntry  = 10
-	firstAgent  = 50
-	addresses   = 100
+	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/testbed"
 )
 
 const (
@@ -63,23 +40,23 @@
 // server of a header, all as processes.
 type System struct {
 	o       Options
-	prefix  string
-	all     []*process
-	entries []*process
-	agents  []*process
+	net     *testbed.Network
+	all     []*testbed.Process
+	entries []*testbed.Process
+	agents  []*testbed.Process
 	lines   []*delayLine
 	domains map[string]string // by IP
 	calls   *http.Client
 }
 
-var systems atomic.Int32
-
 // Start starts a system, applies its configuration and waits until it is ready.
 func Start(o Options) (*System, error) {
-	s := &System{o: o, domains: map[string]string{}, calls: &http.Client{Transport: unencryptedHTTP2()}}
-	s.prefix = fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, 1+int(systems.Add(1))%250)
-	err := s.start()
+	net, err := testbed.NewNetwork(o.Dir, o.Binaries)
 	if err != nil {
+		return nil, err
+	}
+	s := &System{o: o, net: net, domains: map[string]string{}, calls: &http.Client{Transport: unencryptedHTTP2()}}
+	if err := s.start(); err != nil {
 		s.Stop()
 		return nil, err
 	}
@@ -93,27 +70,24 @@
 }
 
 func (s *System) start() error {
-	if err := s.certificates(); err != nil {
-		return err
-	}
-	if _, err := s.run("store", storeNumber, "standinstore", "-listen", s.address(storeNumber, portStore)); err != nil {
+	if err := s.run(s.net.Store()); err != nil {
 		return err
 	}
 	for i := range s.o.Entries {
-		s.domains[s.ip(firstEntry+i)] = s.o.Header.Domains[i%len(s.o.Header.Domains)]
+		s.domains[s.net.IP(testbed.FirstEntry+i)] = s.o.Header.Domains[i%len(s.o.Header.Domains)]
 	}
 	for i, v := range s.o.Header.Servers {
-		s.domains[s.ip(firstAgent+i)] = v.Domain
+		s.domains[s.net.IP(testbed.FirstAgent+i)] = v.Domain
 	}
 	for i := range s.o.Entries {
-		p, err := s.daemon("entry", i, firstEntry+i)
+		p, err := s.entry(i)
 		if err != nil {
 			return err
 		}
 		s.entries = append(s.entries, p)
 	}
 	for i := range s.o.Header.Servers {
-		p, err := s.daemon("agent", i, firstAgent+i)
+		p, err := s.agent(i)
 		if err != nil {
 			return err
 		}
@@ -125,80 +99,37 @@
 	return s.waitReady()
 }
 
-func (s *System) ip(n int) string { return fmt.Sprint(s.prefix, n) }
-
-func (s *System) address(n, port int) string { return fmt.Sprintf("%s%d:%d", s.prefix, n, port) }
+func (s *System) run(p *testbed.Process) error {
+	s.all = append(s.all, p)
+	return p.Start()
+}
 
-func (s *System) run(name string, n int, program string, args ...string) (*process, error) {
-	p, err := startProcess(s.o.Dir, name, s.ip(n), filepath.Join(s.o.Binaries, program), args...)
-	if err == nil {
-		s.all = append(s.all, p)
+// entry starts an entry with its delay lines.
+func (s *System) entry(i int) (*testbed.Process, error) {
+	host := testbed.FirstEntry + i
+	if err := s.line(host, testbed.PortCallers, s.callerDelay); err != nil {
+		return nil, err
 	}
-	return p, err
+	return s.daemon(testbed.Daemon{Role: settings.RoleEntry, Name: fmt.Sprintf("entry-%d", i+1), Host: host,
+		Sections: fmt.Sprintf("[scheduler]\npolicy = %q\n", s.o.Policy)})
 }
 
-func (s *System) file(name string) string { return filepath.Join(s.o.Dir, name) }
-
-func (s *System) certificates() error {
-	var ips []net.IP
-	for n := range addresses {
-		ips = append(ips, net.ParseIP(s.ip(n)))
-	}
-	set, err := pki.New(time.Now(), ips)
-	if err != nil {
-		return err
-	}
-	for name, data := range map[string][]byte{pki.CAFile: set.CA, pki.CertFile: set.Cert, pki.KeyFile: set.Key} {
-		if err := os.WriteFile(s.file(name), data, 0o600); err != nil {
-			return err
-		}
-	}
-	return nil
+func (s *System) agent(i int) (*testbed.Process, error) {
+	return s.daemon(testbed.Daemon{Role: settings.RoleAgent, Name: fmt.Sprintf("agent-%d", i+1),
+		Host: testbed.FirstAgent + i, Entries: s.o.Entries})
 }
 
-// daemon starts an entry or agent with its delay lines.
-func (s *System) daemon(role string, i, n int) (*process, error) {
-	name := fmt.Sprintf("%s-%d", role, i+1)
-	if err := s.line(n, portPeers, s.peerDelay(s.domains[s.ip(n)])); err != nil {
+func (s *System) daemon(d testbed.Daemon) (*testbed.Process, error) {
+	d.Domain, d.Region = s.domains[s.net.IP(d.Host)], s.o.Header.Region
+	d.PeersBehind, d.CallersBehind = !s.o.Direct, !s.o.Direct
+	if err := s.line(d.Host, testbed.PortPeers, s.peerDelay(d.Domain)); err != nil {
 		return nil, err
 	}
-	if role == "entry" {
-		if err := s.line(n, portCallers, s.callerDelay); err != nil {
-			return nil, err
-		}
-	}
-	file := s.file(name + ".toml")
-	if err := os.WriteFile(file, []byte(s.settings(role, name, n)), 0o600); err != nil {
+	p, err := s.net.Daemon(d)
+	if err != nil {
 		return nil, err
 	}
-	return s.run(name, n, "poplargwd", "run", file)
-}
-
-func (s *System) settings(role, name string, n int) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "role = %q\n[node]\nid = %q\ndomain = %q\nregion = %q\n", role, name, s.domains[s.ip(n)], s.o.Header.Region)
-	fmt.Fprintf(&b, "[tls]\ncert = %q\nkey = %q\nca = %q\n", s.file(pki.CertFile), s.file(pki.KeyFile), s.file(pki.CAFile))
-	fmt.Fprintf(&b, "[listen]\npeers = %q\nadvertise_peers = %q\noperators = %q\n",
-		s.address(n, s.behind(portPeers)), s.address(n, portPeers), s.address(n, portOperators))
-	if role == "entry" {
-		fmt.Fprintf(&b, "callers = %q\n[store]\nurl = \"http://%s\"\n[scheduler]\npolicy = %q\n",
-			s.address(n, s.behind(portCallers)), s.address(storeNumber, portStore), s.o.Policy)
-		return b.String()
-	}
-	var entries []string
-	for e := range s.o.Entries {
-		entries = append(entries, fmt.Sprintf("%q", s.address(firstEntry+e, portPeers)))
-	}
-	fmt.Fprintf(&b, "local = %q\n[transport]\nentries = [%s]\n", s.address(n, portLocal), strings.Join(entries, ", "))
-	return b.String()
-}
-
-// behind is the port on which a process listens whose port for others is the given one.
-func (s *System) behind(port int) int {
-	if s.o.Direct {
-		return port
-	}
-	return port + 1
+	return p, s.run(p)
 }
 
 // line starts the delay line of a port.
@@ -206,7 +137,7 @@
 	if s.o.Direct {
 		return nil
 	}
-	l, err := newDelayLine(s.address(n, port), s.address(n, s.behind(port)), delay)
+	l, err := newDelayLine(s.net.Addr(n, port), s.net.Addr(n, port+1), delay)
 	if err == nil {
 		s.lines = append(s.lines, l)
 	}
@@ -235,15 +166,11 @@
 	for _, k := range s.o.Header.Kinds {
 		kinds = append(kinds, k.Name)
 	}
-	args := []string{"-name", name, "-service", s.o.Header.Service, "-kinds", strings.Join(kinds, ","),
-		"-slots", fmt.Sprint(v.Slots), "-connections", fmt.Sprint(max(connections, v.Slots)), "-speed", fmt.Sprint(v.Speed),
-		"-listen", s.address(firstAgent+i, portServer), "-agent", s.address(firstAgent+i, portLocal),
-		"-start-log", s.file(name + ".starts")}
+	args := []string{"-connections", fmt.Sprint(max(connections, v.Slots)), "-speed", fmt.Sprint(v.Speed)}
 	if v.Fails {
 		args = append(args, "-fail-all")
 	}
-	_, err := s.run(name, firstAgent+i, "sampleserver", args...)
-	return err
+	return s.run(s.net.Server(name, testbed.FirstAgent+i, s.o.Header.Service, strings.Join(kinds, ","), v.Slots, args...))
 }
 
 // connections is the number of connections of each backend server in both deployments.
@@ -252,7 +179,7 @@
 // Stop ends all processes of the system.
 func (s *System) Stop() {
 	for _, p := range s.all {
-		p.kill()
+		p.Kill()
 	}
 	for _, l := range s.lines {
 		l.close()
@@ -273,19 +200,19 @@
 }
 
 func (s *System) operator(entry int) poplargwv1connect.OperatorClient {
-	return poplargwv1connect.NewOperatorClient(http.DefaultClient, fmt.Sprintf("http://%s:%d", s.entries[entry].ip, portOperators))
+	return poplargwv1connect.NewOperatorClient(http.DefaultClient, fmt.Sprintf("http://%s:%d", s.entries[entry].IP, testbed.PortOperators))
 }
 
 func (s *System) dispatcher(entry int) poplargwv1connect.DispatcherClient {
-	return poplargwv1connect.NewDispatcherClient(s.calls, fmt.Sprintf("http://%s:%d", s.entries[entry].ip, portCallers))
+	return poplargwv1connect.NewDispatcherClient(s.calls, fmt.Sprintf("http://%s:%d", s.entries[entry].IP, testbed.PortCallers))
 }
 
 func (s *System) waitReady() error {
 	if err := eventually("the first configuration is accepted", func() error { return s.apply(s.config(), 0) }); err != nil {
 		return err
 	}
-	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-		if err := eventually(p.name+" is ready", func() error { return ready(p) }); err != nil {
+	for _, p := range append(append([]*testbed.Process{}, s.entries...), s.agents...) {
+		if err := eventually(p.Name+" is ready", func() error { return ready(p) }); err != nil {
 			return err
 		}
 	}
@@ -308,14 +235,9 @@
 	return nil
 }
 
-func ready(p *process) error {
-	res, err := http.Get(fmt.Sprintf("http://%s:%d/readyz", p.ip, portOperators))
-	if err != nil {
-		return err
-	}
-	res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return errors.New(res.Status)
+func ready(p *testbed.Process) error {
+	if status := p.Get("/readyz"); status != http.StatusOK {
+		return fmt.Errorf("status %d", status)
 	}
 	return nil
 }
