Look for jobs to end once when an entry becomes cut off

While cut off, an entry went through all submissions that it holds, ended ones included, on every tick; nothing can be added to what the first pass ended, since later jobs are refused. The reply to a call whose context has ended, and the check of an accepted change in the proofs, stood twice. Change: the pass runs when the entry becomes cut off; abandoned and mustApply serve both places each. No behaviour, bound or assertion changes.

--- a/daemon/entry/home.go
+++ b/daemon/entry/home.go
@@ -238,7 +238,6 @@
 	if s := now.Unix(); s != h.forgot {
 		h.forgot = s
 		h.expire(now)
-		h.shed(now)
 		h.exportQueues()
 	}
 }
@@ -269,20 +268,20 @@
 	case h.idleFrom.IsZero():
 		h.idleFrom = now
 	}
-	h.e.isolation.set(h.unfit(now))
 	if a != h.active {
 		h.active = a
 		h.do(now, h.sched.SetActive(now, a))
 	}
+	if h.e.isolation.set(h.unfit(now)) {
+		h.shed(now)
+	}
 }
 
 // shed ends the jobs of which nothing was started, once this entry has not been fresh
 // for the time after which others may remove it. Their callers come back with the same
-// ID; jobs with started tasks wait, since their starts are recorded at agents.
+// ID; jobs with started tasks wait, since their starts are recorded at agents. Later jobs
+// are refused when they are submitted.
 func (h *home) shed(now time.Time) {
-	if !h.unfit(now) {
-		return
-	}
 	for _, x := range h.held {
 		if x.done || x.launched || x.resumed {
 			continue
--- a/daemon/entry/isolation.go
+++ b/daemon/entry/isolation.go
@@ -25,16 +25,19 @@
 	return i
 }
 
-// set notes whether the entry is cut off. Entering ends the contexts of while.
-func (i *isolation) set(isolated bool) {
+// set notes whether the entry is cut off, and tells whether it has just been. That ends
+// the contexts of while.
+func (i *isolation) set(isolated bool) (entered bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch was := i.ctx.Err() != nil; {
 	case isolated && !was:
 		i.cancel(errIsolated)
+		return true
 	case !isolated && was:
 		i.ctx, i.cancel = context.WithCancelCause(context.Background())
 	}
+	return false
 }
 
 // while returns a context that ends, with errIsolated as its cause, when the entry is cut off.
@@ -52,6 +55,14 @@
 
 func isolated(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errIsolated) }
 
+// abandoned is the reply to a call whose context has ended before the outcome was known.
+func abandoned(ctx context.Context, message string) reply {
+	if isolated(ctx) {
+		return reply{failure: notFresh()}
+	}
+	return reply{failure: outcomeUnknown(message)}
+}
+
 // notFresh is the failure of a submission at an entry that is cut off. Its effect is
 // unknown: other entries may have become home of the submission and run it.
 func notFresh() *result.Failure {
--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -205,10 +205,7 @@
 			_ = e.home.post(ctx, releaseMsg{key: k, holder: got.holder})
 		}
 		if !sleep(ctx, homePause) {
-			if isolated(ctx) {
-				return reply{failure: notFresh()}
-			}
-			return reply{failure: outcomeUnknown("the entry that holds the submission did not answer")}
+			return abandoned(ctx, "the entry that holds the submission did not answer")
 		}
 	}
 }
@@ -228,10 +225,7 @@
 	case r := <-out:
 		return r
 	case <-ctx.Done():
-		if isolated(ctx) {
-			return reply{failure: notFresh()}
-		}
-		return reply{failure: outcomeUnknown("the call ended before the job")}
+		return abandoned(ctx, "the call ended before the job")
 	}
 }
 
--- a/daemon/prove/system_test.go
+++ b/daemon/prove/system_test.go
@@ -218,6 +218,15 @@
 	return res.Msg, nil
 }
 
+// mustApply replaces the configuration of a record at entry 0 by an edited one.
+func (s *system) mustApply(edited *poplargwv1.ConfigRecord) {
+	s.t.Helper()
+	res, err := s.apply(0, edited.GetConfig(), edited.GetVersion())
+	if err != nil || res.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED {
+		s.t.Fatalf("apply: %v %v", res, err)
+	}
+}
+
 // current returns the configuration in force at an entry.
 func (s *system) current(entry int) *poplargwv1.ConfigRecord {
 	s.t.Helper()
--- a/daemon/prove/worker_test.go
+++ b/daemon/prove/worker_test.go
@@ -79,9 +79,7 @@
 	s := newSystem(t, layout{entries: 2, agents: 3, slots: 4, serverArgs: map[int][]string{0: {"-hang"}}})
 	record := s.current(0)
 	record.GetConfig().GetServices()[0].GetKinds()[0].TimeLimit = durationpb.New(time.Second)
-	if res, err := s.apply(0, record.GetConfig(), record.GetVersion()); err != nil || res.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED {
-		t.Fatalf("apply: %v %v", res, err)
-	}
+	s.mustApply(record)
 	l := s.startLoad(loadShape{entries: []int{0, 1}, every: 50 * time.Millisecond, tasks: 2, ms: 50})
 	time.Sleep(8 * time.Second)
 	jobs := l.stop()
@@ -151,9 +149,7 @@
 	record := s.current(0)
 	record.GetConfig().GetServices()[0].GetKinds()[1].Slots = 16
 	requested := time.Now()
-	if res, err := s.apply(0, record.GetConfig(), record.GetVersion()); err != nil || res.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED {
-		t.Fatalf("apply: %v %v", res, err)
-	}
+	s.mustApply(record)
 	s.inForce(record.GetVersion()+1, requested)
 	impossible, other := newJob("long", 1, 10, loadTimeout), newJob("quick", 4, 10, loadTimeout)
 	if o := impossible.send(s, 0); o.failure.GetCode() != 1009 || o.took > time.Second {
