Add the decisions for jobs whose tasks run under leases

Cause: the platform's backend servers report room instead of slots, execute an order before its expiry or never, and end everything with a lease. All without I/O. Estimates and suspension are those of dispatch/estimate and dispatch/health. Found by a test: a job that had begun kept its old place in the queue; it is put in again now.

--- /dev/null
+++ b/dispatch/jobs/events.go
@@ -0,0 +1,216 @@
+package jobs
+
+import (
+	"time"
+
+	"poplargw.example/dispatch/health"
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+// maxFailures bounds the failures of a task that are put down to failing backend servers.
+const maxFailures = 6
+
+// AgentUp records a new link to an agent. The runs there are claimed.
+func (s *Scheduler) AgentUp(now time.Time, agent string) {
+	v := s.servers[agent]
+	if v == nil {
+		v = &server{agent: agent, runs: map[run.Ref]*attempt{}, lag: 1}
+		s.servers[agent] = v
+	}
+	v.live = true
+	v.reported = false
+	v.heard = now
+	v.seq = 0
+	v.unacked = nil
+	v.batch = Batch{}
+	b := s.batch(v)
+	for _, a := range v.runs {
+		b.Claims = append(b.Claims, Claim{Ref: a.ref, Demand: a.demand})
+		if a.stopped {
+			b.Stops = append(b.Stops, a.ref)
+		}
+	}
+}
+
+// AgentDown records the end of the link to an agent. Its runs stay where they are until they are
+// claimed or have certainly ended.
+func (s *Scheduler) AgentDown(agent string) {
+	if v := s.servers[agent]; v != nil {
+		v.live = false
+	}
+}
+
+// Heard records a message of the agent.
+func (s *Scheduler) Heard(now time.Time, agent string) {
+	if v := s.servers[agent]; v != nil && v.live {
+		v.heard = now
+	}
+}
+
+// Report records the state of an agent's backend server.
+func (s *Scheduler) Report(now time.Time, agent string, r Report) {
+	v := s.servers[agent]
+	if v == nil || !v.live {
+		return
+	}
+	if v.health == nil || v.state.Instance != r.Server.Instance {
+		s.newLife(v, r.Server)
+	}
+	v.state = r.Server
+	v.free = r.Free
+	v.reported = true
+	v.ack(r.Ack)
+	s.dispatch(now)
+}
+
+// newLife starts the record of a backend server anew: another life may be of another kind.
+func (s *Scheduler) newLife(v *server, state run.Server) {
+	group := s.groups[state.Service]
+	if group == nil {
+		group = &health.Group{}
+		s.groups[state.Service] = group
+	}
+	if v.health != nil {
+		s.groups[v.state.Service].Remove(v.health)
+	}
+	v.health = group.Add()
+	v.cell = s.speeds.Kind(state.Service).Cell(state.Instance)
+	v.lag = 1
+}
+
+// Event records what has happened to a run. Events of runs that are not known are ignored: they were
+// settled before.
+func (s *Scheduler) Event(now time.Time, agent string, e run.Event) {
+	v := s.servers[agent]
+	if v == nil {
+		return
+	}
+	a := v.runs[e.Ref]
+	if a == nil || e.Kind == run.Running {
+		return
+	}
+	s.forget(a)
+	s.settle(now, a, e)
+	s.dispatch(now)
+}
+
+// settle takes in the certain end of a run.
+func (s *Scheduler) settle(now time.Time, a *attempt, e run.Event) {
+	if e.Kind != run.NotRun {
+		a.job.ran = true
+	}
+	if s.jobs[a.job.ID] != a.job || a.task.state != placed {
+		return
+	}
+	switch e.Kind {
+	case run.Done:
+		s.taskDone(now, a)
+	case run.Failed:
+		s.taskFailed(now, a, e)
+	case run.NotRun:
+		if e.Reason == result.StartTooLate {
+			a.server.health.Failure(now)
+			a.task.avoid[a.server.state.Instance] = true
+		}
+		s.again(now, a, e)
+	default:
+		s.again(now, a, e)
+	}
+}
+
+func (s *Scheduler) taskDone(now time.Time, a *attempt) {
+	j, t := a.job, a.task
+	t.state = done
+	j.left[t.step]--
+	took := now.Sub(a.ordered)
+	a.server.health.Success()
+	s.learn(now, a, took)
+	j.took = append(j.took, time.Duration(float64(took)/a.server.slowness()))
+	if j.finished() {
+		s.finish(j, Outcome{})
+		return
+	}
+	if j.left[t.step] == 0 {
+		s.enqueue(now, j)
+	}
+}
+
+// learn notes the speed that a run showed.
+func (s *Scheduler) learn(now time.Time, a *attempt, took time.Duration) {
+	declared := a.job.Steps[a.task.step].Estimate
+	if declared <= 0 || a.server.cell == nil {
+		return
+	}
+	a.server.cell.Observe(now, time.Duration(float64(took)/float64(declared)*float64(unit)))
+	a.server.lag = max(1, a.server.lag*lagDecay)
+}
+
+func (s *Scheduler) taskFailed(now time.Time, a *attempt, e run.Event) {
+	t := a.task
+	a.server.health.Failure(now)
+	if a.server.health.Suspended() {
+		t.sick++
+	} else {
+		t.failures++
+	}
+	t.avoid[a.server.state.Instance] = true
+	if t.failures >= max(1, a.job.Queue.Attempts) || t.failures+t.sick >= maxFailures {
+		s.finish(a.job, Outcome{Code: result.TaskFailed})
+		return
+	}
+	s.again(now, a, e)
+}
+
+func (s *Scheduler) again(now time.Time, a *attempt, e run.Event) {
+	requeue(a.task, e)
+	s.widen(a.job, a.task)
+	s.enqueue(now, a.job)
+}
+
+// widen lets a task return to the backend servers that it avoids when it avoids all of them.
+func (s *Scheduler) widen(j *job, t *task) {
+	for _, v := range s.servers {
+		if v.takes(s.out) && v.state.Service == j.Queue.Service && !t.avoid[v.state.Instance] {
+			return
+		}
+	}
+	clear(t.avoid)
+}
+
+// Tick does what time alone demands: it suspects silent agents, settles the runs of lost ones, moves
+// stragglers, and gives up jobs that cannot end in time.
+func (s *Scheduler) Tick(now time.Time) {
+	s.settleLost(now)
+	s.moveStragglers(now)
+	s.review(now)
+	s.dispatch(now)
+}
+
+func (s *Scheduler) settleLost(now time.Time) {
+	for agent, v := range s.servers {
+		if v.live || now.Sub(v.heard) <= s.limits.Lost {
+			continue
+		}
+		for _, a := range v.runs {
+			s.forget(a)
+			s.settle(now, a, run.Event{Ref: a.ref, Kind: run.Stopped, Reason: result.AgentLost})
+		}
+		if v.health != nil {
+			s.groups[v.state.Service].Remove(v.health)
+		}
+		delete(s.servers, agent)
+		delete(s.dirty, agent)
+	}
+}
+
+// Silent returns the agents whose links have been silent for too long. The caller ends the links.
+func (s *Scheduler) Silent(now time.Time) []string {
+	var silent []string
+	for agent, v := range s.servers {
+		if v.live && now.Sub(v.heard) > s.limits.Suspect {
+			silent = append(silent, agent)
+		}
+	}
+	return silent
+}
--- /dev/null
+++ b/dispatch/jobs/job.go
@@ -0,0 +1,151 @@
+package jobs
+
+import (
+	"time"
+
+	"poplargw.example/dispatch/run"
+)
+
+type taskState int
+
+const (
+	waiting taskState = iota
+	placed
+	done
+)
+
+type task struct {
+	name     string
+	step     int
+	state    taskState
+	run      *attempt
+	failures int
+	// sick counts the failures on backend servers that failed other jobs as well.
+	sick       int
+	lastRun    uint64
+	checkpoint string
+	avoid      map[string]bool
+}
+
+type job struct {
+	Job
+	tasks     []*task
+	left      []int // tasks of each step that are not done
+	objective time.Time
+	// limit is when the job is given up.
+	limit time.Time
+	// work is the expected run time of the longest chain on a typical backend server.
+	work    time.Duration
+	key     time.Time // place in the queue
+	queued  bool
+	late    bool
+	started time.Time
+	// ran tells that a task has run, for certain.
+	ran bool
+	// took are the normalized run times of the tasks that are done.
+	took []time.Duration
+	// reviewed tells that the wait was compared with the deadline after a quarter of the objective.
+	reviewed bool
+}
+
+func newJob(j Job) *job {
+	o := &job{Job: j, left: make([]int, len(j.Steps))}
+	chain := make([]time.Duration, len(j.Steps))
+	for s, step := range j.Steps {
+		o.left[s] = step.Count
+		for i := range step.Count {
+			o.tasks = append(o.tasks, &task{name: run.TaskName(j.ID, 0, s, i), step: s, avoid: map[string]bool{}})
+		}
+		for _, a := range step.After {
+			chain[s] = max(chain[s], chain[a])
+		}
+		chain[s] += step.Estimate
+		o.work = max(o.work, chain[s])
+	}
+	aim := objective(j, o.work)
+	o.objective = j.Arrived.Add(aim)
+	o.limit = j.Arrived.Add(max(j.Patience, patienceFactor*aim))
+	return o
+}
+
+// patienceFactor is how many latency objectives a job may take: callers have a use for an answer within
+// three, and the declared run times on which an objective rests are often too low.
+const patienceFactor = 4
+
+// objective is the time within which the job earns its full worth.
+func objective(j Job, chain time.Duration) time.Duration {
+	return time.Duration(j.Queue.Stretch*float64(chain)) + j.Queue.Latency
+}
+
+// runnable tells whether the steps before the task's step are done.
+func (j *job) runnable(t *task) bool {
+	for _, a := range j.Steps[t.step].After {
+		if j.left[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) finished() bool {
+	for _, n := range j.left {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// expected is the run time of one of the job's tasks on a backend server of normal speed. The tasks
+// of a step are alike, and declared times are often far off, so tasks that are done count more.
+func (j *job) expected(t *task) time.Duration {
+	if len(j.took) == 0 {
+		return j.Steps[t.step].Estimate
+	}
+	if len(j.Steps) > 1 {
+		return j.Steps[t.step].Estimate
+	}
+	var sum time.Duration
+	for _, d := range j.took {
+		sum += d
+	}
+	return sum / time.Duration(len(j.took))
+}
+
+// mayHaveRun tells whether a task has run or may be running.
+func (j *job) mayHaveRun() bool {
+	for _, t := range j.tasks {
+		if t.run != nil {
+			return true
+		}
+	}
+	return j.ran
+}
+
+// waitingDemand is the processor time, in thousandths of a core times seconds, that the job's tasks
+// without a place need.
+func (j *job) waitingDemand() float64 {
+	sum := 0.0
+	for _, t := range j.tasks {
+		if t.state == waiting {
+			sum += float64(j.Steps[t.step].Demand.CPU) * j.expected(t).Seconds()
+		}
+	}
+	return sum
+}
+
+// attempt is one run of a task.
+type attempt struct {
+	ref     run.Ref
+	job     *job
+	task    *task
+	server  *server
+	demand  run.Demand
+	seq     uint64 // frame that carried the order
+	ordered time.Time
+	stopped bool
+	// The two newest progress readings that differ in time by at least progressGap.
+	percent, before     int
+	percentAt, beforeAt time.Time
+	readAt              time.Time
+}
--- /dev/null
+++ b/dispatch/jobs/place.go
@@ -0,0 +1,193 @@
+package jobs
+
+import (
+	"time"
+
+	"poplargw.example/dispatch/run"
+)
+
+const (
+	// maxBlocked bounds how many jobs without a place one pass looks at.
+	maxBlocked = 12
+	// longTask is the run time from which a fast backend server matters more than an idle one: the
+	// fixed part of the objective covers the difference for shorter ones.
+	longTask = 250 * time.Millisecond
+	// crowding is the cost of a full backend server against an empty one, as a share of the run time.
+	crowding = 0.15
+	// farFactor is how many times longer a task is taken to run away from its data.
+	farFactor = 1.5
+)
+
+// dispatch places waiting tasks until nothing fits.
+func (s *Scheduler) dispatch(now time.Time) {
+	s.placeList(now, s.onTime)
+	s.placeList(now, s.late)
+}
+
+func (s *Scheduler) placeList(now time.Time, list []*job) {
+	blocked := 0
+	var complete, begun []*job
+	for _, j := range list {
+		if blocked >= maxBlocked {
+			break
+		}
+		before := j.started
+		switch {
+		case s.placeJob(now, j):
+			complete = append(complete, j)
+		case before != j.started:
+			begun = append(begun, j)
+			blocked++
+		default:
+			blocked++
+		}
+	}
+	for _, j := range complete {
+		s.dequeue(j)
+	}
+	for _, j := range begun {
+		s.dequeue(j)
+		s.enqueue(now, j)
+	}
+}
+
+// placeJob places the job's runnable tasks and tells whether none waits for a place.
+func (s *Scheduler) placeJob(now time.Time, j *job) bool {
+	all := true
+	for _, t := range j.tasks {
+		if t.state != waiting || !j.runnable(t) {
+			continue
+		}
+		v := s.pick(now, j, t)
+		if v == nil {
+			all = false
+			continue
+		}
+		s.order(now, j, t, v)
+	}
+	return all
+}
+
+// pick chooses the backend server with the lowest cost among those that have room, or none.
+func (s *Scheduler) pick(now time.Time, j *job, t *task) *server {
+	var best *server
+	lowest := 0.0
+	for _, v := range s.servers {
+		if !s.eligible(now, j, t, v) {
+			continue
+		}
+		cost := s.cost(j, t, v)
+		if best == nil || cost < lowest || cost == lowest && v.agent < best.agent {
+			best, lowest = v, cost
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) eligible(now time.Time, j *job, t *task, v *server) bool {
+	step := j.Steps[t.step]
+	return v.takes(s.out) && v.state.Service == j.Queue.Service && !t.avoid[v.state.Instance] &&
+		step.Demand.Fits(v.room()) && v.state.HasLabel(step.Label) && len(v.runs) < v.health.Limit(now) &&
+		(step.MaxPerServer == 0 || s.ofStep(j, t.step, v) < step.MaxPerServer)
+}
+
+func (s *Scheduler) ofStep(j *job, step int, v *server) int {
+	n := 0
+	for _, a := range v.runs {
+		if a.job == j && a.task.step == step {
+			n++
+		}
+	}
+	return n
+}
+
+// cost is the expected run time in seconds, and a share of it for a crowded backend server. Short
+// tasks count at the speed at which all backend servers meet the objective, so that the fast ones
+// stay free for long tasks.
+func (s *Scheduler) cost(j *job, t *task, v *server) float64 {
+	expected := j.expected(t)
+	slow := v.slowness()
+	if a := j.Steps[t.step].Affinity; a != "" && !v.state.HasLabel(a) {
+		slow *= farFactor
+	}
+	weight := crowding
+	if expected < longTask && slow < j.Queue.Stretch {
+		slow = 1
+		weight = 1
+	}
+	seconds := expected.Seconds() * slow
+	return seconds + seconds*weight*v.use()
+}
+
+// use is the share of the backend server's processor that is taken.
+func (v *server) use() float64 {
+	if v.state.Room.CPU <= 0 {
+		return 1
+	}
+	return 1 - float64(v.room().CPU)/float64(v.state.Room.CPU)
+}
+
+func (s *Scheduler) order(now time.Time, j *job, t *task, v *server) {
+	step := j.Steps[t.step]
+	a := &attempt{ref: newRun(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, ordered: now}
+	t.state = placed
+	t.run = a
+	v.runs[a.ref] = a
+	v.unacked = append(v.unacked, a)
+	if j.started.IsZero() {
+		j.started = now
+	}
+	b := s.batch(v)
+	b.Orders = append(b.Orders, Order{
+		Ref: a.ref, Demand: a.demand, Spec: j.Spec, Checkpoint: t.checkpoint,
+		Instance: v.state.Instance, MaxPerServer: step.MaxPerServer, Label: step.Label,
+	})
+}
+
+// forget removes a run that has certainly ended.
+func (s *Scheduler) forget(a *attempt) {
+	delete(a.server.runs, a.ref)
+	kept := a.server.unacked[:0]
+	for _, o := range a.server.unacked {
+		if o != a {
+			kept = append(kept, o)
+		}
+	}
+	clear(a.server.unacked[len(kept):])
+	a.server.unacked = kept
+	if a.task.run == a {
+		a.task.run = nil
+	}
+}
+
+// capacity is the processor room of the backend servers that take work, and the part in use.
+func (s *Scheduler) capacity(service string) (total, used int64) {
+	for _, v := range s.servers {
+		if v.takes(s.out) && v.state.Service == service {
+			total += v.state.Room.CPU
+			used += v.state.Room.CPU - max(0, v.room().CPU)
+		}
+	}
+	return total, used
+}
+
+// own is the processor room that this entry's runs occupy.
+func (s *Scheduler) own(service string) int64 {
+	var sum int64
+	for _, v := range s.servers {
+		if v.state.Service != service {
+			continue
+		}
+		for _, a := range v.runs {
+			sum += a.demand.CPU
+		}
+	}
+	return sum
+}
+
+func requeue(t *task, e run.Event) {
+	t.state = waiting
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+	}
+}
--- /dev/null
+++ b/dispatch/jobs/scheduler_test.go
@@ -0,0 +1,296 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/route"
+	"poplargw.example/dispatch/run"
+)
+
+var testLimits = Limits{Suspect: 200 * time.Millisecond, Lost: 800 * time.Millisecond, MaxWaiting: 1000}
+
+var testQueue = route.Queue{Name: "q", Service: "svc", Attempts: 2, Stretch: 1.6, Latency: 60 * time.Millisecond}
+
+// bench drives a scheduler and keeps what it decided.
+type bench struct {
+	*Scheduler
+	t        *testing.T
+	now      time.Time
+	outcomes map[string]Outcome
+	orders   map[string][]Order // by agent, not yet ended
+	stops    map[run.Ref]int
+	claims   []Claim
+	seqs     map[string]uint64
+}
+
+func newBench(t *testing.T, servers int, cpu int64) *bench {
+	b := &bench{
+		Scheduler: New(testLimits), t: t, now: time.Unix(1000, 0),
+		outcomes: map[string]Outcome{}, orders: map[string][]Order{}, stops: map[run.Ref]int{}, seqs: map[string]uint64{},
+	}
+	for i := range servers {
+		b.up(fmt.Sprintf("a%d", i), cpu)
+	}
+	return b
+}
+
+func serverOf(agent string, cpu int64) run.Server {
+	return run.Server{Instance: "i-" + agent, Service: "svc", Domain: "d-" + agent, State: run.Ready, Room: run.Demand{CPU: cpu, MemoryMB: 1 << 20}}
+}
+
+func (b *bench) up(agent string, cpu int64) {
+	b.AgentUp(b.now, agent)
+	b.report(agent, cpu)
+	b.take()
+}
+
+func (b *bench) report(agent string, cpu int64) {
+	free := run.Demand{CPU: cpu, MemoryMB: 1 << 20}
+	for _, o := range b.orders[agent] {
+		free = free.Minus(o.Demand)
+	}
+	b.Report(b.now, agent, Report{Server: serverOf(agent, cpu), Free: free, Ack: b.seqs[agent]})
+}
+
+func (b *bench) take() {
+	outcomes, batches := b.Take()
+	for _, o := range outcomes {
+		if _, twice := b.outcomes[o.Job]; twice {
+			b.t.Errorf("job %s has two outcomes", o.Job)
+		}
+		b.outcomes[o.Job] = o
+	}
+	for _, batch := range batches {
+		b.seqs[batch.Agent] = batch.Seq
+		b.orders[batch.Agent] = append(b.orders[batch.Agent], batch.Orders...)
+		for _, r := range batch.Stops {
+			b.stops[r]++
+		}
+		b.claims = append(b.claims, batch.Claims...)
+	}
+}
+
+func (b *bench) advance(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.Tick(b.now)
+	b.take()
+}
+
+func (b *bench) submit(id string, tasks int, cpu int64, estimate time.Duration) bool {
+	return b.submitTo(testQueue, id, tasks, cpu, estimate)
+}
+
+func (b *bench) submitTo(q route.Queue, id string, tasks int, cpu int64, estimate time.Duration) bool {
+	o, ok := b.Submit(b.now, Job{
+		ID: id, Queue: q, Arrived: b.now, Patience: 1500 * time.Millisecond,
+		Steps: []Step{{Count: tasks, Demand: run.Demand{CPU: cpu}, Estimate: estimate}},
+	})
+	if !ok {
+		b.outcomes[id] = o
+	}
+	b.take()
+	return ok
+}
+
+// event ends a run at an agent.
+func (b *bench) event(agent string, ref run.Ref, kind run.Kind, code result.Code) {
+	kept := b.orders[agent][:0]
+	for _, o := range b.orders[agent] {
+		if o.Ref != ref {
+			kept = append(kept, o)
+		}
+	}
+	b.orders[agent] = kept
+	b.Event(b.now, agent, run.Event{Ref: ref, Kind: kind, Reason: code})
+	b.take()
+}
+
+func (b *bench) placed() int {
+	n := 0
+	for _, list := range b.orders {
+		n += len(list)
+	}
+	return n
+}
+
+// Guards against a job that is answered before all its tasks are done, or twice.
+func TestJobCompletesWithItsLastTask(t *testing.T) {
+	b := newBench(t, 2, 10_000)
+	b.submit("j", 3, 3000, 100*time.Millisecond)
+	if b.placed() != 3 {
+		t.Fatalf("%d tasks placed", b.placed())
+	}
+	for agent, list := range b.orders {
+		for _, o := range append([]Order(nil), list...) {
+			if _, done := b.outcomes["j"]; done {
+				t.Fatal("answered before the last task")
+			}
+			b.event(agent, o.Ref, run.Done, 0)
+		}
+	}
+	if o, ok := b.outcomes["j"]; !ok || o.Code != 0 {
+		t.Errorf("outcome %+v, %v", o, ok)
+	}
+}
+
+// Guards against a task that is placed again while its last run may still go on: only the certain end
+// of the run, or the time after which a lost agent's runs have ended, frees the task.
+func TestLostAgentsTasksStartElsewhereOnlyWhenCertain(t *testing.T) {
+	b := newBench(t, 1, 10_000)
+	b.submit("j", 1, 3000, 400*time.Millisecond)
+	b.up("a1", 10_000)
+	b.AgentDown("a0")
+	b.advance(testLimits.Lost - time.Millisecond)
+	if len(b.orders["a1"]) != 0 {
+		t.Fatal("placed again too early")
+	}
+	b.Heard(b.now, "a1")
+	b.advance(2 * time.Millisecond)
+	if len(b.orders["a1"]) != 1 {
+		t.Fatalf("%d orders at the other agent", len(b.orders["a1"]))
+	}
+	if first, second := b.orders["a0"][0].Ref, b.orders["a1"][0].Ref; second.Run <= first.Run || second.Task != first.Task {
+		t.Errorf("runs %v and %v", first, second)
+	}
+}
+
+// Guards against runs that are given up, or started twice, when a link was only interrupted.
+func TestNewLinkClaimsRuns(t *testing.T) {
+	b := newBench(t, 1, 10_000)
+	b.submit("j", 1, 3000, 400*time.Millisecond)
+	ref := b.orders["a0"][0].Ref
+	b.AgentDown("a0")
+	b.advance(300 * time.Millisecond)
+	b.AgentUp(b.now, "a0")
+	b.take()
+	if len(b.claims) != 1 || b.claims[0].Ref != ref {
+		t.Fatalf("claims %v", b.claims)
+	}
+	b.Event(b.now, "a0", run.Event{Ref: ref, Kind: run.Running})
+	b.event("a0", ref, run.Done, 0)
+	if o, ok := b.outcomes["j"]; !ok || o.Code != 0 {
+		t.Errorf("outcome %+v", o)
+	}
+}
+
+// Guards against runs that go on after their caller has left: it may send the job again elsewhere.
+func TestAbandonStopsRuns(t *testing.T) {
+	b := newBench(t, 2, 10_000)
+	b.submit("j", 4, 3000, 400*time.Millisecond)
+	b.Abandon("j")
+	b.take()
+	if len(b.stops) != 4 {
+		t.Errorf("%d stops", len(b.stops))
+	}
+	if _, ok := b.outcomes["j"]; ok {
+		t.Error("a job whose caller has left has an outcome")
+	}
+}
+
+// Guards against a job that is called "not run" although a run of it may have begun.
+func TestEffectIsTrue(t *testing.T) {
+	b := newBench(t, 1, 10_000)
+	b.submit("ran", 1, 3000, 100*time.Millisecond)
+	b.submit("refused", 1, 3000, 100*time.Millisecond)
+	b.AgentDown("a0")
+	for _, o := range append([]Order(nil), b.orders["a0"]...) {
+		if o.Ref.Task == run.TaskName("refused", 0, 0, 0) {
+			b.event("a0", o.Ref, run.NotRun, result.NoFreeSlot)
+		}
+	}
+	b.advance(1600 * time.Millisecond)
+	if o := b.outcomes["ran"]; o.Effect != result.Run {
+		t.Errorf("ran: %+v", o)
+	}
+	if o := b.outcomes["refused"]; o.Effect != result.NotRun || o.RetryAfter <= 0 {
+		t.Errorf("refused: %+v", o)
+	}
+}
+
+// Guards against a job that fails because one backend server fails everything, and against endless
+// repeats of a job that can never be done.
+func TestFailedTaskIsTriedElsewhereUpToItsAttempts(t *testing.T) {
+	b := newBench(t, 3, 10_000)
+	b.submit("j", 1, 3000, 100*time.Millisecond)
+	for i := range testQueue.Attempts {
+		if b.placed() != 1 {
+			t.Fatalf("%d orders before failure %d", b.placed(), i)
+		}
+		for agent, list := range b.orders {
+			if len(list) > 0 {
+				b.event(agent, list[0].Ref, run.Failed, 0)
+				break
+			}
+		}
+	}
+	if o := b.outcomes["j"]; o.Code != result.TaskFailed {
+		t.Errorf("outcome %+v", o)
+	}
+}
+
+// Guards against new work on a backend server that drains, whose agent is silent, or whose failure
+// domain was taken out.
+func TestServersThatTakeNoWork(t *testing.T) {
+	changes := map[string]func(*bench){
+		"draining": func(b *bench) {
+			s := serverOf("a0", 10_000)
+			s.State = run.Draining
+			b.Report(b.now, "a0", Report{Server: s, Free: s.Room})
+		},
+		"no link": func(b *bench) { b.AgentDown("a0") },
+		"out":     func(b *bench) { b.SetOut([]string{"d-a0"}) },
+	}
+	for name, change := range changes {
+		b := newBench(t, 2, 10_000)
+		change(b)
+		for i := range 6 {
+			b.submit(fmt.Sprint("j", i), 1, 3000, 100*time.Millisecond)
+		}
+		if n := len(b.orders["a0"]); n != 0 {
+			t.Errorf("%s: %d orders", name, n)
+		}
+		if n := len(b.orders["a1"]); n != 3 {
+			t.Errorf("%s: %d orders at the other one", name, n)
+		}
+	}
+}
+
+// Guards against long tasks on slow backend servers while fast ones are free: servers differ by a
+// factor of 2.4 in speed.
+func TestLongTasksGoToFastServers(t *testing.T) {
+	b := newBench(t, 2, 100_000)
+	for i := range 12 {
+		b.submit(fmt.Sprint("warm", i), 2, 100, 200*time.Millisecond)
+		for agent, took := range map[string]time.Duration{"a0": 340 * time.Millisecond, "a1": 140 * time.Millisecond} {
+			for _, o := range append([]Order(nil), b.orders[agent]...) {
+				b.now = b.now.Add(took)
+				b.event(agent, o.Ref, run.Done, 0)
+				b.now = b.now.Add(-took)
+			}
+		}
+	}
+	b.submit("long", 4, 3000, 900*time.Millisecond)
+	if n := len(b.orders["a1"]); n != 4 {
+		t.Errorf("%d of 4 long tasks at the fast one", n)
+	}
+}
+
+// Guards against a job that waits behind its own last task: one that has begun comes first.
+func TestBegunJobComesFirst(t *testing.T) {
+	b := newBench(t, 1, 6000)
+	b.submit("first", 3, 3000, 100*time.Millisecond)
+	b.submit("second", 1, 3000, 50*time.Millisecond)
+	b.event("a0", b.orders["a0"][0].Ref, run.Done, 0)
+	b.report("a0", 6000)
+	b.take()
+	names := map[string]int{}
+	for _, o := range b.orders["a0"] {
+		names[o.Ref.Task[:5]]++
+	}
+	if names["first"] != 2 {
+		t.Errorf("running: %v", names)
+	}
+}
--- /dev/null
+++ b/dispatch/jobs/server.go
@@ -0,0 +1,63 @@
+package jobs
+
+import (
+	"time"
+
+	"poplargw.example/dispatch/estimate"
+	"poplargw.example/dispatch/health"
+	"poplargw.example/dispatch/run"
+)
+
+// unit is the declared run time to which observed run times are scaled, so that tasks of different
+// length tell the speed of a backend server together.
+const unit = time.Second
+
+// server is what the entry knows of one agent and its backend server.
+type server struct {
+	agent string
+	state run.Server
+	free  run.Demand
+	live  bool
+	heard time.Time // newest message of the agent
+	seq   uint64    // newest frame to the agent
+	runs  map[run.Ref]*attempt
+	// unacked are orders in frames that the agent's report does not include yet.
+	unacked []*attempt
+	health  *health.Server
+	cell    *estimate.Cell
+	// lag is how many times slower than learned the backend server runs at the moment.
+	lag      float64
+	batch    Batch
+	reported bool
+}
+
+// room is the free room less the orders that the agent has not counted yet.
+func (v *server) room() run.Demand {
+	free := v.free
+	for _, a := range v.unacked {
+		free = free.Minus(a.demand)
+	}
+	return free
+}
+
+// ack drops the orders that are part of the agent's report.
+func (v *server) ack(seq uint64) {
+	kept := v.unacked[:0]
+	for _, a := range v.unacked {
+		if a.seq > seq {
+			kept = append(kept, a)
+		}
+	}
+	clear(v.unacked[len(kept):])
+	v.unacked = kept
+}
+
+// slowness is the expected run time of a task relative to its estimate.
+func (v *server) slowness() float64 {
+	return float64(v.cell.Expected(unit)) / float64(unit) * v.lag
+}
+
+// takes tells whether the backend server may get orders at all.
+func (v *server) takes(out map[string]bool) bool {
+	return v.live && v.reported && v.state.State == run.Ready && !out[v.state.Domain]
+}
--- /dev/null
+++ b/dispatch/jobs/types.go
@@ -0,0 +1,97 @@
+// Package jobs is an entry's scheduler for jobs whose tasks run under leases: it admits jobs, orders
+// those that wait, places tasks by room and learned speed, and starts a task again only when its last
+// run has certainly ended. It does no I/O, time is a parameter, and it is not safe for concurrent use.
+package jobs
+
+import (
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/route"
+	"poplargw.example/dispatch/run"
+)
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count    int
+	Demand   run.Demand
+	Estimate time.Duration
+	// After lists earlier steps whose tasks must all be done first.
+	After []int
+	// Label must be carried by the backend server; empty means any.
+	Label string
+	// Affinity names the rack near the data; elsewhere the tasks take longer.
+	Affinity string
+	// MaxPerServer bounds the tasks of the step on one backend server; 0 means no bound.
+	MaxPerServer int
+}
+
+// Job is a submission of one caller who waits for its end.
+type Job struct {
+	ID    string
+	Queue route.Queue
+	// Spec is passed to the backend servers unread.
+	Spec    string
+	Steps   []Step
+	Arrived time.Time
+	// Patience is how long the caller waits at least; for long jobs it waits longer.
+	Patience time.Duration
+}
+
+// Outcome is how a job has ended. Code 0 means completed.
+type Outcome struct {
+	Job     string
+	Code    result.Code
+	Effect  result.Effect
+	Started time.Time
+	// RetryAfter is when a rejected job would find room.
+	RetryAfter time.Duration
+}
+
+// Order asks an agent to start a run.
+type Order struct {
+	Ref          run.Ref
+	Demand       run.Demand
+	Spec         string
+	Checkpoint   string
+	Instance     string
+	MaxPerServer int
+	Label        string
+}
+
+// Claim asks an agent what has become of a run.
+type Claim struct {
+	Ref    run.Ref
+	Demand run.Demand
+}
+
+// Batch is what an entry has to tell one agent, in the frame with the given number.
+type Batch struct {
+	Agent  string
+	Seq    uint64
+	Orders []Order
+	Stops  []run.Ref
+	Claims []Claim
+}
+
+// Report is what an agent says of its backend server, as of the frame Ack from this entry.
+type Report struct {
+	Server run.Server
+	Free   run.Demand
+	Ack    uint64
+}
+
+// Limits are the bounds of the scheduler.
+type Limits struct {
+	// Suspect is how long an agent may be silent before it gets no more orders.
+	Suspect time.Duration
+	// Lost is how long after the newest message of a silent agent its runs have certainly ended.
+	Lost time.Duration
+	// MaxWaiting bounds the tasks that wait for a place.
+	MaxWaiting int
+}
+
+// Stats counts what the scheduler holds.
+type Stats struct {
+	Jobs, Unstarted, WaitingTasks, Runs, Servers int
+}
--- /dev/null
+++ b/dispatch/runtable/runtable.go
@@ -0,0 +1,311 @@
+// Package runtable is an agent's record of the runs on its backend server: what they occupy, who
+// owns them, and what has certainly become of them.
+//
+// The backend server executes an order before the order's expiry or never, and kills everything when
+// its lease ends. A run therefore keeps its room until a look at the backend server proves that it
+// has ended or can no longer begin. The package does no I/O and is not safe for concurrent use.
+package runtable
+
+import (
+	"strings"
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+// Limits are the time bounds that forbid two runs of one task; docs/platform.md adds them up.
+type Limits struct {
+	// OrderExpiry is how long after its issue an order may begin at the backend server.
+	OrderExpiry time.Duration
+	// Lease is how long everything on the backend server lives without a renewal.
+	Lease time.Duration
+	// OwnerSilence is how long an agent keeps runs of an entry since the agent's newest message
+	// that the entry has confirmed. A start token is valid for the same time.
+	OwnerSilence time.Duration
+	// ClaimWindow is how long a run that the agent found after its own start waits for its owner.
+	ClaimWindow time.Duration
+	// EndRetention is how long ends are kept for entries that lost their link.
+	EndRetention time.Duration
+}
+
+// Order asks for a start.
+type Order struct {
+	Ref    run.Ref
+	Owner  string
+	Demand run.Demand
+	// Instance is the life of the backend server that the entry chose.
+	Instance string
+	// Token is when the agent sent the newest message that the entry knew, on the agent's clock.
+	Token time.Time
+	// MaxPerServer bounds the runs of one step here; 0 means no bound.
+	MaxPerServer int
+	Label        string
+}
+
+// Event is an event of a run with the entry that has to hear of it.
+type Event struct {
+	Owner string
+	run.Event
+}
+
+// Progress is how far a run has come, in percent.
+type Progress struct {
+	Ref     run.Ref
+	Percent int
+}
+
+type phase int
+
+const (
+	ordered phase = iota
+	running
+	stopping
+)
+
+// record is one run. Unclaimed runs were found after the agent's own start and have no owner.
+type record struct {
+	ref      run.Ref
+	owner    string
+	demand   run.Demand
+	phase    phase
+	accepted bool
+	// since is the backend server's clock at its acceptance, or the expiry while there is no answer.
+	since   int64
+	found   time.Time
+	stopped bool // a stop was asked for
+	percent int
+	saved   string
+}
+
+type keptEnd struct {
+	event run.Event
+	at    time.Time
+}
+
+// Table is the agent's record. See New.
+type Table struct {
+	limits  Limits
+	server  run.Server
+	born    int64
+	known   bool
+	runs    map[run.Ref]*record
+	ends    map[run.Ref]keptEnd
+	heard   map[string]time.Time
+	out     map[string]bool
+	outRev  uint64
+	leaving bool
+	clock   serverClock
+	// quarantine ends when orders of the agent's former life have expired, on the server's clock.
+	quarantine int64
+	looked     bool
+	lastSeen   int64
+	// granted is the latest end of a lease that the backend server may know.
+	granted int64
+	started time.Time
+	settled bool
+}
+
+// New returns the table of an agent that has just started. It grants nothing before the backend
+// server has announced itself and a look has shown what runs there.
+func New(now time.Time, limits Limits) *Table {
+	return &Table{
+		limits:  limits,
+		started: now,
+		runs:    map[run.Ref]*record{},
+		ends:    map[run.Ref]keptEnd{},
+		heard:   map[string]time.Time{},
+		out:     map[string]bool{},
+	}
+}
+
+// Server returns the backend server as it last announced itself.
+func (t *Table) Server() run.Server {
+	s := t.server
+	if !t.usable() {
+		s.State = run.Absent
+	}
+	return s
+}
+
+func (t *Table) usable() bool { return t.known && t.looked && !t.leaving }
+
+// Leave makes the table refuse all further orders, because the agent stops.
+func (t *Table) Leave() { t.leaving = true }
+
+// Len returns the number of runs that may be at the backend server.
+func (t *Table) Len() int { return len(t.runs) }
+
+// Announce records what the backend server says of itself. born names its life; a new life runs
+// nothing of the former one.
+func (t *Table) Announce(now time.Time, s run.Server, born int64) []Event {
+	events := t.life(now, born)
+	t.server = s
+	t.known = true
+	return events
+}
+
+// Gone records that the backend server has left in order.
+func (t *Table) Gone(now time.Time) []Event {
+	t.known = false
+	t.server.State = run.Absent
+	return t.loseAll(now)
+}
+
+// life notes the life of the backend server. Announcements and looks carry it.
+func (t *Table) life(now time.Time, born int64) []Event {
+	if born == t.born {
+		return nil
+	}
+	first := t.born == 0
+	t.born = born
+	if first {
+		return nil
+	}
+	t.known = false
+	t.looked = false
+	t.settled = true
+	t.lastSeen = 0
+	t.granted = 0
+	t.quarantine = 0
+	t.clock = serverClock{}
+	return t.loseAll(now)
+}
+
+func (t *Table) loseAll(now time.Time) []Event {
+	var events []Event
+	for _, r := range t.runs {
+		events = append(events, t.end(now, r, run.Stopped, result.ServerLost, r.saved))
+	}
+	return events
+}
+
+// Heard notes that the entry has confirmed the agent's message of the given time.
+func (t *Table) Heard(owner string, at time.Time) {
+	if at.After(t.heard[owner]) {
+		t.heard[owner] = at
+	}
+}
+
+// SetOut replaces the failure domains that are out of service, unless a newer set is known.
+func (t *Table) SetOut(revision uint64, domains []string) {
+	if revision < t.outRev {
+		return
+	}
+	t.outRev = revision
+	t.out = make(map[string]bool, len(domains))
+	for _, d := range domains {
+		t.out[d] = true
+	}
+}
+
+// Free returns the room that no run occupies. A run whose demand is not known occupies everything.
+func (t *Table) Free() run.Demand {
+	free := t.server.Room
+	for _, r := range t.runs {
+		if r.owner == "" {
+			return run.Demand{}
+		}
+		free = free.Minus(r.demand)
+	}
+	return free
+}
+
+// Order decides on a start. A code other than 0 refuses it: it is then "not run".
+func (t *Table) Order(now time.Time, o Order) result.Code {
+	if code := t.refuse(now, o); code != 0 {
+		return code
+	}
+	expiry := t.clock.at(now) + t.limits.OrderExpiry.Milliseconds()
+	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, since: expiry}
+	t.granted = max(t.granted, expiry)
+	return 0
+}
+
+func (t *Table) refuse(now time.Time, o Order) result.Code {
+	switch {
+	case t.leaving:
+		return result.AgentDraining
+	case !t.usable() || t.server.Instance != o.Instance || !t.server.HasLabel(o.Label):
+		return result.UnknownServer
+	case t.server.State != run.Ready:
+		return result.ServerLeaving
+	case t.out[t.server.Domain]:
+		return result.DomainOut
+	case now.Sub(o.Token) > t.limits.OwnerSilence:
+		return result.StaleToken
+	case t.clock.at(now) <= t.quarantine:
+		return result.StaleToken
+	case !o.Demand.Fits(t.Free()) || t.taskHere(o):
+		return result.NoFreeSlot
+	}
+	return 0
+}
+
+// taskHere tells whether another run of the task is here, or as many of its step as may be.
+func (t *Table) taskHere(o Order) bool {
+	step, n := stepOf(o.Ref.Task), 0
+	for ref := range t.runs {
+		if ref.Task == o.Ref.Task {
+			return true
+		}
+		if o.MaxPerServer > 0 && stepOf(ref.Task) == step {
+			n++
+		}
+	}
+	return o.MaxPerServer > 0 && n >= o.MaxPerServer
+}
+
+func stepOf(task string) string {
+	return task[:max(0, strings.LastIndexByte(task, '.'))]
+}
+
+// Expiry returns the order's latest start on the backend server's clock, in milliseconds.
+func (t *Table) Expiry(ref run.Ref) int64 {
+	if r := t.runs[ref]; r != nil {
+		return r.since
+	}
+	return 0
+}
+
+// Accepted records that the backend server has started the run, at clockMS of its own clock.
+func (t *Table) Accepted(ref run.Ref, clockMS int64) {
+	r := t.runs[ref]
+	if r == nil || r.accepted {
+		return
+	}
+	r.accepted = true
+	r.since = clockMS
+	if r.phase == ordered {
+		r.phase = running
+	}
+}
+
+// Rejected records that the backend server has refused the run for good.
+func (t *Table) Rejected(now time.Time, ref run.Ref, code result.Code) []Event {
+	r := t.runs[ref]
+	if r == nil || r.accepted {
+		return nil
+	}
+	return []Event{t.end(now, r, run.NotRun, code, "")}
+}
+
+// Stop asks for the end of a run and tells whether the backend server has to be told. The room stays
+// occupied until a look shows the end.
+func (t *Table) Stop(ref run.Ref) bool {
+	r := t.runs[ref]
+	if r == nil {
+		return false
+	}
+	r.phase = stopping
+	r.stopped = true
+	return true
+}
+
+// end removes a run and keeps its end for an entry that asks later.
+func (t *Table) end(now time.Time, r *record, kind run.Kind, code result.Code, saved string) Event {
+	delete(t.runs, r.ref)
+	e := run.Event{Ref: r.ref, Kind: kind, Reason: code, Checkpoint: saved}
+	t.ends[r.ref] = keptEnd{event: e, at: now}
+	return Event{Owner: r.owner, Event: e}
+}
--- /dev/null
+++ b/dispatch/runtable/runtable_test.go
@@ -0,0 +1,271 @@
+package runtable
+
+import (
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+var testLimits = Limits{
+	OrderExpiry: 150 * time.Millisecond, Lease: 400 * time.Millisecond, OwnerSilence: 300 * time.Millisecond,
+	ClaimWindow: 300 * time.Millisecond, EndRetention: 5 * time.Second,
+}
+
+const testBorn = 1000
+
+var testServer = run.Server{
+	Instance: "i-1@1000", Service: "svc", Domain: "left", State: run.Ready, Room: run.Demand{CPU: 10_000, MemoryMB: 1000},
+}
+
+// fixture is a table with its clock; the backend server's clock starts at 5,000 ms.
+type fixture struct {
+	*Table
+	t   *testing.T
+	now time.Time
+}
+
+func start() time.Time { return time.Unix(1000, 0) }
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{Table: New(start(), testLimits), t: t, now: start()}
+	f.Announce(f.now, testServer, testBorn)
+	f.look(nil, nil)
+	f.advance(200 * time.Millisecond)
+	f.look(nil, nil)
+	f.Heard("e1", f.now)
+	return f
+}
+
+func (f *fixture) advance(d time.Duration) { f.now = f.now.Add(d) }
+
+func (f *fixture) clock() int64 { return 5000 + f.now.Sub(start()).Milliseconds() }
+
+func (f *fixture) look(running []Seen, ended []Ended) []Event {
+	return f.Looked(f.now, Look{Born: testBorn, ClockMS: f.clock(), Running: running, Ended: ended})
+}
+
+func (f *fixture) order(ref run.Ref, cpu int64) result.Code {
+	return f.Order(f.now, Order{Ref: ref, Owner: "e1", Demand: run.Demand{CPU: cpu}, Instance: testServer.Instance, Token: f.now})
+}
+
+func ref(task string, n uint64) run.Ref { return run.Ref{Task: task, Run: n} }
+
+func single(t *testing.T, events []Event, want run.Kind, code result.Code) {
+	t.Helper()
+	if len(events) != 1 || events[0].Kind != want || events[0].Reason != code {
+		t.Fatalf("events are %+v, want one of kind %s with code %d", events, want, code)
+	}
+}
+
+// Guards against starts over the backend server's room, also while a stop is under way.
+func TestRoomIsHeldUntilTheEndIsSeen(t *testing.T) {
+	f := newFixture(t)
+	if code := f.order(ref("a", 1), 6000); code != 0 {
+		t.Fatalf("first order: %d", code)
+	}
+	f.Accepted(ref("a", 1), f.clock())
+	if code := f.order(ref("b", 1), 6000); code != result.NoFreeSlot {
+		t.Errorf("over the room: %d", code)
+	}
+	if !f.Stop(ref("a", 1)) {
+		t.Error("stop is not passed on")
+	}
+	if code := f.order(ref("b", 1), 6000); code != result.NoFreeSlot {
+		t.Errorf("while the stop is under way: %d", code)
+	}
+	f.advance(20 * time.Millisecond)
+	events := f.look(nil, []Ended{{Number: 1, Ref: ref("a", 1), Kind: run.Stopped}})
+	single(t, events, run.Stopped, 0)
+	if code := f.order(ref("b", 1), 6000); code != 0 {
+		t.Errorf("after the end: %d", code)
+	}
+}
+
+// Guards against a second run of a task whose order got no answer and was carried out late: until the
+// expiry has passed and a look shows nothing, the run is neither "not run" nor is its room free.
+func TestUnansweredOrderIsSettledByALookAfterItsExpiry(t *testing.T) {
+	f := newFixture(t)
+	if code := f.order(ref("a", 1), 6000); code != 0 {
+		t.Fatal(code)
+	}
+	f.advance(100 * time.Millisecond)
+	if events := f.look(nil, nil); len(events) != 0 {
+		t.Fatalf("settled before the expiry: %+v", events)
+	}
+	f.advance(60 * time.Millisecond)
+	single(t, f.look(nil, nil), run.NotRun, result.StartTooLate)
+	if free := f.Free(); free.CPU != 10_000 {
+		t.Errorf("free is %d", free.CPU)
+	}
+}
+
+// Guards against a look that was taken before a start, and arrives after its answer, ending the run.
+func TestOlderLookDoesNotEndARun(t *testing.T) {
+	f := newFixture(t)
+	before := f.clock()
+	f.advance(5 * time.Millisecond)
+	f.order(ref("a", 1), 1000)
+	f.Accepted(ref("a", 1), f.clock())
+	events := f.Looked(f.now, Look{Born: testBorn, ClockMS: before})
+	if len(events) != 0 || f.Len() != 1 {
+		t.Errorf("events %+v, %d runs", events, f.Len())
+	}
+}
+
+// Guards against running on for an entry that has died, froze or was cut off, while its callers send
+// their jobs again elsewhere.
+func TestRunsOfASilentEntryAreStopped(t *testing.T) {
+	f := newFixture(t)
+	f.order(ref("a", 1), 1000)
+	f.Accepted(ref("a", 1), f.clock())
+	f.advance(testLimits.OwnerSilence)
+	if stops := f.Sweep(f.now); len(stops) != 0 {
+		t.Fatalf("stopped too early: %v", stops)
+	}
+	f.advance(time.Millisecond)
+	if stops := f.Sweep(f.now); len(stops) != 1 {
+		t.Fatalf("stops are %v", stops)
+	}
+	// A stop may be lost, so it is repeated until the end is seen.
+	if stops := f.Sweep(f.now); len(stops) != 1 {
+		t.Errorf("the stop is not repeated: %v", stops)
+	}
+}
+
+// Guards against an order that waited in a socket while the entry or the agent was paused.
+func TestOrderWithAnOldTokenIsRefused(t *testing.T) {
+	f := newFixture(t)
+	o := Order{Ref: ref("a", 1), Owner: "e1", Instance: testServer.Instance, Token: f.now}
+	f.advance(testLimits.OwnerSilence + time.Millisecond)
+	if code := f.Order(f.now, o); code != result.StaleToken {
+		t.Errorf("code %d", code)
+	}
+}
+
+// Guards against starts on a backend server whose draining was acknowledged, in a failure domain that
+// is out of service, on another life of the server, by an agent that stops, or without a label.
+func TestRefusals(t *testing.T) {
+	draining := testServer
+	draining.State = run.Draining
+	cases := map[string]struct {
+		change func(*fixture)
+		order  Order
+		want   result.Code
+	}{
+		"draining": {change: func(f *fixture) { f.Announce(f.now, draining, testBorn) }, want: result.ServerLeaving},
+		"domain":   {change: func(f *fixture) { f.SetOut(7, []string{"left"}) }, want: result.DomainOut},
+		"instance": {order: Order{Instance: "i-0@1"}, want: result.UnknownServer},
+		"label":    {order: Order{Label: "gpu"}, want: result.UnknownServer},
+		"leaving":  {change: func(f *fixture) { f.Leave() }, want: result.AgentDraining},
+		"gone":     {change: func(f *fixture) { f.Gone(f.now) }, want: result.UnknownServer},
+	}
+	for name, c := range cases {
+		f := newFixture(t)
+		if c.change != nil {
+			c.change(f)
+		}
+		o := c.order
+		o.Ref, o.Owner, o.Token = ref("a", 1), "e1", f.now
+		if o.Instance == "" {
+			o.Instance = testServer.Instance
+		}
+		if code := f.Order(f.now, o); code != c.want {
+			t.Errorf("%s: code %d, want %d", name, code, c.want)
+		}
+	}
+}
+
+// Guards against an older set of failure domains, from an entry that was cut off from the store,
+// replacing a newer one.
+func TestOutNeverGoesBack(t *testing.T) {
+	f := newFixture(t)
+	f.SetOut(7, []string{"left"})
+	f.SetOut(6, nil)
+	if code := f.order(ref("a", 1), 1); code != result.DomainOut {
+		t.Errorf("code %d", code)
+	}
+	f.SetOut(8, nil)
+	if code := f.order(ref("a", 1), 1); code != 0 {
+		t.Errorf("code %d", code)
+	}
+}
+
+// Guards against an agent that forgets, in its own restart, what runs on the backend server: it
+// grants nothing over the room, adopts what entries claim and stops the rest.
+func TestRestartedAgentFindsWhatRuns(t *testing.T) {
+	f := &fixture{Table: New(start(), testLimits), t: t, now: start()}
+	f.Announce(f.now, testServer, testBorn)
+	if code := f.order(ref("x", 1), 1); code != result.UnknownServer {
+		t.Errorf("order before the first look: %d", code)
+	}
+	if f.Settled(f.now) {
+		t.Error("claims are answered before the first look")
+	}
+	f.look([]Seen{{Ref: ref("a", 1)}, {Ref: ref("b", 1)}}, []Ended{{Number: 1, Ref: ref("c", 1), Kind: run.Done}})
+	f.Heard("e1", f.now)
+	if code := f.order(ref("x", 1), 1); code != result.StaleToken {
+		t.Errorf("order while orders of the former life can begin: %d", code)
+	}
+	if e := f.Claim("e1", ref("a", 1), run.Demand{CPU: 4000}); e.Kind != run.Running {
+		t.Errorf("claim of a running one: %v", e)
+	}
+	if e := f.Claim("e1", ref("c", 1), run.Demand{CPU: 4000}); e.Kind != run.Done {
+		t.Errorf("claim of one that is done: %v", e)
+	}
+	if e := f.Claim("e1", ref("d", 1), run.Demand{CPU: 4000}); e.Kind != run.NotRun {
+		t.Errorf("claim of an unknown one: %v", e)
+	}
+	f.advance(200 * time.Millisecond)
+	f.Heard("e1", f.now)
+	f.look([]Seen{{Ref: ref("a", 1)}, {Ref: ref("b", 1)}}, nil)
+	if code := f.order(ref("x", 1), 1); code != result.NoFreeSlot {
+		t.Errorf("order while the demand of a run is not known: %d", code)
+	}
+	f.advance(150 * time.Millisecond)
+	f.Heard("e1", f.now)
+	if stops := f.Sweep(f.now); len(stops) != 1 || stops[0] != ref("b", 1) {
+		t.Errorf("stops are %v", stops)
+	}
+}
+
+// Guards against runs that seem to go on after the crash of their backend server.
+func TestNewLifeEndsAllRuns(t *testing.T) {
+	f := newFixture(t)
+	f.order(ref("a", 1), 1000)
+	f.Accepted(ref("a", 1), f.clock())
+	single(t, f.Looked(f.now, Look{Born: testBorn + 1, ClockMS: 10}), run.Stopped, result.ServerLost)
+	if code := f.order(ref("b", 1), 1); code != result.UnknownServer {
+		t.Errorf("order before the new life has announced itself: %d", code)
+	}
+}
+
+// Guards against a fresh start elsewhere while a backend server that does not answer may still run
+// the task: its lease has to have passed on a clock that is 2% slow.
+func TestSilentServerHasLapsedOnlyAfterItsLease(t *testing.T) {
+	f := newFixture(t)
+	f.order(ref("a", 1), 1000)
+	f.Accepted(ref("a", 1), f.clock())
+	f.Lease(f.now)
+	f.advance(testLimits.Lease)
+	if events := f.Lapsed(f.now); len(events) != 0 {
+		t.Fatalf("lapsed at the lease: %+v", events)
+	}
+	f.advance(20 * time.Millisecond)
+	single(t, f.Lapsed(f.now), run.Stopped, result.ServerLost)
+}
+
+// Guards against two runs of one task on one backend server, and against more tasks of a step than
+// one backend server may have.
+func TestTaskAndStepBounds(t *testing.T) {
+	f := newFixture(t)
+	f.order(ref("j.0.0.0", 1), 1)
+	if code := f.order(ref("j.0.0.0", 2), 1); code != result.NoFreeSlot {
+		t.Errorf("second run of a task: %d", code)
+	}
+	o := Order{Ref: ref("j.0.0.1", 1), Owner: "e1", Instance: testServer.Instance, Token: f.now, MaxPerServer: 1}
+	if code := f.Order(f.now, o); code != result.NoFreeSlot {
+		t.Errorf("second task of a step: %d", code)
+	}
+}
