--- a/daemon/event/catalogue.go
+++ b/daemon/event/catalogue.go
@@ -23,7 +23,7 @@
 	DrainFailed: "graceful stop did not finish within its limit",
 }
 
-var texts = merge(processTexts, clusterTexts, entryTexts, agentTexts, transportTexts)
+var texts = merge(processTexts, clusterTexts, entryTexts, agentTexts, transportTexts, runTexts)
 
 // Text returns the fixed text of an event.
 func Text(id ID) string { return texts[id] }
--- a/daemon/event/event_test.go
+++ b/daemon/event/event_test.go
@@ -78,7 +78,7 @@
 			t.Errorf("docs/events.md lists %d, which does not exist", id)
 		}
 	}
-	if total := len(processTexts) + len(clusterTexts) + len(entryTexts) + len(agentTexts) + len(transportTexts); total != len(names) {
+	if total := len(processTexts) + len(clusterTexts) + len(entryTexts) + len(agentTexts) + len(transportTexts) + len(runTexts); total != len(names) {
 		t.Errorf("%d texts for %d events", total, len(names))
 	}
 }
--- /dev/null
+++ b/daemon/event/runs.go
@@ -0,0 +1,68 @@
+package event
+
+// Events 601 to 699 concern jobs whose tasks run under leases: 601 to 649 their agent, 650 to 699
+// their entry.
+const (
+	LinkOpened         ID = 601
+	LinkLost           ID = 602
+	LinkListenFailed   ID = 603
+	ServerStateChanged ID = 604
+	ServerGone         ID = 605
+	ServerReachable    ID = 606
+	ServerUnreachable  ID = 607
+	OrderRefused       ID = 608
+	StartRefused       ID = 609
+	StartUnanswered    ID = 610
+	StopUnanswered     ID = 611
+	RunEnded           ID = 612
+	RunsClaimed        ID = 613
+
+	JobEnded          ID = 650
+	JobAbandoned      ID = 651
+	RoutesChanged     ID = 652
+	DomainsChanged    ID = 653
+	AgentsChanged     ID = 654
+	StoreLost         ID = 655
+	StoreRegained     ID = 656
+	StoreRecordUnread ID = 657
+	ReadinessChanged  ID = 658
+	Paused            ID = 659
+	PlainLinks        ID = 660
+	SettingsReloaded  ID = 661
+	SettingsUnread    ID = 662
+	Registered        ID = 663
+	RegistrationEnded ID = 664
+	LinesLeftOut      ID = 665
+)
+
+var runTexts = map[ID]string{
+	LinkOpened:         "link opened",
+	LinkLost:           "link ended",
+	LinkListenFailed:   "links cannot be accepted",
+	ServerStateChanged: "backend server announced a new state",
+	ServerGone:         "backend server left",
+	ServerReachable:    "backend server answers",
+	ServerUnreachable:  "backend server does not answer",
+	OrderRefused:       "order refused, not run",
+	StartRefused:       "backend server refused a start, not run",
+	StartUnanswered:    "backend server did not answer a start; it can begin until its expiry",
+	StopUnanswered:     "backend server did not answer a stop; it is repeated",
+	RunEnded:           "run ended without success",
+	RunsClaimed:        "entry claimed its runs after a new link",
+	JobEnded:           "job ended",
+	JobAbandoned:       "caller left before the end of its job",
+	RoutesChanged:      "routes changed",
+	DomainsChanged:     "failure domains out of service changed",
+	AgentsChanged:      "known agents changed",
+	StoreLost:          "the platform's store does not answer",
+	StoreRegained:      "the platform's store answers again",
+	StoreRecordUnread:  "a record of the platform's store cannot be read",
+	ReadinessChanged:   "readiness changed",
+	Paused:             "process did not run for some time",
+	PlainLinks:         "links between processes are not encrypted: no key material is set",
+	SettingsReloaded:   "settings file was read again",
+	SettingsUnread:     "settings file cannot be read; the former settings stay in force",
+	Registered:         "registered in the platform's store",
+	RegistrationEnded:  "registration in the platform's store ended; it is renewed",
+	LinesLeftOut:       "log lines were left out under load",
+}
--- /dev/null
+++ b/daemon/runagent/calls.go
@@ -0,0 +1,142 @@
+package runagent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/steady"
+	"poplargw.example/dispatch/run"
+)
+
+const (
+	// busyWait is how long a look waits for an end while tasks run; it is also how old the progress
+	// is that entries hear of.
+	busyWait = 60 * time.Millisecond
+	// idleWait is the same while nothing runs. It is below the lease, so that a start after an idle
+	// time is renewed before it lapses.
+	idleWait = 200 * time.Millisecond
+	// lookMargin is how much longer than its wait a look may take. A backend server on the same VM
+	// answers within a few milliseconds; slower VMs need some tens.
+	lookMargin = 200 * time.Millisecond
+	// retryPause is the pause after a look without an answer.
+	retryPause = 20 * time.Millisecond
+	// startMargin is how much longer than its expiry the answer to an order is waited for.
+	startMargin = 50 * time.Millisecond
+	// stopLimit bounds one call that stops a run. Sweeps repeat it until the run has ended.
+	stopLimit = 150 * time.Millisecond
+)
+
+// start carries an order to the backend server.
+func (a *Agent) start(ctx context.Context, ref run.Ref) {
+	a.mu.Lock()
+	order := a.specs[ref]
+	call := Start{Ref: ref, Spec: order.text, Checkpoint: order.checkpoint, Instance: order.instance, ExpiryMS: a.table.Expiry(ref)}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, a.Limits.OrderExpiry+startMargin)
+	defer cancel()
+	clock, err := a.Backend.Start(ctx, call)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var refused *Refused
+	switch {
+	case err == nil:
+		a.table.Accepted(ref, clock)
+	case errors.As(err, &refused):
+		a.Log.Info(event.StartRefused, event.Fields{"task": ref.Task, "run": ref.Run, "reason": refused.Reason})
+		a.deliver(a.table.Rejected(steady.Now(), ref, refused.Code))
+	default:
+		// The run may still begin until its expiry; a look settles it.
+		a.counters.unanswered.Inc()
+		a.Log.Warn(event.StartUnanswered, event.Fields{"task": ref.Task, "run": ref.Run, "error": err.Error()})
+	}
+}
+
+// stop tells the backend server to end a run, unless such a call is in flight. The caller holds the lock.
+func (a *Agent) stop(ctx context.Context, ref run.Ref) {
+	now := steady.Now()
+	if at, ok := a.stops[ref]; ok && now.Sub(at) < stopLimit {
+		return
+	}
+	a.stops[ref] = now
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, stopLimit)
+		defer cancel()
+		if err := a.Backend.Stop(ctx, ref); err != nil {
+			a.Log.Warn(event.StopUnanswered, event.Fields{"task": ref.Task, "run": ref.Run, "error": err.Error()})
+		}
+	}()
+}
+
+// watch looks at the backend server again and again; each look renews the lease. After a look
+// without an answer the lease is renewed only when the backend server has answered again, so that the
+// time at which everything there has lapsed does not move on.
+func (a *Agent) watch(ctx context.Context) {
+	reachable := true
+	for ctx.Err() == nil {
+		err := a.look(ctx, reachable)
+		reachable = err == nil
+		if err != nil {
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+func (a *Agent) look(ctx context.Context, renew bool) error {
+	request := a.lookRequest(renew)
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+lookMargin)
+	defer cancel()
+	seen, err := a.Backend.Look(ctx, request)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.noteReach(err)
+	if err != nil {
+		return err
+	}
+	settled := a.table.Settled(steady.Now())
+	a.deliver(a.table.Looked(steady.Now(), seen))
+	if !settled {
+		a.reportAll()
+	}
+	return nil
+}
+
+func (a *Agent) lookRequest(renew bool) LookRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := LookRequest{LastSeen: a.table.LastSeen()}
+	if !renew {
+		return r
+	}
+	r.LeaseMS = a.table.Lease(steady.Now())
+	if r.LeaseMS == 0 {
+		return r
+	}
+	r.Wait = idleWait
+	if a.table.Len() > 0 {
+		r.Wait = busyWait
+	}
+	return r
+}
+
+// noteReach logs when the backend server is lost and when it is back. The caller holds the lock.
+func (a *Agent) noteReach(err error) {
+	switch {
+	case err == nil && !a.reached:
+		a.reached = true
+		a.Log.Info(event.ServerReachable, nil)
+	case err != nil && a.reached:
+		a.reached = false
+		a.Log.Warn(event.ServerUnreachable, event.Fields{"error": err.Error()})
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/runagent/metrics.go
@@ -0,0 +1,36 @@
+package runagent
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+// counters are the metrics of an agent.
+type counters struct {
+	set                *metrics.Set
+	orders, unanswered *metrics.Counter
+}
+
+func newCounters(set *metrics.Set, a *Agent) *counters {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	set.GetOrCreateGauge("poplargw_agent_leased_runs", func() float64 { return float64(a.running()) })
+	return &counters{
+		set:        set,
+		orders:     set.GetOrCreateCounter("poplargw_agent_orders_total"),
+		unanswered: set.GetOrCreateCounter("poplargw_agent_orders_unanswered_total"),
+	}
+}
+
+func (c *counters) refused(code result.Code) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("poplargw_agent_orders_refused_total{code=%q}", fmt.Sprint(uint32(code)))).Inc()
+}
+
+func (c *counters) ended(kind run.Kind) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("poplargw_agent_runs_ended_total{kind=%q}", kind.String())).Inc()
+}
--- /dev/null
+++ b/daemon/runentry/entry.go
@@ -0,0 +1,185 @@
+// Package runentry runs an entry for jobs whose tasks run under leases: it holds a link to each agent,
+// carries the scheduler's orders there, and gives callers the outcome of their jobs. Its decisions are
+// those of dispatch/jobs.
+package runentry
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/steady"
+	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/route"
+)
+
+// Options are the parts of an entry.
+type Options struct {
+	ID          string
+	Incarnation string
+	Limits      jobs.Limits
+	// Links secures the links to agents; nil means plain connections.
+	Links   *tls.Config
+	Log     *event.Logger
+	Metrics *metrics.Set
+}
+
+// Entry is one running entry. See New.
+type Entry struct {
+	Options
+	counters *counters
+
+	mu        sync.Mutex
+	scheduler *jobs.Scheduler
+	config    *route.Config
+	agents    map[string]*agent // by ID
+	waiters   map[string][]chan jobs.Outcome
+	out       domainsOut
+	lastTick  time.Time
+	ended     *history
+	changed   chan struct{} // the set of agents has changed
+}
+
+// domainsOut are the failure domains out of service as of a revision of the store.
+type domainsOut struct {
+	revision uint64
+	domains  []string
+}
+
+// New returns an entry; Run does its duties.
+func New(o Options) *Entry {
+	e := &Entry{
+		Options:   o,
+		scheduler: jobs.New(o.Limits),
+		agents:    map[string]*agent{},
+		waiters:   map[string][]chan jobs.Outcome{},
+		ended:     newHistory(),
+		changed:   make(chan struct{}, 1),
+	}
+	e.counters = newCounters(o.Metrics, e)
+	return e
+}
+
+const (
+	// tickEvery is the time between two looks at what time alone demands.
+	tickEvery = 20 * time.Millisecond
+	// pauseLimit is the gap between two ticks after which the process counts as paused. A job that was
+	// here before may have been sent again elsewhere: callers do so 1.3 s after they lost the entry.
+	pauseLimit = 900 * time.Millisecond
+)
+
+// Run does the entry's duties until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.connect(ctx, g) })
+	g.Go(func() error { e.tick(ctx); return nil })
+	return g.Wait()
+}
+
+func (e *Entry) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.tickOnce()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) tickOnce() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := steady.Now()
+	e.resume(now)
+	for _, id := range e.scheduler.Silent(now) {
+		e.agents[id].hangUp("silent")
+	}
+	e.scheduler.Tick(now)
+	e.flush()
+	e.beat(now)
+}
+
+// resume drops all jobs after a pause: their callers may have sent them again elsewhere, and what
+// waits in the sockets of this process is just as old. The caller holds the lock.
+func (e *Entry) resume(now time.Time) {
+	last := e.lastTick
+	e.lastTick = now
+	if last.IsZero() || now.Sub(last) < pauseLimit {
+		return
+	}
+	e.Log.Warn(event.Paused, event.Fields{"ms": now.Sub(last).Milliseconds(), "jobs": len(e.waiters)})
+	for id := range e.waiters {
+		e.scheduler.GiveUp(id, result.NotReady)
+	}
+}
+
+// SetConfig puts a version of the routes in force. An older version than the one in force is ignored.
+func (e *Entry) SetConfig(c *route.Config) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.config != nil && c.Version <= e.config.Version {
+		return
+	}
+	e.config = c
+	e.Log.Info(event.RoutesChanged, event.Fields{"version": c.Version, "queues": c.Len()})
+}
+
+// Config returns the routes in force, or nil before the first version is known.
+func (e *Entry) Config() *route.Config {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.config
+}
+
+// SetOut takes failure domains out of service as of a revision of the store.
+func (e *Entry) SetOut(revision uint64, domains []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if revision < e.out.revision {
+		return
+	}
+	e.out = domainsOut{revision: revision, domains: domains}
+	e.scheduler.SetOut(domains)
+	e.Log.Info(event.DomainsChanged, event.Fields{"out": len(domains), "revision": revision})
+	for _, a := range e.agents {
+		a.outSent = false
+	}
+	e.beatAll()
+}
+
+// Ready tells whether the entry can serve callers.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.config != nil && e.scheduler.Stats().Servers > 0
+}
+
+// Waiting returns the number of the queue's jobs of which no task has started.
+func (e *Entry) Waiting(queue string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.scheduler.Waiting(queue)
+}
+
+// Leave makes the entry reject further jobs.
+func (e *Entry) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.scheduler.Leave()
+}
+
+// Idle tells whether no job is here.
+func (e *Entry) Idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.waiters) == 0
+}
--- /dev/null
+++ b/daemon/runentry/links.go
@@ -0,0 +1,240 @@
+package runentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/link"
+	"poplargw.example/daemon/steady"
+	"poplargw.example/dispatch/jobs"
+)
+
+const (
+	// busyBeat is the time between frames to an agent that has runs of this entry. The agent stops
+	// the runs of an entry that it does not hear from; see runtable.Limits.OwnerSilence.
+	busyBeat = 50 * time.Millisecond
+	// idleBeat is the same without runs. It is below the age at which start tokens expire.
+	idleBeat = 120 * time.Millisecond
+	// dialLimit bounds one attempt to open a link.
+	dialLimit = 250 * time.Millisecond
+	// redialFirst and redialLast bound the pause between attempts, which doubles.
+	redialFirst = 30 * time.Millisecond
+	redialLast  = 400 * time.Millisecond
+	// absentAgent is how long an agent that is not in the store any more is still dialled: keys also
+	// vanish while the store is down.
+	absentAgent = 30 * time.Second
+)
+
+// agent is the link to one agent. Its fields are guarded by the entry's lock.
+type agent struct {
+	id, addr string
+	conn     *link.Conn
+	ack      uint64
+	token    uint64
+	sent     time.Time
+	outSent  bool
+	listed   bool
+	unlisted time.Time // when it left the list
+	cancel   context.CancelFunc
+}
+
+func (a *agent) hangUp(string) {
+	if a != nil && a.conn != nil {
+		a.conn.Close()
+	}
+}
+
+// SetAgents replaces the list of agents, by ID with their addresses. Agents that are no longer listed
+// stay in use while they answer.
+func (e *Entry) SetAgents(list map[string]string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := steady.Now()
+	for id, a := range e.agents {
+		addr, ok := list[id]
+		if a.listed && !ok {
+			a.unlisted = now
+		}
+		a.listed = ok
+		if ok && addr != a.addr {
+			a.cancel()
+			a.hangUp("moved")
+			delete(e.agents, id)
+		}
+	}
+	for id, addr := range list {
+		if e.agents[id] == nil {
+			e.agents[id] = &agent{id: id, addr: addr, listed: true}
+		}
+	}
+	e.Log.Info(event.AgentsChanged, event.Fields{"listed": len(list), "known": len(e.agents)})
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+// connect keeps a link to each known agent.
+func (e *Entry) connect(ctx context.Context, g *errgroup.Group) error {
+	for {
+		select {
+		case <-e.changed:
+		case <-ctx.Done():
+			return nil
+		}
+		e.mu.Lock()
+		for _, a := range e.agents {
+			if a.cancel != nil {
+				continue
+			}
+			own, cancel := context.WithCancel(ctx)
+			a.cancel = cancel
+			g.Go(func() error { e.keep(own, a); return nil })
+		}
+		e.mu.Unlock()
+	}
+}
+
+// keep dials the agent again and again.
+func (e *Entry) keep(ctx context.Context, a *agent) {
+	pause := redialFirst
+	for ctx.Err() == nil && !e.dropAbsent(a) {
+		conn, err := link.Dial(ctx, a.addr, e.Links, dialLimit)
+		if err != nil {
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, redialLast)
+			continue
+		}
+		pause = redialFirst
+		e.use(ctx, a, conn)
+	}
+}
+
+// dropAbsent forgets an agent that has been gone from the list for long.
+func (e *Entry) dropAbsent(a *agent) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.listed || steady.Now().Sub(a.unlisted) < absentAgent {
+		return false
+	}
+	if e.agents[a.id] == a {
+		delete(e.agents, a.id)
+	}
+	return true
+}
+
+// use serves a link until it ends.
+func (e *Entry) use(ctx context.Context, a *agent, conn *link.Conn) {
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	defer conn.Close()
+	e.open(a, conn)
+	for {
+		var f peerv1.AgentFrame
+		if err := conn.Receive(&f); err != nil {
+			e.lost(a, conn, err)
+			return
+		}
+		e.take(a, &f)
+	}
+}
+
+func (e *Entry) open(a *agent, conn *link.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.conn = conn
+	a.ack, a.token, a.outSent = 0, 0, false
+	e.scheduler.AgentUp(steady.Now(), a.id)
+	e.flush()
+	e.Log.Info(event.LinkOpened, event.Fields{"agent": a.id, "address": a.addr})
+}
+
+func (e *Entry) lost(a *agent, conn *link.Conn, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.conn == conn {
+		a.conn = nil
+		e.scheduler.AgentDown(a.id)
+	}
+	e.Log.Info(event.LinkLost, event.Fields{"agent": a.id, "reason": err.Error()})
+}
+
+// take handles one frame of an agent.
+func (e *Entry) take(a *agent, f *peerv1.AgentFrame) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := steady.Now()
+	a.ack = f.GetSeq()
+	a.token = max(a.token, f.GetClockMs())
+	e.scheduler.Heard(now, a.id)
+	for _, p := range f.GetProgress() {
+		e.scheduler.Progress(now, a.id, link.RefIn(p.GetRef()), int(p.GetPercent()))
+	}
+	for _, v := range f.GetEvents() {
+		e.scheduler.Event(now, a.id, link.EventIn(v))
+	}
+	if s := f.GetServer(); s != nil {
+		e.scheduler.Report(now, a.id, jobs.Report{Server: link.ServerIn(s), Free: link.DemandIn(s.GetFree()), Ack: f.GetAck()})
+	}
+	e.flush()
+}
+
+// send writes a batch as a frame. The caller holds the lock.
+func (e *Entry) send(a *agent, b jobs.Batch) {
+	if a.conn == nil {
+		return
+	}
+	f := link.BatchOut(b)
+	f.Ack, f.TokenMs, f.Waiting = a.ack, a.token, e.scheduler.HasWaiting()
+	if b.Seq == 1 {
+		f.Hello = &peerv1.LinkHello{Id: e.ID, Incarnation: e.Incarnation}
+	}
+	if !a.outSent {
+		a.outSent = true
+		f.Out = &peerv1.DomainsOut{Revision: e.out.revision, Domains: e.out.domains}
+	}
+	a.sent = steady.Now()
+	a.conn.Send(f)
+}
+
+// beat sends an empty frame to each agent that has not had one for a while. The caller holds the lock.
+func (e *Entry) beat(now time.Time) {
+	for id, a := range e.agents {
+		every := idleBeat
+		if e.scheduler.Busy(id) {
+			every = busyBeat
+		}
+		if now.Sub(a.sent) >= every {
+			e.beatOne(a)
+		}
+	}
+}
+
+func (e *Entry) beatAll() {
+	for _, a := range e.agents {
+		e.beatOne(a)
+	}
+}
+
+func (e *Entry) beatOne(a *agent) {
+	if b, ok := e.scheduler.Beat(a.id); ok {
+		e.send(a, b)
+	}
+}
+
+// jitter spreads attempts of several processes over the pause.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/runentry/metrics.go
@@ -0,0 +1,42 @@
+package runentry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/result"
+)
+
+// counters are the metrics of an entry.
+type counters struct {
+	set       *metrics.Set
+	abandoned *metrics.Counter
+}
+
+func newCounters(set *metrics.Set, e *Entry) *counters {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	gauge := func(name string, value func(jobs.Stats) int) {
+		set.GetOrCreateGauge(name, func() float64 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return float64(value(e.scheduler.Stats()))
+		})
+	}
+	gauge("poplargw_entry_jobs", func(s jobs.Stats) int { return s.Jobs })
+	gauge("poplargw_entry_waiting_tasks", func(s jobs.Stats) int { return s.WaitingTasks })
+	gauge("poplargw_entry_runs", func(s jobs.Stats) int { return s.Runs })
+	gauge("poplargw_entry_usable_servers", func(s jobs.Stats) int { return s.Servers })
+	return &counters{set: set, abandoned: set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total")}
+}
+
+func (c *counters) jobEnded(queue string, code result.Code, took time.Duration) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("poplargw_entry_jobs_total{queue=%q,code=%q}", queue, fmt.Sprint(uint32(code)))).Inc()
+	if code == 0 {
+		c.set.GetOrCreateHistogram(fmt.Sprintf("poplargw_entry_job_seconds{queue=%q}", queue)).Update(took.Seconds())
+	}
+}
--- a/daemon/server/signals.go
+++ b/daemon/server/signals.go
@@ -25,3 +25,10 @@
 	}()
 	return Signals{Stop: stop, Kill: kill}
 }
+
+// NotifyReload returns a channel that gets a value at each SIGHUP.
+func NotifyReload() <-chan os.Signal {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
--- /dev/null
+++ b/daemon/steady/steady.go
@@ -0,0 +1,20 @@
+// Package steady is a clock that never steps and that counts the time in which the VM was suspended.
+// Go's monotonic clock leaves that time out, so that leases would seem to be fresh after a wake-up.
+package steady
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since the VM started as a time.Time without a monotonic reading. Only the
+// differences of such times have a meaning.
+func Now() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// The clock is part of every kernel that Go runs on.
+		panic("steady: CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Unix(ts.Unix())
+}
