--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := api dispatch store daemon
+MODULES := api dispatch store daemon platform
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 .PHONY: build test lint format-check generate generate-check demo prove replay capacity
