--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -181,8 +181,14 @@
 			s.send(a, list)
 		}
 	}
-	for owner, s := range a.sessions {
-		if s.waiting && byOwner[owner] == nil {
+	a.offer(steady.Now(), "")
+}
+
+// offer tells entries of room that is held for them; the given one has just been told. The caller
+// holds the lock.
+func (a *Agent) offer(now time.Time, informed string) {
+	for _, owner := range a.table.Offer(now) {
+		if s := a.sessions[owner]; s != nil && owner != informed {
 			s.send(a, nil)
 		}
 	}
@@ -219,4 +225,5 @@
 	for _, s := range a.sessions {
 		s.answerClaims(a, now)
 	}
+	a.offer(now, "")
 }
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -15,12 +15,11 @@
 
 // session is the link to one entry. Its fields are guarded by the agent's lock.
 type session struct {
-	entry   string
-	conn    *link.Conn
-	seq     uint64
-	ack     uint64
-	waiting bool
-	claims  []*peerv1.RunClaim
+	entry  string
+	conn   *link.Conn
+	seq    uint64
+	ack    uint64
+	claims []*peerv1.RunClaim
 }
 
 // serve handles one link until it ends.
@@ -55,6 +54,7 @@
 	defer a.mu.Unlock()
 	if a.sessions[s.entry] == s {
 		delete(a.sessions, s.entry)
+		a.table.Unlinked(s.entry)
 	}
 	a.Log.Info(event.LinkLost, event.Fields{"entry": s.entry, "reason": err.Error()})
 }
@@ -79,7 +79,7 @@
 	now := steady.Now()
 	token := a.began.Add(time.Duration(f.GetTokenMs()) * time.Millisecond)
 	s.ack = f.GetSeq()
-	s.waiting = f.GetWaiting()
+	a.table.Want(s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandIn(f.GetWant()))
 	a.table.Heard(s.entry, token)
 	if out := f.GetOut(); out != nil {
 		a.table.SetOut(out.GetRevision(), out.GetDomains())
@@ -98,6 +98,7 @@
 		}
 	}
 	s.send(a, refused)
+	a.offer(now, s.entry)
 }
 
 // order starts a run, or returns the event that refuses it.
@@ -140,10 +141,10 @@
 // holds the agent's lock.
 func (s *session) send(a *Agent, events []run.Event) {
 	s.seq++
-	server := a.table.Server(steady.Now())
+	now := steady.Now()
 	f := &peerv1.AgentFrame{
-		Seq: s.seq, Ack: s.ack, ClockMs: uint64(steady.Now().Sub(a.began).Milliseconds()),
-		Server: link.ServerOut(server, a.table.Free()),
+		Seq: s.seq, Ack: s.ack, ClockMs: uint64(now.Sub(a.began).Milliseconds()),
+		Server: link.ServerOut(a.table.Server(now), a.table.FreeFor(now, s.entry)),
 	}
 	if s.seq == 1 {
 		f.Hello = &peerv1.LinkHello{Id: a.ID, Incarnation: a.Incarnation}
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -38,6 +38,7 @@
 	token    uint64
 	sent     time.Time
 	outSent  bool
+	wanting  bool // the agent was told that tasks wait
 	listed   bool
 	unlisted time.Time // when it left the list
 	cancel   context.CancelFunc
@@ -182,6 +183,10 @@
 		e.scheduler.Report(now, a.id, jobs.Report{Server: link.ServerIn(s), Free: link.DemandIn(s.GetFree()), Ack: f.GetAck()})
 	}
 	e.flush()
+	// An agent holds room for an entry that wants some; it is told at once when that has changed.
+	if a.wanting != e.scheduler.HasWaiting() {
+		e.beatOne(a)
+	}
 }
 
 // send writes a batch as a frame. The caller holds the lock.
@@ -190,7 +195,12 @@
 		return
 	}
 	f := link.BatchOut(b)
-	f.Ack, f.TokenMs, f.Waiting = a.ack, a.token, e.scheduler.HasWaiting()
+	f.Ack, f.TokenMs = a.ack, a.token
+	want := e.scheduler.Want()
+	a.wanting = want.Demand.CPU > 0
+	if a.wanting {
+		f.Want, f.SlackMs = link.DemandOut(want.Demand), want.Urgency.Sub(steady.Now()).Milliseconds()
+	}
 	if b.Seq == 1 {
 		f.Hello = &peerv1.LinkHello{Id: e.ID, Incarnation: e.Incarnation}
 	}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -89,7 +89,46 @@
 }
 
 // HasWaiting tells whether tasks wait for a place.
-func (s *Scheduler) HasWaiting() bool { return len(s.onTime)+len(s.late) > 0 }
+func (s *Scheduler) HasWaiting() bool { return s.Want().Demand.CPU > 0 }
+
+// Want is what the tasks that wait for a place need in all, and the latest start of the most urgent.
+type Want struct {
+	Demand  run.Demand
+	Urgency time.Time
+}
+
+// wantedJobs bounds how many waiting jobs the demand told to agents covers.
+const wantedJobs = 8
+
+// Want returns what waits for a place, from the jobs that come first. Late jobs count as less urgent
+// than all others.
+func (s *Scheduler) Want() Want {
+	var w Want
+	covered := 0
+	for _, list := range [][]*job{s.onTime, s.late} {
+		for _, j := range list {
+			if covered == wantedJobs {
+				return w
+			}
+			covered++
+			if covered == 1 {
+				w.Urgency = j.key
+				if j.late {
+					w.Urgency = j.key.Add(lateUrgency)
+				}
+			}
+			for _, t := range j.tasks {
+				if t.state == waiting && j.runnable(t) {
+					w.Demand = w.Demand.Plus(j.Steps[t.step].Demand)
+				}
+			}
+		}
+	}
+	return w
+}
+
+// lateUrgency puts late jobs behind those of other entries that can still meet their objective.
+const lateUrgency = 10 * time.Second
 
 // Submit takes a job in, or rejects it at once: then the outcome is final and nothing has run.
 func (s *Scheduler) Submit(now time.Time, in Job) (Outcome, bool) {
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -30,6 +30,9 @@
 	ClaimWindow time.Duration
 	// EndRetention is how long ends are kept for entries that lost their link.
 	EndRetention time.Duration
+	// OfferHold is how long free room is held for the entry that it was offered to: about two message
+	// times between failure domains.
+	OfferHold time.Duration
 }
 
 // Order asks for a start.
@@ -94,6 +97,7 @@
 	known   bool
 	runs    map[run.Ref]*record
 	ends    map[run.Ref]keptEnd
+	offers  *Offers
 	heard   map[string]time.Time
 	out     map[string]bool
 	outRev  uint64
@@ -119,6 +123,7 @@
 		foreign: true,
 		runs:    map[run.Ref]*record{},
 		ends:    map[run.Ref]keptEnd{},
+		offers:  NewOffers(limits.OfferHold),
 		heard:   map[string]time.Time{},
 		out:     map[string]bool{},
 	}
@@ -221,11 +226,33 @@
 	return free
 }
 
+// FreeFor returns the free room that the entry may use.
+func (t *Table) FreeFor(now time.Time, owner string) run.Demand {
+	return t.Free().Minus(t.offers.Others(now, owner))
+}
+
+// Want records what the entry's waiting tasks need and how urgent they are; see Offers.
+func (t *Table) Want(owner string, urgency time.Time, demand run.Demand) {
+	t.offers.Want(owner, urgency, demand)
+}
+
+// Unlinked forgets what an entry without a link wants.
+func (t *Table) Unlinked(owner string) { t.offers.Drop(owner) }
+
+// Offer returns the entries that have to be told of new room for them.
+func (t *Table) Offer(now time.Time) []string {
+	if t.Server(now).State != run.Ready || t.out[t.server.Domain] {
+		return nil
+	}
+	return t.offers.Next(now, t.Free())
+}
+
 // Order decides on a start. A code other than 0 refuses it: it is then "not run".
 func (t *Table) Order(now time.Time, o Order) result.Code {
 	if code := t.refuse(now, o); code != 0 {
 		return code
 	}
+	t.offers.Use(o.Owner, o.Demand)
 	expiry := t.clock.at(now) + t.limits.OrderExpiry.Milliseconds()
 	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, since: expiry}
 	t.granted = max(t.granted, expiry)
@@ -246,7 +273,7 @@
 		return result.StaleToken
 	case t.quarantined(now):
 		return result.StaleToken
-	case !o.Demand.Fits(t.Free()) || t.taskHere(o):
+	case !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.taskHere(o):
 		return result.NoFreeSlot
 	}
 	return 0
