--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -33,6 +33,12 @@
 	Registered        ID = 663
 	RegistrationEnded ID = 664
 	LinesLeftOut      ID = 665
+	TaskPlaced        ID = 666
+	RunMoved          ID = 667
+	TaskReturned      ID = 668
+	AgentLost         ID = 669
+	ServerSuspended   ID = 670
+	EntryLeft         ID = 671
 )
 
 var runTexts = map[ID]string{
@@ -65,4 +71,10 @@
 	Registered:         "registered in the platform's store",
 	RegistrationEnded:  "registration in the platform's store ended; it is renewed",
 	LinesLeftOut:       "log lines were left out under load",
+	TaskPlaced:         "task was given to an agent",
+	RunMoved:           "run is stopped because a fresh start elsewhere ends sooner",
+	TaskReturned:       "run ended without success; its task waits for another place",
+	AgentLost:          "agent was silent until its runs had certainly ended",
+	ServerSuspended:    "backend server was suspended because it failed too many tasks",
+	EntryLeft:          "entry rejects further jobs because it stops",
 }
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -170,7 +170,7 @@
 		delete(a.stops, e.Ref)
 		a.counters.ended(e.Kind)
 		if e.Kind != run.Done {
-			a.Log.Info(event.RunEnded, event.Fields{
+			a.Log.Sample(event.RunEnded, event.Fields{
 				"task": e.Ref.Task, "run": e.Ref.Run, "entry": e.Owner, "kind": e.Kind.String(), "code": uint32(e.Reason),
 			})
 		}
--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -44,7 +44,7 @@
 	case err == nil:
 		a.table.Accepted(ref, clock)
 	case errors.As(err, &refused):
-		a.Log.Info(event.StartRefused, event.Fields{"task": ref.Task, "run": ref.Run, "reason": refused.Reason})
+		a.Log.Sample(event.StartRefused, event.Fields{"task": ref.Task, "run": ref.Run, "reason": refused.Reason})
 		a.deliver(a.table.Rejected(steady.Now(), ref, refused.Code))
 	default:
 		// The run may still begin until its expiry; a look settles it.
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -111,7 +111,7 @@
 	if code != 0 {
 		a.counters.refused(code)
 		if code != result.NoFreeSlot {
-			a.Log.Info(event.OrderRefused, event.Fields{
+			a.Log.Sample(event.OrderRefused, event.Fields{
 				"task": ref.Task, "run": ref.Run, "entry": s.entry, "code": uint32(code), "token_age_ms": now.Sub(token).Milliseconds(),
 			})
 		}
@@ -144,7 +144,7 @@
 	now := steady.Now()
 	f := &peerv1.AgentFrame{
 		Seq: s.seq, Ack: s.ack, ClockMs: uint64(now.Sub(a.began).Milliseconds()),
-		Server: link.ServerOut(a.table.Server(now), a.table.FreeFor(now, s.entry)),
+		Server: link.ServerOut(a.table.Server(now), a.table.FreeFor(now, s.entry), len(a.sessions)),
 	}
 	if s.seq == 1 {
 		f.Hello = &peerv1.LinkHello{Id: a.ID, Incarnation: a.Incarnation}
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -175,6 +175,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.scheduler.Leave()
+	e.Log.Info(event.EntryLeft, event.Fields{"jobs": len(e.waiters)})
 }
 
 // Idle tells whether no job is here.
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -50,29 +50,26 @@
 	}
 }
 
-// SetAgents replaces the list of agents, by ID with their addresses. Agents that are no longer listed
+// SetAgents replaces the list of agents, by ID with their addresses. An ID never changes its address.
+// Agents that are no longer listed
 // stay in use while they answer.
 func (e *Entry) SetAgents(list map[string]string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := steady.Now()
 	for id, a := range e.agents {
-		addr, ok := list[id]
+		_, ok := list[id]
 		if a.listed && !ok {
 			a.unlisted = now
 		}
 		a.listed = ok
-		if ok && addr != a.addr {
-			a.cancel()
-			a.hangUp("moved")
-			delete(e.agents, id)
-		}
 	}
 	for id, addr := range list {
 		if e.agents[id] == nil {
 			e.agents[id] = &agent{id: id, addr: addr, listed: true}
 		}
 	}
+	e.scheduler.Expect(now, len(list))
 	e.Log.Info(event.AgentsChanged, event.Fields{"listed": len(list), "known": len(e.agents)})
 	select {
 	case e.changed <- struct{}{}:
@@ -180,7 +177,9 @@
 		e.scheduler.Event(now, a.id, link.EventIn(v))
 	}
 	if s := f.GetServer(); s != nil {
-		e.scheduler.Report(now, a.id, jobs.Report{Server: link.ServerIn(s), Free: link.DemandIn(s.GetFree()), Ack: f.GetAck()})
+		e.scheduler.Report(now, a.id, jobs.Report{
+			Server: link.ServerIn(s), Free: link.DemandIn(s.GetFree()), Ack: f.GetAck(), Entries: int(s.GetEntries()),
+		})
 	}
 	e.flush()
 	// An agent holds room for an entry that wants some; it is told at once when that has changed.
--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -8,12 +8,13 @@
 
 	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
 )
 
 // counters are the metrics of an entry.
 type counters struct {
-	set       *metrics.Set
-	abandoned *metrics.Counter
+	set              *metrics.Set
+	abandoned, moved *metrics.Counter
 }
 
 func newCounters(set *metrics.Set, e *Entry) *counters {
@@ -31,7 +32,16 @@
 	gauge("poplargw_entry_waiting_tasks", func(s jobs.Stats) int { return s.WaitingTasks })
 	gauge("poplargw_entry_runs", func(s jobs.Stats) int { return s.Runs })
 	gauge("poplargw_entry_usable_servers", func(s jobs.Stats) int { return s.Servers })
-	return &counters{set: set, abandoned: set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total")}
+	return &counters{
+		set:       set,
+		abandoned: set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total"),
+		moved:     set.GetOrCreateCounter("poplargw_entry_runs_moved_total"),
+	}
+}
+
+func (c *counters) returned(kind run.Kind, code result.Code) {
+	name := fmt.Sprintf("poplargw_entry_tasks_returned_total{kind=%q,code=%q}", kind.String(), fmt.Sprint(uint32(code)))
+	c.set.GetOrCreateCounter(name).Inc()
 }
 
 func (c *counters) jobEnded(queue string, code result.Code, took time.Duration) {
--- /dev/null
+++ b/daemon/runentry/notes.go
@@ -0,0 +1,67 @@
+package runentry
+
+import (
+	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/steady"
+	"poplargw.example/dispatch/jobs"
+)
+
+// logNotes logs what the scheduler has decided since the last call.
+func (e *Entry) logNotes() {
+	for _, n := range e.scheduler.Notes() {
+		e.logNote(n)
+	}
+}
+
+func (e *Entry) logNote(n jobs.Note) {
+	f := event.Fields{"agent": n.Agent}
+	if n.Ref.Task != "" {
+		f["task"], f["run"] = n.Ref.Task, n.Ref.Run
+	}
+	switch n.Kind {
+	case jobs.Placed:
+		f["attempt"], f["expected_ms"], f["state_age_ms"], f["free_cpu"] = n.Attempt, n.Expected.Milliseconds(), n.Age.Milliseconds(), n.Free
+		e.Log.Sample(event.TaskPlaced, f)
+	case jobs.Moved:
+		e.counters.moved.Inc()
+		f["attempt"], f["rest_ms"], f["state_age_ms"] = n.Attempt, n.Rest.Milliseconds(), n.Age.Milliseconds()
+		e.Log.Sample(event.RunMoved, f)
+	case jobs.Returned:
+		e.counters.returned(n.End, n.Reason)
+		f["attempt"], f["kind"], f["code"] = n.Attempt, n.End.String(), uint32(n.Reason)
+		e.Log.Sample(event.TaskReturned, f)
+	case jobs.Lost:
+		f["silent_ms"] = n.Age.Milliseconds()
+		e.Log.Warn(event.AgentLost, f)
+	case jobs.Suspended:
+		e.Log.Warn(event.ServerSuspended, f)
+	}
+}
+
+// report logs and counts the end of a job.
+func (e *Entry) report(j jobs.Job, o jobs.Outcome) {
+	took := steady.Now().Sub(j.Arrived)
+	e.counters.jobEnded(j.Queue.Name, o.Code, took)
+	f := event.Fields{"job": j.ID, "queue": j.Queue.Name, "code": uint32(o.Code), "took_ms": took.Milliseconds()}
+	if !o.Started.IsZero() {
+		f["started_ms"] = o.Started.Sub(j.Arrived).Milliseconds()
+	}
+	if o.Code == 0 {
+		e.Log.Sample(event.JobEnded, f)
+		return
+	}
+	f["effect"] = o.Effect.String()
+	f["tasks"] = tasks(j)
+	if o.RetryAfter > 0 {
+		f["retry_after_ms"] = o.RetryAfter.Milliseconds()
+	}
+	e.Log.Sample(event.JobEnded, f)
+}
+
+func tasks(j jobs.Job) int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
--- a/daemon/runentry/submit.go
+++ b/daemon/runentry/submit.go
@@ -101,6 +101,7 @@
 // flush hands out what the scheduler has decided. The caller holds the lock.
 func (e *Entry) flush() {
 	outcomes, batches := e.scheduler.Take()
+	e.logNotes()
 	for _, o := range outcomes {
 		e.ended.add(o, steady.Now())
 		for _, w := range e.waiters[o.Job] {
@@ -115,26 +116,6 @@
 	}
 }
 
-// report logs and counts the end of a job.
-func (e *Entry) report(j jobs.Job, o jobs.Outcome) {
-	took := steady.Now().Sub(j.Arrived)
-	e.counters.jobEnded(j.Queue.Name, o.Code, took)
-	if o.Code == 0 {
-		return
-	}
-	f := event.Fields{
-		"job": j.ID, "queue": j.Queue.Name, "code": uint32(o.Code), "effect": o.Effect.String(), "took_ms": took.Milliseconds(),
-		"patience_ms": j.Patience.Milliseconds(),
-	}
-	if o.RetryAfter > 0 {
-		f["retry_after_ms"] = o.RetryAfter.Milliseconds()
-	}
-	if !o.Started.IsZero() {
-		f["started_ms"] = o.Started.Sub(j.Arrived).Milliseconds()
-	}
-	e.Log.Info(event.JobEnded, f)
-}
-
 // history keeps the outcome of jobs that have ended for a while.
 type history struct {
 	states map[string]State
--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// minShare is the least share of the backend servers that an entry counts on: another entry with
-	// much more load cannot take all of it, as room is granted first come, first served.
+	// minShare is the least share of the backend servers that an entry counts on while it does not know
+	// with how many others it shares them.
 	minShare = 0.2
 	// slackShare is the part of a job's slack, its objective less its run time, that it may spend
 	// waiting. The rest covers run times that are longer than declared.
@@ -27,7 +27,7 @@
 // how long the backlog lasts. It answers bursts of up to twice the room: without it everybody waits, and
 // nobody is served in time.
 func (s *Scheduler) admissible(now time.Time, j *job) (time.Duration, bool) {
-	wait := s.wait(j, s.onTime)
+	wait := s.wait(now, j, s.onTime)
 	if wait == 0 {
 		return 0, true
 	}
@@ -54,11 +54,11 @@
 
 // wait is how long the tasks of those jobs that come before j need at the rate at which this entry
 // gets room.
-func (s *Scheduler) wait(j *job, lists ...[]*job) time.Duration {
+func (s *Scheduler) wait(now time.Time, j *job, lists ...[]*job) time.Duration {
 	backlog := 0.0
 	for _, list := range lists {
 		for _, o := range list {
-			if o != j && o.Queue.Service == j.Queue.Service && (o.late != j.late || o.key.Before(j.key)) {
+			if o != j && o.Queue.Service == j.Queue.Service && (o.late != j.late || !o.key.After(j.key)) {
 				backlog += o.waitingDemand()
 			}
 		}
@@ -66,7 +66,10 @@
 	if backlog == 0 {
 		return 0
 	}
-	pace := s.pace(j.Queue.Service)
+	pace := s.pace(now, j.Queue.Service)
+	if pace <= 0 && s.warming(now) {
+		return 0
+	}
 	if pace <= 0 {
 		return retryLater
 	}
@@ -75,9 +78,15 @@
 
 // pace is the processor time, in thousandths of a core times seconds of declared run time, that this
 // entry's tasks get done each second: its present share of the backend servers that work.
-func (s *Scheduler) pace(service string) float64 {
-	total, used := s.capacity(service)
+func (s *Scheduler) pace(now time.Time, service string) float64 {
+	total, used, servers, entries := s.capacity(service)
+	if s.warming(now) && servers > 0 && s.expected.agents > servers {
+		total *= float64(s.expected.agents) / float64(servers)
+	}
 	share := minShare
+	if entries > 0 {
+		share = 1 / float64(entries)
+	}
 	if used > 0 {
 		share = max(share, float64(s.own(service))/float64(used))
 	}
@@ -90,7 +99,7 @@
 	for _, j := range s.jobs {
 		switch {
 		case !now.Before(j.limit()), s.hopeless(now, j):
-			s.finish(j, s.rejection(j))
+			s.finish(j, s.rejection(now, j))
 		case j.queued && !j.late && now.Add(j.work).After(j.objective):
 			s.dequeue(j)
 			s.enqueue(now, j)
@@ -99,9 +108,9 @@
 	}
 }
 
-func (s *Scheduler) rejection(j *job) Outcome {
+func (s *Scheduler) rejection(now time.Time, j *job) Outcome {
 	if !j.mayHaveRun() {
-		return Outcome{Code: result.DeadlineUnmet, RetryAfter: max(s.wait(j, s.onTime, s.late), retryLater)}
+		return Outcome{Code: result.DeadlineUnmet, RetryAfter: max(s.wait(now, j, s.onTime, s.late), retryLater)}
 	}
 	return Outcome{Code: result.DeadlineExceeded}
 }
@@ -121,5 +130,5 @@
 		return false
 	}
 	j.reviewed = now
-	return now.Add(s.wait(j, s.onTime, s.late) + j.work).After(j.useful())
+	return now.Add(s.wait(now, j, s.onTime, s.late) + j.work).After(j.useful())
 }
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -59,6 +59,7 @@
 	}
 	v.state = r.Server
 	v.free = r.Free
+	v.entries = r.Entries
 	v.reported = true
 	v.ack(r.Ack)
 	s.dispatch(now)
@@ -125,7 +126,7 @@
 	case result.NoFreeSlot, result.AgentLost:
 	case result.StartTooLate, result.NotReady:
 		// The backend server did not answer, or said that it is not healthy.
-		a.server.health.Failure(now)
+		s.serverFailed(now, a)
 		a.task.avoid[a.server.state.Instance] = true
 	default:
 		a.server.pausedUntil = now.Add(refusalPause)
@@ -164,7 +165,7 @@
 
 func (s *Scheduler) taskFailed(now time.Time, a *attempt, e run.Event) {
 	t := a.task
-	a.server.health.Failure(now)
+	s.serverFailed(now, a)
 	if a.server.health.Suspended() {
 		t.sick++
 	} else {
@@ -178,7 +179,17 @@
 	s.again(now, a, e)
 }
 
+// serverFailed counts a failure against the backend server.
+func (s *Scheduler) serverFailed(now time.Time, a *attempt) {
+	before := a.server.health.Suspended()
+	a.server.health.Failure(now)
+	if !before && a.server.health.Suspended() {
+		s.note(Note{Kind: Suspended, Agent: a.server.agent, Ref: a.ref})
+	}
+}
+
 func (s *Scheduler) again(now time.Time, a *attempt, e run.Event) {
+	s.note(Note{Kind: Returned, Agent: a.server.agent, Ref: a.ref, Attempt: a.task.attempts, End: e.Kind, Reason: e.Reason})
 	requeue(a.task, e)
 	s.widen(a.job, a.task)
 	s.enqueue(now, a.job)
@@ -208,6 +219,7 @@
 		if v.live || now.Sub(v.heard) <= s.limits.Lost {
 			continue
 		}
+		s.note(Note{Kind: Lost, Agent: agent, Age: now.Sub(v.heard)})
 		for _, a := range v.runs {
 			s.forget(a)
 			s.settle(now, a, run.Event{Ref: a.ref, Kind: run.Stopped, Reason: result.AgentLost})
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -19,6 +19,7 @@
 	step     int
 	state    taskState
 	run      *attempt
+	attempts int
 	failures int
 	// sick counts the failures on backend servers that failed other jobs as well.
 	sick       int
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -132,6 +132,11 @@
 	a := &attempt{ref: newRun(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, ordered: now}
 	t.state = placed
 	t.run = a
+	t.attempts++
+	s.note(Note{
+		Kind: Placed, Agent: v.agent, Ref: a.ref, Attempt: t.attempts, Age: now.Sub(v.heard), Free: v.room().CPU,
+		Expected: time.Duration(float64(j.expected(t)) * v.slowness()),
+	})
 	v.runs[a.ref] = a
 	v.unacked = append(v.unacked, a)
 	if j.started.IsZero() {
@@ -162,17 +167,19 @@
 
 // capacity is the processor room of the backend servers that take work, each at its own speed, and the
 // part of the plain room that is in use.
-func (s *Scheduler) capacity(service string) (atSpeed float64, used int64) {
+func (s *Scheduler) capacity(service string) (atSpeed float64, used int64, servers, entries int) {
 	for _, v := range s.servers {
 		if !v.takes(s.out) || v.state.Service != service {
 			continue
 		}
+		servers++
+		entries = max(entries, v.entries)
 		used += v.state.Room.CPU - max(0, v.room().CPU)
 		if !v.health.Suspended() {
 			atSpeed += float64(v.state.Room.CPU) / v.slowness()
 		}
 	}
-	return atSpeed, used
+	return atSpeed, used, servers, entries
 }
 
 // own is the processor room that this entry's runs occupy.
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -219,7 +219,7 @@
 // reportTo sends an agent's state to an entry, with events.
 func (w *world) reportTo(m *machine, i int, events []run.Event) {
 	s := w.entries[i]
-	report := Report{Server: serverOf(m.id, m.room), Free: m.freeFor(i, w.now), Ack: m.acked[i]}
+	report := Report{Server: serverOf(m.id, m.room), Free: m.freeFor(i, w.now), Ack: m.acked[i], Entries: len(w.entries)}
 	type seen struct {
 		ref     run.Ref
 		percent int
@@ -499,7 +499,7 @@
 }
 
 // Guards against a burst in which everybody waits and nobody is served in time: docs/platform.md states
-// that at 1.8 times the ordinary load at least 0.75 of what the room allows is served within the
+// that at 1.8 times the ordinary load at least 0.9 of what the room allows is served within the
 // objective, and that nobody who is rejected waited long for it.
 func TestReplayBurst(t *testing.T) {
 	for name, speeds := range map[string][]float64{"one": speedsOne, "two": speedsTwo} {
@@ -511,15 +511,15 @@
 		w.run(4 * time.Second)
 		w.traffic(0.5, 2*time.Second)
 		w.run(4 * time.Second)
-		w.judge(name, 0.75/1.3)
+		w.judge(name, 0.9/1.3)
 		if held := w.tally.heldRejected; held*4 > w.tally.rejected {
 			t.Errorf("%s: %d of %d rejected jobs were held", name, held, w.tally.rejected)
 		}
 	}
 }
 
-// Guards against a loss of a failure domain that stops the others: docs/platform.md states 0.75 of what
-// the rest allows.
+// Guards against a loss of a failure domain that stops the others: docs/platform.md states 0.9 of what
+// the rest allows. The rest has 8 of 12.5 parts of the room, for a load of 0.8.
 func TestReplayDomainLost(t *testing.T) {
 	w := newWorld(t, 3, 3, speedsOne)
 	w.traffic(0.8, 3*time.Second)
@@ -533,7 +533,7 @@
 	w.from, w.until = w.now.Add(time.Second), w.now.Add(5*time.Second)
 	w.traffic(0.8, 6*time.Second)
 	w.run(9 * time.Second)
-	w.judge("domain lost", 0.75)
+	w.judge("domain lost", 0.9*(8/12.5)/0.8)
 }
 
 // Guards against slow, stalling and failing backend servers that take callers' jobs with them:
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -21,8 +21,16 @@
 	speeds   *estimate.Table[string]
 	groups   map[string]*health.Group
 	outcomes []Outcome
+	notes    []Note
 	dirty    map[string]*server
 	leaving  bool
+	expected expectation
+}
+
+// expectation is the number of agents that are about to connect after the entry's own start.
+type expectation struct {
+	agents int
+	until  time.Time
 }
 
 // New returns a scheduler without servers.
@@ -49,6 +57,24 @@
 	}
 }
 
+// warmUp is how long after its start an entry counts on agents that it knows of and has no link to yet.
+// When everything starts at once, most links are open after 0.2 s, and backend servers announce
+// themselves within 1.5 s.
+const warmUp = 1500 * time.Millisecond
+
+// Expect tells the scheduler how many agents are known.
+func (s *Scheduler) Expect(now time.Time, agents int) {
+	if s.expected.until.IsZero() {
+		s.expected.until = now.Add(warmUp)
+	}
+	s.expected.agents = agents
+}
+
+// warming tells whether agents are known that may still connect after the entry's own start.
+func (s *Scheduler) warming(now time.Time) bool {
+	return s.expected.agents > 0 && now.Before(s.expected.until)
+}
+
 // Stats returns what the scheduler holds.
 func (s *Scheduler) Stats() Stats {
 	st := Stats{Jobs: len(s.jobs)}
@@ -132,7 +158,7 @@
 
 // Submit takes a job in, or rejects it at once: then the outcome is final and nothing has run.
 func (s *Scheduler) Submit(now time.Time, in Job) (Outcome, bool) {
-	if code := s.refuse(in); code != 0 {
+	if code := s.refuse(now, in); code != 0 {
 		return Outcome{Job: in.ID, Code: code, Effect: result.NotRun, RetryAfter: retryLater}, false
 	}
 	j := newJob(in)
@@ -149,7 +175,7 @@
 // retryLater is the advice when the entry cannot tell when there will be room.
 const retryLater = time.Second
 
-func (s *Scheduler) refuse(in Job) result.Code {
+func (s *Scheduler) refuse(now time.Time, in Job) result.Code {
 	if s.leaving {
 		return result.Draining
 	}
@@ -160,6 +186,9 @@
 		}
 		known = true
 	}
+	if !known && s.warming(now) {
+		return 0
+	}
 	if !known {
 		return result.NotReady
 	}
@@ -253,6 +282,22 @@
 	return outcomes, batches
 }
 
+// Notes returns what logs should show since the last call.
+func (s *Scheduler) Notes() []Note {
+	n := s.notes
+	s.notes = nil
+	return n
+}
+
+func (s *Scheduler) note(n Note) {
+	if len(s.notes) < maxNotes {
+		s.notes = append(s.notes, n)
+	}
+}
+
+// maxNotes bounds the notes that nobody has taken yet.
+const maxNotes = 4096
+
 // next numbers the frame and notes which orders it carries.
 func (s *Scheduler) next(v *server) Batch {
 	v.seq++
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -311,3 +311,50 @@
 		t.Error("not ordered again")
 	}
 }
+
+// Guards against jobs rejected for want of room while the agents of a system that starts are still
+// connecting: 46 were rejected within 0.2 s of the return of power.
+func TestStartingEntryCountsOnAgentsToCome(t *testing.T) {
+	rejected := func(expect int) int {
+		b := newBench(t, 1, 10_000)
+		b.Expect(b.now, expect)
+		n := 0
+		for i := range 10 {
+			if !b.submit(fmt.Sprint("j", i), 2, 3000, 100*time.Millisecond) {
+				n++
+			}
+		}
+		return n
+	}
+	if few, many := rejected(11), rejected(1); few >= many {
+		t.Errorf("%d rejected with agents to come, %d without", few, many)
+	}
+}
+
+// Guards against jobs rejected in the first moments of a system that starts as a whole: the first
+// backend server is known 0.1 s after the entry.
+func TestStartingEntryHoldsJobsForTheFirstServer(t *testing.T) {
+	b := newBench(t, 0, 0)
+	if b.submit("early", 1, 3000, 100*time.Millisecond) || b.outcomes["early"].Code != result.NotReady {
+		t.Error("a job is taken in although no agent is known")
+	}
+	b.Expect(b.now, 1)
+	if !b.submit("j", 1, 3000, 100*time.Millisecond) {
+		t.Fatal("rejected although an agent is known")
+	}
+	b.advance(100 * time.Millisecond)
+	b.up("a0", 10_000)
+	b.advance(time.Millisecond)
+	if b.placed() != 1 {
+		t.Error("not placed")
+	}
+	b = newBench(t, 0, 0)
+	b.Expect(b.now, 1)
+	b.submit("j", 1, 3000, 100*time.Millisecond)
+	for range 12 {
+		b.advance(50 * time.Millisecond)
+	}
+	if o := b.outcomes["j"]; o.Code != result.DeadlineUnmet || o.Effect != result.NotRun || o.RetryAfter <= 0 {
+		t.Errorf("without a server: %+v", o)
+	}
+}
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -29,6 +29,7 @@
 	lag      float64
 	batch    Batch
 	reported bool
+	entries  int
 	// pausedUntil is until when the agent gets no orders because it refused one.
 	pausedUntil time.Time
 }
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -103,6 +103,8 @@
 				return
 			}
 			if !a.stopped && s.straggles(now, a) {
+				rest, _ := a.remaining(now)
+				s.note(Note{Kind: Moved, Agent: v.agent, Ref: a.ref, Attempt: a.task.attempts, Rest: rest, Age: now.Sub(v.heard)})
 				s.stop(a)
 				a.task.avoid[v.state.Instance] = true
 				budget--
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -48,6 +48,39 @@
 	RetryAfter time.Duration
 }
 
+// NoteKind is a decision or a change of belief that logs should show.
+type NoteKind int
+
+// Kinds of notes.
+const (
+	// Placed: a task was given to an agent.
+	Placed NoteKind = iota + 1
+	// Moved: a run is stopped because a fresh start elsewhere ends sooner.
+	Moved
+	// Returned: a run ended without success and its task waits again.
+	Returned
+	// Lost: an agent was silent for so long that its runs have certainly ended.
+	Lost
+	// Suspended: a backend server gets no tasks because it failed too many.
+	Suspended
+)
+
+// Note describes a decision with what it rested on.
+type Note struct {
+	Kind  NoteKind
+	Agent string
+	Ref   run.Ref
+	// Attempt numbers the runs of the task in this entry, from 1.
+	Attempt int
+	End     run.Kind
+	Reason  result.Code
+	// Expected is the expected run time, Rest what the run still needed where it was.
+	Expected, Rest time.Duration
+	// Age is how long ago the agent's state was heard of.
+	Age  time.Duration
+	Free int64
+}
+
 // Order asks an agent to start a run.
 type Order struct {
 	Ref          run.Ref
@@ -79,6 +112,8 @@
 	Server run.Server
 	Free   run.Demand
 	Ack    uint64
+	// Entries is the number of entries that share the backend server; 0 if it is not known.
+	Entries int
 }
 
 // Limits are the bounds of the scheduler.
