Hold jobs at a start only for agents that have not reported yet

Change: an entry that starts counts on agents only while fewer have reported than are known. Result: platform, dispatch and event tests pass.

--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -72,7 +72,16 @@
 
 // warming tells whether agents are known that may still connect after the entry's own start.
 func (s *Scheduler) warming(now time.Time) bool {
-	return s.expected.agents > 0 && now.Before(s.expected.until)
+	if !now.Before(s.expected.until) {
+		return false
+	}
+	known := 0
+	for _, v := range s.servers {
+		if v.live && v.reported && v.state.State != run.Absent {
+			known++
+		}
+	}
+	return known < s.expected.agents
 }
 
 // Stats returns what the scheduler holds.
