Count a lease as renewed only when the renewal can have arrived

Two backend servers crashed at 12.6 s; their runs were given up 0.6 s later, because failed connections moved the time on at which everything there had lapsed. Ruled out: taking a refused connection for the end of the runs; a cut may refuse too. Change: a renewal for which no connection could be made moves nothing; an order for which none could be made is not run at once.

--- a/daemon/runagent/backend.go
+++ b/daemon/runagent/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -39,6 +40,9 @@
 	Look(ctx context.Context, r LookRequest) (runtable.Look, error)
 }
 
+// ErrNotSent reports a call for which no connection could be made: it has had no effect.
+var ErrNotSent = errors.New("no connection to the backend server")
+
 // Refused is the refusal of a start.
 type Refused struct {
 	Code result.Code
--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -7,6 +7,7 @@
 
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/steady"
+	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 )
 
@@ -43,6 +44,8 @@
 	switch {
 	case err == nil:
 		a.table.Accepted(ref, clock)
+	case errors.Is(err, ErrNotSent):
+		a.deliver(a.table.Rejected(steady.Now(), ref, result.StartTooLate))
 	case errors.As(err, &refused):
 		a.Log.Sample(event.StartRefused, event.Fields{"task": ref.Task, "run": ref.Run, "reason": refused.Reason})
 		a.deliver(a.table.Rejected(steady.Now(), ref, refused.Code))
@@ -89,6 +92,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.noteReach(err)
+	a.table.Sent(!errors.Is(err, ErrNotSent))
 	if err != nil {
 		return err
 	}
--- a/dispatch/runtable/look.go
+++ b/dispatch/runtable/look.go
@@ -40,15 +40,23 @@
 	if !t.clock.known || now.Sub(t.clock.read) > t.limits.RenewFor {
 		return 0
 	}
-	deadline := t.clock.at(now) + t.limits.Lease.Milliseconds()
-	t.granted = max(t.granted, deadline)
-	return deadline
+	t.sending = t.clock.at(now) + t.limits.Lease.Milliseconds()
+	return t.sending
+}
+
+// Sent tells whether the newest renewal may have reached the backend server. One for which no
+// connection could be made has not, and moves nothing.
+func (t *Table) Sent(sent bool) {
+	if sent {
+		t.granted = max(t.granted, t.sending)
+	}
+	t.sending = 0
 }
 
 // Lapsed ends all runs when the newest lease has certainly passed on the backend server, which does
 // not answer.
 func (t *Table) Lapsed(now time.Time) []Event {
-	if len(t.runs) == 0 || !t.clock.known || t.clock.atLeast(now) <= t.granted {
+	if len(t.runs) == 0 || !t.clock.known || t.clock.atLeast(now) <= max(t.granted, t.sending) {
 		return nil
 	}
 	t.looked = false
--- a/dispatch/runtable/model_test.go
+++ b/dispatch/runtable/model_test.go
@@ -125,7 +125,16 @@
 				}
 			},
 			"look": func(t *rapid.T) {
-				l := m.look(table.Lease(now), table.LastSeen())
+				lease := table.Lease(now)
+				if rapid.Bool().Draw(t, "not sent") {
+					table.Sent(false)
+					return
+				}
+				table.Sent(true)
+				l := m.look(lease, table.LastSeen())
+				if rapid.Bool().Draw(t, "lost") {
+					return
+				}
 				if rapid.Bool().Draw(t, "late") {
 					late = append(late, l)
 					return
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -110,6 +110,7 @@
 	lastSeen   int64
 	// granted is the latest end of a lease that the backend server may know.
 	granted int64
+	sending int64 // end of the lease in a renewal that is under way; 0 if there is none
 	started time.Time
 	settled bool
 }
@@ -181,7 +182,7 @@
 	t.settled = true
 	t.foreign = true
 	t.lastSeen = 0
-	t.granted = 0
+	t.granted, t.sending = 0, 0
 	t.quarantine = 0
 	t.clock = serverClock{}
 	return t.loseAll(now)
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -248,6 +248,7 @@
 	f.order(ref("a", 1), 1000)
 	f.Accepted(ref("a", 1), f.clock())
 	f.Lease(f.now)
+	f.Sent(true)
 	f.advance(testLimits.Lease)
 	if events := f.Lapsed(f.now); len(events) != 0 {
 		t.Fatalf("lapsed at the lease: %+v", events)
@@ -337,3 +338,21 @@
 		t.Errorf("offered without room: %v", told)
 	}
 }
+
+// Guards against tasks of a crashed backend server that wait for a lease which was never renewed: no
+// connection could be made. A renewal that is under way counts as long as its fate is open.
+func TestRenewalThatWasNotSentMovesNothing(t *testing.T) {
+	f := newFixture(t)
+	f.order(ref("a", 1), 1000)
+	f.Accepted(ref("a", 1), f.clock())
+	f.Lease(f.now)
+	f.Sent(true)
+	f.advance(testLimits.RenewFor)
+	f.Lease(f.now)
+	f.advance(testLimits.Lease - testLimits.RenewFor + 20*time.Millisecond)
+	if events := f.Lapsed(f.now); len(events) != 0 {
+		t.Fatalf("lapsed while a renewal is under way: %+v", events)
+	}
+	f.Sent(false)
+	single(t, f.Lapsed(f.now), run.Stopped, result.ServerLost)
+}
