--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -176,20 +176,21 @@
 		}
 		byOwner[e.Owner] = append(byOwner[e.Owner], e.Event)
 	}
-	for owner, list := range byOwner {
-		if s := a.sessions[owner]; s != nil {
-			s.send(a, list)
-		}
-	}
-	a.offer(steady.Now(), "")
+	a.tell(steady.Now(), byOwner)
 }
 
-// offer tells entries of room that is held for them; the given one has just been told. The caller
-// holds the lock.
-func (a *Agent) offer(now time.Time, informed string) {
+// tell sends entries their events, and tells others of room that is held for them. Room is offered
+// first, so that no entry is told of room that another one gets at the same moment. The caller holds
+// the lock.
+func (a *Agent) tell(now time.Time, events map[string][]run.Event) {
 	for _, owner := range a.table.Offer(now) {
-		if s := a.sessions[owner]; s != nil && owner != informed {
-			s.send(a, nil)
+		if _, ok := events[owner]; !ok {
+			events[owner] = nil
+		}
+	}
+	for owner, list := range events {
+		if s := a.sessions[owner]; s != nil {
+			s.send(a, list)
 		}
 	}
 }
@@ -225,5 +226,5 @@
 	for _, s := range a.sessions {
 		s.answerClaims(a, now)
 	}
-	a.offer(now, "")
+	a.tell(now, map[string][]run.Event{})
 }
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -97,8 +97,7 @@
 			a.stop(ctx, ref)
 		}
 	}
-	s.send(a, refused)
-	a.offer(now, s.entry)
+	a.tell(now, map[string][]run.Event{s.entry: refused})
 }
 
 // order starts a run, or returns the event that refuses it.
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -201,7 +201,7 @@
 
 // retry lets an agent offer room again that was offered in vain.
 func (w *world) retry(m *machine) {
-	w.offer(m)
+	w.tell(m, map[int][]run.Event{})
 	w.after(5*time.Millisecond, func() { w.retry(m) })
 }
 
@@ -259,16 +259,18 @@
 
 func (w *world) want(m *machine, i int, want Want) {
 	m.offers.Want(ownerOf(i), want.Urgency, want.Demand)
-	w.offer(m)
+	w.tell(m, map[int][]run.Event{})
 }
 
-// offer tells the entries that have a new offer.
-func (w *world) offer(m *machine) {
+// tell gives the entries their events, and tells those that have a new offer.
+func (w *world) tell(m *machine, events map[int][]run.Event) {
+	offered := map[string]bool{}
 	for _, name := range m.offers.Next(w.now, m.free()) {
-		for i := range w.entries {
-			if ownerOf(i) == name {
-				w.reportTo(m, i, nil)
-			}
+		offered[name] = true
+	}
+	for i := range w.entries {
+		if list, ok := events[i]; ok || offered[ownerOf(i)] {
+			w.reportTo(m, i, list)
 		}
 	}
 }
@@ -290,8 +292,8 @@
 		want := w.entries[i].Want()
 		w.told[told{m.id, i}] = want.Demand.CPU > 0
 		w.after(oneWay, func() {
+			m.offers.Want(ownerOf(i), want.Urgency, want.Demand)
 			w.receive(m, i, b)
-			w.want(m, i, want)
 		})
 	}
 }
@@ -331,9 +333,7 @@
 			}
 		})
 	}
-	if len(refused) > 0 {
-		w.reportTo(m, i, refused)
-	}
+	w.tell(m, map[int][]run.Event{i: refused})
 }
 
 // schedule plans the end of a run at the machine's present speed.
@@ -361,8 +361,7 @@
 	if m.dead {
 		return
 	}
-	w.reportTo(m, r.entry, []run.Event{{Ref: ref, Kind: kind}})
-	w.offer(m)
+	w.tell(m, map[int][]run.Event{r.entry: {{Ref: ref, Kind: kind}}})
 }
 
 // change applies a trouble to a machine; runs go on at the new speed.
