Add the fault soak: real processes, stand-ins, seeded faults from outside

Change: soak/ starts entries and agents as processes on loopback, injects kills, stops, freezes, reloads, crashed, cut, silent, slow, stalling, failing and late backend servers and a store that is down, slow, silent, forgets or loses answers, in series and overlapping, and checks runs, room, refusals, evacuation, versions and the return of the service from what callers and backend servers see.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-MODULES := api dispatch store daemon platform
+MODULES := api dispatch store daemon platform soak
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: build test lint format-check generate generate-check demo prove replay capacity
+.PHONY: build test lint format-check generate generate-check demo prove replay capacity soak soak-many
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./daemon/cmd/... ./store/cmd/...
+	go build -o bin/ ./daemon/cmd/... ./store/cmd/... ./platform/cmd/...
 
 # Runs all tests but the slow proofs, which "make prove" runs.
 test:
@@ -30,6 +30,15 @@
 	set -e; for m in state entry agent peers load queue config claim loss; do bin/capacity -window 8s $$m; done
 	bin/capacity -kinds tcp -agents 880 -sizes 0 claim
 
+# Runs the programs of the users' platform as separate processes under random faults; see soak/.
+# SEED chooses the faults, SOAK_SECONDS how long they last, SOAK_LOGS a folder for the logs.
+soak: build
+	SOAK_BINARY=$(CURDIR)/bin/poplargw-node SEED=$(or $(SEED),1) go test ./soak -count=1 -run 'Soak|Regressions' -v -timeout 20m
+
+# The same with fifty seeds, one after the other.
+soak-many: build
+	SOAK_BINARY=$(CURDIR)/bin/poplargw-node SEED=$(or $(SEED),1) SOAK_COUNT=$(or $(COUNT),50) go test ./soak -count=1 -run Soak -v -timeout 60m
+
 # Runs the demonstration on loopback addresses; see README.md.
 demo: build
 	deploy/demo/run.sh
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"poplargw.example/platform/standin"
+)
+
+// fault is one kind of trouble; it returns when the trouble is over.
+type fault struct {
+	name string
+	do   func(w *world, r *rand.Rand)
+}
+
+func pick[T any](r *rand.Rand, list []T) T { return list[r.IntN(len(list))] }
+
+func span(r *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(r.Int64N(int64(most-least)))
+}
+
+// anyNode is an entry or an agent.
+func (w *world) anyNode(r *rand.Rand) *node {
+	if r.IntN(2) == 0 {
+		return pick(r, w.entries)
+	}
+	return pick(r, w.sides).node
+}
+
+var faults = []fault{
+	{"kill", func(w *world, r *rand.Rand) { w.anyNode(r).signal(syscall.SIGKILL) }},
+	{"kill twice", func(w *world, r *rand.Rand) {
+		n := w.anyNode(r)
+		n.signal(syscall.SIGKILL)
+		time.Sleep(span(r, 100*time.Millisecond, 400*time.Millisecond))
+		n.signal(syscall.SIGKILL)
+	}},
+	{"stop", func(w *world, r *rand.Rand) { w.anyNode(r).signal(syscall.SIGTERM) }},
+	{"reload", func(w *world, r *rand.Rand) { w.anyNode(r).signal(syscall.SIGHUP) }},
+	{"freeze", func(w *world, r *rand.Rand) {
+		n := w.anyNode(r)
+		n.signal(syscall.SIGSTOP)
+		time.Sleep(span(r, 200*time.Millisecond, 2500*time.Millisecond))
+		n.signal(syscall.SIGCONT)
+	}},
+	{"server crash", func(w *world, r *rand.Rand) {
+		s := pick(r, w.sides)
+		s.app.cut.Store(true)
+		s.app.reset()
+		s.backend.Restart()
+		time.Sleep(span(r, 100*time.Millisecond, 1500*time.Millisecond))
+		s.app.cut.Store(false)
+		s.app.reset()
+	}},
+	{"server cut off", func(w *world, r *rand.Rand) {
+		s := pick(r, w.sides)
+		s.app.cut.Store(true)
+		time.Sleep(span(r, 100*time.Millisecond, 1500*time.Millisecond))
+		s.app.cut.Store(false)
+		s.app.reset()
+	}},
+	{"server connections silent", func(w *world, r *rand.Rand) { pick(r, w.sides).app.silence() }},
+	{"server connections reset", func(w *world, r *rand.Rand) { pick(r, w.sides).app.reset() }},
+	{"server far", func(w *world, r *rand.Rand) {
+		s := pick(r, w.sides)
+		s.app.delay.Store(int64(span(r, 5*time.Millisecond, 40*time.Millisecond)))
+		time.Sleep(span(r, 300*time.Millisecond, 1500*time.Millisecond))
+		s.app.delay.Store(0)
+	}},
+	{"server stalls", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{Stall: true}) }},
+	{"server slow", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{Slow: 6}) }},
+	{"server fails", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{FailAll: true}) }},
+	{"server sheds", func(w *world, r *rand.Rand) {
+		w.serverFault(r, standin.BackendFaults{Status: http.StatusServiceUnavailable})
+	}},
+	{"late starts", func(w *world, r *rand.Rand) {
+		w.serverFault(r, standin.BackendFaults{LateStarts: span(r, 20*time.Millisecond, 700*time.Millisecond)})
+	}},
+	{"server drains", func(w *world, r *rand.Rand) {
+		s := pick(r, w.sides)
+		s.setState("draining")
+		time.Sleep(span(r, 500*time.Millisecond, 1500*time.Millisecond))
+		s.setState("ready")
+	}},
+	{"store down", func(w *world, r *rand.Rand) {
+		w.storeFault(r, standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	}},
+	{"store silent", func(w *world, r *rand.Rand) { w.storeFault(r, standin.StoreFaults{Silent: true}) }},
+	{"store slow", func(w *world, r *rand.Rand) { w.storeFault(r, standin.StoreFaults{Delay: 300 * time.Millisecond}) }},
+	{"store loses answers", func(w *world, r *rand.Rand) { w.storeFault(r, standin.StoreFaults{LoseWrites: true}) }},
+	{"store connections silent", func(w *world, r *rand.Rand) { w.storeAt.silence() }},
+	{"leases lapse", func(w *world, r *rand.Rand) { w.store.Lapse() }},
+	{"history dropped", func(w *world, r *rand.Rand) { w.store.Compact() }},
+	{"configuration", func(w *world, r *rand.Rand) { w.configure() }},
+}
+
+func (s *side) setState(state string) {
+	s.mu.Lock()
+	s.state = state
+	s.mu.Unlock()
+	s.beat()
+}
+
+func (w *world) serverFault(r *rand.Rand, f standin.BackendFaults) {
+	s := pick(r, w.sides)
+	s.backend.SetFaults(f)
+	time.Sleep(span(r, 200*time.Millisecond, 1500*time.Millisecond))
+	s.backend.SetFaults(standin.BackendFaults{})
+}
+
+func (w *world) storeFault(r *rand.Rand, f standin.StoreFaults) {
+	w.store.SetFaults(f)
+	time.Sleep(span(r, 200*time.Millisecond, 2*time.Second))
+	w.store.SetFaults(standin.StoreFaults{})
+}
+
+// torment injects faults in series, some of which overlap, and returns when all are over.
+func (w *world) torment(r *rand.Rand, d time.Duration) []string {
+	var done []string
+	var wg sync.WaitGroup
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		f := pick(r, faults)
+		own := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+		done = append(done, f.name)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.do(w, own)
+		}()
+		if r.IntN(3) > 0 {
+			wg.Wait()
+		}
+		time.Sleep(span(r, 50*time.Millisecond, 400*time.Millisecond))
+	}
+	wg.Wait()
+	return done
+}
