--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -79,7 +79,7 @@
 		err := a.look(ctx, reachable)
 		reachable = err == nil
 		if err != nil {
-			sleep(ctx, retryPause)
+			steady.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -130,12 +130,3 @@
 		a.Log.Warn(event.ServerUnreachable, event.Fields{"error": err.Error()})
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/runentry/drain.go
+++ b/daemon/runentry/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"poplargw.example/daemon/steady"
 )
 
 // drainPoll is the time between two looks whether all callers have been answered.
@@ -11,7 +13,7 @@
 // Drain goes on serving for a while, in which the load balancer turns callers to other entries, then
 // rejects further jobs, and returns when all callers have been answered or ctx ends.
 func (e *Entry) Drain(ctx context.Context, serve time.Duration) error {
-	sleep(ctx, serve)
+	steady.Sleep(ctx, serve)
 	e.Leave()
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -69,6 +69,9 @@
 const (
 	// tickEvery is the time between two looks at what time alone demands.
 	tickEvery = 20 * time.Millisecond
+	// lateTick is the gap between two ticks after which frames may still wait in the sockets, so that
+	// a link that seems to be silent need not be.
+	lateTick = 100 * time.Millisecond
 	// pauseLimit is the gap between two ticks after which the process counts as paused. A job that was
 	// here before may have been sent again elsewhere: callers do so 1.3 s after they lost the entry.
 	pauseLimit = 900 * time.Millisecond
@@ -99,15 +102,25 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := steady.Now()
+	late := !e.lastTick.IsZero() && now.Sub(e.lastTick) > lateTick
 	e.resume(now)
-	for _, id := range e.scheduler.Silent(now) {
-		e.agents[id].hangUp("silent")
+	if !late {
+		e.endSilent(now)
 	}
 	e.scheduler.Tick(now)
 	e.flush()
 	e.beat(now)
 }
 
+// endSilent ends links that have been silent for too long; new ones are opened at once.
+func (e *Entry) endSilent(now time.Time) {
+	for _, id := range e.scheduler.Silent(now) {
+		if a := e.agents[id]; a != nil && a.conn != nil {
+			a.conn.Close()
+		}
+	}
+}
+
 // resume drops all jobs after a pause: their callers may have sent them again elsewhere, and what
 // waits in the sockets of this process is just as old. The caller holds the lock.
 func (e *Entry) resume(now time.Time) {
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -44,12 +44,6 @@
 	cancel   context.CancelFunc
 }
 
-func (a *agent) hangUp(string) {
-	if a != nil && a.conn != nil {
-		a.conn.Close()
-	}
-}
-
 // SetAgents replaces the list of agents, by ID with their addresses. An ID never changes its address.
 // Agents that are no longer listed
 // stay in use while they answer.
@@ -104,7 +98,7 @@
 	for ctx.Err() == nil && !e.dropAbsent(a) {
 		conn, err := link.Dial(ctx, a.addr, e.Links, dialLimit)
 		if err != nil {
-			sleep(ctx, jitter(pause))
+			steady.Sleep(ctx, jitter(pause))
 			pause = min(2*pause, redialLast)
 			continue
 		}
@@ -238,12 +232,3 @@
 
 // jitter spreads attempts of several processes over the pause.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/runentry/submit.go
+++ b/daemon/runentry/submit.go
@@ -95,7 +95,7 @@
 		}
 		return Queued
 	}
-	return e.ended.state(id, steady.Now())
+	return e.ended.states[id]
 }
 
 // flush hands out what the scheduler has decided. The caller holds the lock.
@@ -148,5 +148,3 @@
 		h.order = h.order[1:]
 	}
 }
-
-func (h *history) state(id string, _ time.Time) State { return h.states[id] }
--- a/daemon/steady/steady.go
+++ b/daemon/steady/steady.go
@@ -3,6 +3,7 @@
 package steady
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,3 +19,13 @@
 	}
 	return time.Unix(ts.Unix())
 }
+
+// Sleep waits for the time, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -129,7 +129,7 @@
 
 func (s *Scheduler) order(now time.Time, j *job, t *task, v *server) {
 	step := j.Steps[t.step]
-	a := &attempt{ref: newRun(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, ordered: now}
+	a := &attempt{ref: s.newRun(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, ordered: now}
 	t.state = placed
 	t.run = a
 	t.attempts++
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -414,7 +414,7 @@
 	w.works[id], w.arrived[id], w.kindOf[id] = time.Duration(longest*float64(time.Second)), w.now, k
 	i := w.rng.IntN(len(w.entries))
 	o, ok := w.entries[i].Submit(w.now, Job{
-		ID: id, Arrived: w.now, Patience: 1500 * time.Millisecond,
+		ID: id, Arrived: w.now,
 		Queue: route.Queue{Name: k.name, Service: "svc", Attempts: 3, Stretch: 1.6, Latency: 60 * time.Millisecond, Priority: k.priority},
 		Steps: []Step{{Count: k.width, Demand: run.Demand{CPU: taskCPU, MemoryMB: 64}, Estimate: time.Duration(estimate * float64(time.Second))}},
 	})
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -391,9 +391,8 @@
 	}
 }
 
-// newRun numbers a run. Numbers rise over all entries that may start the task, because a backend
-// server refuses numbers that are not above one that ended there.
-func newRun(now time.Time, t *task) run.Ref {
-	t.lastRun = max(t.lastRun+1, uint64(now.UnixMilli()))
+// newRun numbers a run. Numbers rise over all entries that may start the task.
+func (s *Scheduler) newRun(now time.Time, t *task) run.Ref {
+	t.lastRun = max(t.lastRun+1, uint64(now.UnixMilli()+s.limits.RunOffset))
 	return run.Ref{Task: t.name, Run: t.lastRun}
 }
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -85,7 +85,7 @@
 
 func (b *bench) submitTo(q route.Queue, id string, tasks int, cpu int64, estimate time.Duration) bool {
 	o, ok := b.Submit(b.now, Job{
-		ID: id, Queue: q, Arrived: b.now, Patience: 1500 * time.Millisecond,
+		ID: id, Queue: q, Arrived: b.now,
 		Steps: []Step{{Count: tasks, Demand: run.Demand{CPU: cpu}, Estimate: estimate}},
 	})
 	if !ok {
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -34,8 +34,6 @@
 	Spec    string
 	Steps   []Step
 	Arrived time.Time
-	// Patience is how long the caller waits at least; for long jobs it waits longer.
-	Patience time.Duration
 }
 
 // Outcome is how a job has ended. Code 0 means completed.
@@ -124,6 +122,9 @@
 	Lost time.Duration
 	// MaxWaiting bounds the tasks that wait for a place.
 	MaxWaiting int
+	// RunOffset is added to the time in milliseconds that numbers runs, so that the numbers of
+	// several entries rise together: a backend server refuses a number below one that ended there.
+	RunOffset int64
 }
 
 // Stats counts what the scheduler holds.
--- a/dispatch/runtable/look.go
+++ b/dispatch/runtable/look.go
@@ -82,6 +82,7 @@
 	t.looked = true
 	if t.foreign {
 		t.foreign = false
+		t.granted = max(t.granted, l.ClockMS+t.limits.Lease.Milliseconds())
 		t.quarantine = l.ClockMS + t.limits.OrderExpiry.Milliseconds()
 	}
 	return events
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -356,3 +356,17 @@
 	f.Sent(false)
 	single(t, f.Lapsed(f.now), run.Stopped, result.ServerLost)
 }
+
+// Guards against a restarted agent that calls runs lapsed although the lease that its former life
+// granted still holds them: their tasks would start a second time elsewhere. Found by TestModel.
+func TestRestartedAgentAssumesTheLongestLease(t *testing.T) {
+	f := &fixture{Table: New(start(), testLimits), t: t, now: start()}
+	f.Announce(f.now, testServer, testBorn)
+	f.look([]Seen{{Ref: ref("a", 1)}}, nil)
+	f.advance(testLimits.Lease)
+	if events := f.Lapsed(f.now); len(events) != 0 {
+		t.Fatalf("lapsed under the former lease: %+v", events)
+	}
+	f.advance(20 * time.Millisecond)
+	single(t, f.Lapsed(f.now), run.Stopped, result.ServerLost)
+}
--- a/store/follow.go
+++ b/store/follow.go
@@ -147,11 +147,7 @@
 
 // pause waits for about the given time and doubles it up to backoffLast.
 func pause(ctx context.Context, d *time.Duration) {
-	t := time.NewTimer(*d/2 + rand.N(*d))
-	defer t.Stop()
+	// The loop that calls sees the end of ctx itself.
+	_ = sleep(ctx, *d/2+rand.N(*d))
 	*d = min(2**d, backoffLast)
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
 }
--- a/store/register.go
+++ b/store/register.go
@@ -33,7 +33,7 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			delay = backoffFirst
-			wait(ctx, r.ttl/renewals)
+			_ = sleep(ctx, r.ttl/renewals) // the loop sees the end of ctx itself
 		case errors.Is(err, ErrLeaseLost):
 			r.end(err)
 			pause(ctx, &delay)
@@ -90,12 +90,3 @@
 		r.Ended(err)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
