--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -41,6 +41,11 @@
 	specs    map[run.Ref]spec
 	stops    map[run.Ref]time.Time // stops in flight and when they began
 	reached  bool
+
+	// overhead is how much longer than its wait a look takes, lostAnswer when the last one had none.
+	// Only the goroutine that looks uses them.
+	overhead   time.Duration
+	lostAnswer time.Time
 }
 
 // spec is what the backend server is given with a start.
--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -15,16 +15,23 @@
 	// busyWait is how long a look waits for an end while tasks run; it is also how old the progress
 	// is that entries hear of.
 	busyWait = 60 * time.Millisecond
+	// shakyWait is the same while answers get lost: each lost one is noticed only after its wait.
+	shakyWait = 20 * time.Millisecond
+	// shakyFor is how long after a lost answer that holds.
+	shakyFor = time.Second
 	// idleWait is the same while nothing runs. It is below the lease, so that a start after an idle
 	// time is renewed before it lapses.
 	idleWait = 200 * time.Millisecond
-	// lookMargin is how much longer than its wait a look may take. A backend server on the same VM
-	// answers within a few milliseconds; slower VMs need some tens.
+	// lookMargin is how much longer than its wait a look may take at most. A backend server on the same
+	// VM answers within a few milliseconds; slower VMs need some tens.
 	lookMargin = 90 * time.Millisecond
+	// leastMargin is the same while answers are fast, of which marginFactor usual ones are allowed.
+	leastMargin  = 25 * time.Millisecond
+	marginFactor = 10
 	// retryPause is the pause after a look without an answer.
 	retryPause = 10 * time.Millisecond
 	// startMargin is how much longer than its expiry the answer to an order is waited for.
-	startMargin = 50 * time.Millisecond
+	startMargin = 20 * time.Millisecond
 	// stopLimit bounds one call that stops a run. Sweeps repeat it until the run has ended.
 	stopLimit = 150 * time.Millisecond
 )
@@ -34,8 +41,9 @@
 	a.mu.Lock()
 	order := a.specs[ref]
 	call := Start{Ref: ref, Spec: order.text, Checkpoint: order.checkpoint, Instance: order.instance, ExpiryMS: a.table.Expiry(ref)}
+	limit := a.table.Pending(steady.Now(), a.Limits.OrderExpiry) + startMargin
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, a.Limits.OrderExpiry+startMargin)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	clock, err := a.Backend.Start(ctx, call)
 	a.mu.Lock()
@@ -43,7 +51,7 @@
 	var refused *Refused
 	switch {
 	case err == nil:
-		a.table.Accepted(ref, clock)
+		a.table.Accepted(steady.Now(), ref, clock)
 	case errors.Is(err, ErrNotSent):
 		a.deliver(a.table.Rejected(steady.Now(), ref, result.StartTooLate))
 	case errors.As(err, &refused):
@@ -86,9 +94,11 @@
 
 func (a *Agent) look(ctx context.Context, reachable bool) error {
 	request := a.lookRequest(reachable)
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+lookMargin)
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+a.margin())
 	defer cancel()
+	began := time.Now()
 	seen, err := a.Backend.Look(ctx, request)
+	a.noteAnswer(time.Since(began)-request.Wait, err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.noteReach(err)
@@ -114,11 +124,36 @@
 	}
 	r.Wait = idleWait
 	if a.table.Len() > 0 {
-		r.Wait = busyWait
+		r.Wait = a.table.Pending(steady.Now(), busyWait)
+	}
+	if time.Since(a.lostAnswer) < shakyFor {
+		r.Wait = min(r.Wait, shakyWait)
 	}
 	return r
 }
 
+// margin is how long an answer may take beyond its wait. Only the goroutine that looks uses it.
+func (a *Agent) margin() time.Duration {
+	return min(lookMargin, max(leastMargin, marginFactor*a.overhead))
+}
+
+// noteAnswer learns how much longer than their wait answers take. An answer that did not come doubles
+// it, so that a slow backend server is not taken for one that loses answers.
+func (a *Agent) noteAnswer(over time.Duration, err error) {
+	switch {
+	case err != nil:
+		a.lostAnswer = time.Now()
+		a.overhead = min(lookMargin, 2*max(a.overhead, time.Millisecond))
+	case over > a.overhead:
+		a.overhead = over
+	case over > 0:
+		a.overhead -= (a.overhead - over) / overheadWeight
+	}
+}
+
+// overheadWeight is how many answers it takes to forget a slow one for the most part.
+const overheadWeight = 4
+
 // noteReach logs when the backend server is lost and when it is back. The caller holds the lock.
 func (a *Agent) noteReach(err error) {
 	switch {
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -120,12 +120,26 @@
 // more: it says within a beat what has changed.
 const refusalPause = 60 * time.Millisecond
 
+const (
+	// unansweredLimit is the number of orders in a row without an answer after which a backend server
+	// gets none for unansweredPause. Single lost answers say nothing of it: when they were counted as
+	// failures, servers that lost three answers in ten were suspended while they were idle.
+	unansweredLimit = 4
+	unansweredPause = 300 * time.Millisecond
+)
+
 // refused takes in an order that has not run.
 func (s *Scheduler) refused(now time.Time, a *attempt, e run.Event) {
 	switch e.Reason {
 	case result.NoFreeSlot, result.AgentLost:
-	case result.StartTooLate, result.NotReady:
-		// The backend server did not answer, or said that it is not healthy.
+	case result.StartTooLate:
+		a.server.unanswered++
+		if a.server.unanswered >= unansweredLimit {
+			a.server.unanswered = 0
+			a.server.pausedUntil = now.Add(unansweredPause)
+		}
+	case result.NotReady:
+		// The backend server said that it is not healthy.
 		s.serverFailed(now, a)
 		a.task.avoid[a.server.state.Instance] = true
 	default:
@@ -140,6 +154,7 @@
 	j.left[t.step]--
 	took := now.Sub(a.ordered)
 	a.server.health.Success()
+	a.server.unanswered = 0
 	s.learn(now, a, took)
 	work := time.Duration(float64(took) / a.server.slowness())
 	j.took = append(j.took, work)
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -358,3 +358,23 @@
 		t.Errorf("without a server: %+v", o)
 	}
 }
+
+// Guards against backend servers that are suspended because some of their answers are lost, and
+// against orders without end to one that answers none.
+func TestLostAnswersSuspendNobody(t *testing.T) {
+	b := newBench(t, 1, 10_000)
+	b.submit("j", 1, 3000, 400*time.Millisecond)
+	for i := range unansweredLimit {
+		if b.placed() != 1 {
+			t.Fatalf("no order after %d lost answers", i)
+		}
+		b.event("a0", b.orders["a0"][0].Ref, run.NotRun, result.StartTooLate)
+	}
+	if b.placed() != 0 {
+		t.Error("ordered from a server that answers nothing")
+	}
+	b.advance(unansweredPause)
+	if b.placed() != 1 {
+		t.Error("not ordered again after the pause")
+	}
+}
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -26,10 +26,11 @@
 	health  *health.Server
 	cell    *estimate.Cell
 	// lag is how many times slower than learned the backend server runs at the moment.
-	lag      float64
-	batch    Batch
-	reported bool
-	entries  int
+	lag        float64
+	batch      Batch
+	reported   bool
+	entries    int
+	unanswered int // orders in a row without an answer
 	// pausedUntil is until when the agent gets no orders because it refused one.
 	pausedUntil time.Time
 }
--- a/dispatch/runtable/look.go
+++ b/dispatch/runtable/look.go
@@ -116,7 +116,7 @@
 	}
 	r.percent = s.Percent
 	r.saved = s.Checkpoint
-	t.Accepted(s.Ref, l.ClockMS)
+	t.accept(r, l.ClockMS)
 }
 
 // vanished ends the runs that a look should show and does not. A look may be older than a start
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -16,8 +16,10 @@
 
 // Limits are the time bounds that forbid two runs of one task; docs/platform.md adds them up.
 type Limits struct {
-	// OrderExpiry is how long after its issue an order may begin at the backend server.
+	// OrderExpiry is how long after its issue an order may begin at the backend server at most. It is
+	// shorter, down to LeastExpiry, while the backend server answers orders fast.
 	OrderExpiry time.Duration
+	LeastExpiry time.Duration
 	// Lease is how long everything on the backend server lives without a renewal.
 	Lease time.Duration
 	// RenewFor is how long the lease is renewed without an answer. A call whose answer is lost renews it,
@@ -78,8 +80,8 @@
 	accepted bool
 	// since is the backend server's clock at its acceptance, or the expiry while there is no answer.
 	since   int64
-	found   time.Time
-	stopped bool // a stop was asked for
+	found   time.Time // when it was ordered, or seen for the first time
+	stopped bool      // a stop was asked for
 	percent int
 	saved   string
 }
@@ -113,6 +115,7 @@
 	sending int64 // end of the lease in a renewal that is under way; 0 if there is none
 	started time.Time
 	settled bool
+	answers time.Duration // usual time of an answer to an order
 }
 
 // New returns the table of an agent that has just started. It grants nothing before the backend
@@ -122,6 +125,7 @@
 		limits:  limits,
 		started: now,
 		foreign: true,
+		answers: limits.OrderExpiry / answerFactor,
 		runs:    map[run.Ref]*record{},
 		ends:    map[run.Ref]keptEnd{},
 		offers:  NewOffers(limits.OfferHold),
@@ -254,8 +258,8 @@
 		return code
 	}
 	t.offers.Use(o.Owner, o.Demand)
-	expiry := t.clock.at(now) + t.limits.OrderExpiry.Milliseconds()
-	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, since: expiry}
+	expiry := t.clock.at(now) + t.expiry().Milliseconds()
+	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, since: expiry, found: now}
 	t.granted = max(t.granted, expiry)
 	return 0
 }
@@ -298,6 +302,44 @@
 	return task[:max(0, strings.LastIndexByte(task, '.'))]
 }
 
+const (
+	// answerFactor is how many usual answer times an order may take to the backend server.
+	answerFactor = 15
+	// answerDecay is the weight of the past in the usual answer time.
+	answerDecay = 0.9
+)
+
+// expiry is how long an order may take to the backend server. An order whose answer is lost keeps its
+// task waiting for that long.
+func (t *Table) expiry() time.Duration {
+	return min(t.limits.OrderExpiry, max(t.limits.LeastExpiry, answerFactor*t.answers))
+}
+
+// answered notes how long an answer took.
+func (t *Table) answered(took time.Duration) {
+	if took > t.answers {
+		t.answers = took
+		return
+	}
+	t.answers = time.Duration(answerDecay*float64(t.answers) + (1-answerDecay)*float64(took))
+}
+
+// Pending returns how long it takes until the first order without an answer has expired, or the given
+// time if that is sooner.
+func (t *Table) Pending(now time.Time, most time.Duration) time.Duration {
+	for _, r := range t.runs {
+		if r.accepted {
+			continue
+		}
+		left := time.Duration(r.since-t.clock.at(now))*time.Millisecond + pendingMargin
+		most = min(most, max(pendingMargin, left))
+	}
+	return most
+}
+
+// pendingMargin is how much later than an order's expiry a look proves it.
+const pendingMargin = 3 * time.Millisecond
+
 // Expiry returns the order's latest start on the backend server's clock, in milliseconds.
 func (t *Table) Expiry(ref run.Ref) int64 {
 	if r := t.runs[ref]; r != nil {
@@ -306,10 +348,19 @@
 	return 0
 }
 
-// Accepted records that the backend server has started the run, at clockMS of its own clock.
-func (t *Table) Accepted(ref run.Ref, clockMS int64) {
+// Accepted records that the backend server has answered at now that it has started the run, at clockMS
+// of its own clock.
+func (t *Table) Accepted(now time.Time, ref run.Ref, clockMS int64) {
 	r := t.runs[ref]
-	if r == nil || r.accepted {
+	if r == nil {
+		return
+	}
+	t.answered(now.Sub(r.found))
+	t.accept(r, clockMS)
+}
+
+func (t *Table) accept(r *record, clockMS int64) {
+	if r.accepted {
 		return
 	}
 	r.accepted = true
