Use one forwarder for proofs and soak

Cause: daemon/prove and soak each had a forwarder that cuts, silences and delays connections. Change: it stands in daemon/testbed; those of daemon/replay (exact delays) and capacity (byte counts) do other work and stay.

--- a/daemon/prove/connection_test.go
+++ b/daemon/prove/connection_test.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"poplargw.example/daemon/sample"
+	"poplargw.example/daemon/testbed"
 )
 
 // links returns all forwarders between processes.
-func (s *system) links() []*forwarder {
-	var all []*forwarder
+func (s *system) links() []*testbed.Forwarder {
+	var all []*testbed.Forwarder
 	for _, f := range s.peers {
 		all = append(all, f)
 	}
@@ -29,7 +30,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		for _, f := range s.links() {
 			for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-				silenced += f.silenceOpen(p.IP)
+				silenced += f.SilenceOpen(p.IP)
 			}
 		}
 	}
@@ -52,7 +53,7 @@
 	s := newSystem(t, layout{entries: 2, agents: 3, slots: 16})
 	for i, e := range s.entries {
 		for k, a := range s.agents {
-			s.peers[a.Name].setDelay(e.IP, time.Duration(i*7+k*11)*time.Millisecond)
+			s.peers[a.Name].SetDelay(e.IP, time.Duration(i*7+k*11)*time.Millisecond)
 		}
 	}
 	var jobs []*job
--- a/daemon/prove/domain_test.go
+++ b/daemon/prove/domain_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"poplargw.example/daemon/testbed"
 	"poplargw.example/store"
 )
 
@@ -88,11 +89,11 @@
 // Agents and callers still reach it.
 func (s *system) cut(entry int) {
 	e := s.entries[entry]
-	s.stores[e.Name].set(s.stores[e.Name].anySource(), linkSilent)
+	s.stores[e.Name].Set(testbed.AnySource, testbed.LinkSilent)
 	for i, other := range s.entries {
 		if i != entry {
-			s.peers[e.Name].set(other.IP, linkSilent)
-			s.peers[other.Name].set(e.IP, linkSilent)
+			s.peers[e.Name].Set(other.IP, testbed.LinkSilent)
+			s.peers[other.Name].Set(e.IP, testbed.LinkSilent)
 		}
 	}
 }
@@ -145,23 +146,23 @@
 	s := newSystem(t, layout{entries: 3, agents: 3, slots: 8})
 	l := s.startLoad(steady)
 	time.Sleep(time.Second)
-	hold := func(m linkMode, toAgent bool) {
+	hold := func(m testbed.LinkMode, toAgent bool) {
 		for _, e := range s.entries {
 			if toAgent {
-				s.peers[s.agents[0].Name].set(e.IP, m)
+				s.peers[s.agents[0].Name].Set(e.IP, m)
 			} else {
-				s.peers[e.Name].set(s.agents[0].IP, m)
+				s.peers[e.Name].Set(s.agents[0].IP, m)
 			}
 		}
 	}
-	hold(linkHold, false)
-	hold(linkHold, true)
+	hold(testbed.LinkHold, false)
+	hold(testbed.LinkHold, true)
 	time.Sleep(300 * time.Millisecond)
 	out := s.setDomain(0, "d1", true)
 	time.Sleep(time.Until(out.Add(stopBound + 500*time.Millisecond)))
-	hold(linkOpen, true)
+	hold(testbed.LinkOpen, true)
 	time.Sleep(500 * time.Millisecond)
-	hold(linkOpen, false)
+	hold(testbed.LinkOpen, false)
 	time.Sleep(2 * time.Second)
 	end := time.Now()
 	jobs := l.stop()
--- a/daemon/prove/pairs_test.go
+++ b/daemon/prove/pairs_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"poplargw.example/daemon/testbed"
 	"poplargw.example/store"
 )
 
@@ -36,7 +37,7 @@
 func (s *system) silenceAll() {
 	for _, f := range s.peers {
 		for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-			f.silenceOpen(p.IP)
+			f.SilenceOpen(p.IP)
 		}
 	}
 }
@@ -44,11 +45,11 @@
 // heal ends a cut.
 func (s *system) heal(entry int) {
 	e := s.entries[entry]
-	s.stores[e.Name].set(s.stores[e.Name].anySource(), linkOpen)
+	s.stores[e.Name].Set(testbed.AnySource, testbed.LinkOpen)
 	for i, other := range s.entries {
 		if i != entry {
-			s.peers[e.Name].set(other.IP, linkOpen)
-			s.peers[other.Name].set(e.IP, linkOpen)
+			s.peers[e.Name].Set(other.IP, testbed.LinkOpen)
+			s.peers[other.Name].Set(e.IP, testbed.LinkOpen)
 		}
 	}
 }
--- a/daemon/prove/system_test.go
+++ b/daemon/prove/system_test.go
@@ -50,8 +50,8 @@
 	entries []*process
 	agents  []*process
 	servers []*process
-	peers   map[string]*forwarder
-	stores  map[string]*forwarder
+	peers   map[string]*testbed.Forwarder
+	stores  map[string]*testbed.Forwarder
 }
 
 // logLines is how many lines of each log a failed test shows.
@@ -64,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &system{t: t, net: net, layout: l, peers: map[string]*forwarder{}, stores: map[string]*forwarder{}}
+	s := &system{t: t, net: net, layout: l, peers: map[string]*testbed.Forwarder{}, stores: map[string]*testbed.Forwarder{}}
 	s.store = s.process(net.Store())
 	s.store.start()
 	for i := range l.entries {
@@ -115,9 +115,9 @@
 		s.layout.slots, s.layout.serverArgs[i]...))
 }
 
-func (s *system) forward(addr, target string) *forwarder {
+func (s *system) forward(addr, target string) *testbed.Forwarder {
 	s.t.Helper()
-	f, err := newForwarder(addr, target)
+	f, err := testbed.NewForwarder(addr, target)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -136,9 +136,9 @@
 			}
 		}
 	}
-	for _, links := range []map[string]*forwarder{s.peers, s.stores} {
+	for _, links := range []map[string]*testbed.Forwarder{s.peers, s.stores} {
 		for _, f := range links {
-			f.close()
+			f.Close()
 		}
 	}
 }
--- a/daemon/prove/forward_test.go
+++ b/daemon/testbed/forwarder.go
@@ -1,4 +1,4 @@
-package prove
+package testbed
 
 import (
 	"net"
@@ -6,28 +6,29 @@
 	"time"
 )
 
-// linkMode says what a forwarder does with the connections of one source.
-type linkMode int
+// LinkMode says what a forwarder does with the connections of one source.
+type LinkMode int
 
+// Modes of connections.
 const (
-	linkOpen linkMode = iota
-	// linkSilent accepts connections and bytes but delivers nothing.
-	linkSilent
-	// linkRefuse closes connections at once.
-	linkRefuse
-	// linkHold keeps what the source sends and delivers it later, also if the source has
+	LinkOpen LinkMode = iota
+	// LinkSilent accepts connections and bytes but delivers nothing.
+	LinkSilent
+	// LinkRefuse closes connections at once.
+	LinkRefuse
+	// LinkHold keeps what the source sends and delivers it later, also if the source has
 	// closed the connection by then.
-	linkHold
+	LinkHold
 )
 
-// forwarder forwards TCP connections to one process. The source IP tells which
+// Forwarder forwards TCP connections to one process. The source IP tells which
 // process opened a connection, so each pair of processes can be cut separately.
-type forwarder struct {
+type Forwarder struct {
 	listener net.Listener
 	target   string
 
 	mu    sync.Mutex
-	modes map[string]linkMode
+	modes map[string]LinkMode
 	delay map[string]time.Duration
 	conns map[*forwarded]bool
 }
@@ -39,25 +40,26 @@
 	silent  bool
 }
 
-func newForwarder(addr, target string) (*forwarder, error) {
+// NewForwarder listens on the address and forwards to the target.
+func NewForwarder(addr, target string) (*Forwarder, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	f := &forwarder{
+	f := &Forwarder{
 		listener: l, target: target,
-		modes: make(map[string]linkMode), delay: make(map[string]time.Duration), conns: make(map[*forwarded]bool),
+		modes: make(map[string]LinkMode), delay: make(map[string]time.Duration), conns: make(map[*forwarded]bool),
 	}
 	go f.accept()
 	return f, nil
 }
 
-// set changes the mode for open and new connections from the source IP.
-func (f *forwarder) set(source string, m linkMode) {
+// Set changes the mode for open and new connections from the source IP.
+func (f *Forwarder) Set(source string, m LinkMode) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.modes[source] = m
-	if m != linkRefuse {
+	if m != LinkRefuse {
 		return
 	}
 	for c := range f.conns {
@@ -67,23 +69,23 @@
 	}
 }
 
-// anySource is the source of every connection whose source has no mode of its own.
-func (f *forwarder) anySource() string { return "" }
+// AnySource is the source of every connection whose source has no mode of its own.
+const AnySource = ""
 
-// setDelay adds a delay to each chunk in both directions.
-func (f *forwarder) setDelay(source string, d time.Duration) {
+// SetDelay adds a delay to each chunk in both directions.
+func (f *Forwarder) SetDelay(source string, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.delay[source] = d
 }
 
-// silenceOpen makes the connections that are open now silent for good; new ones work.
-func (f *forwarder) silenceOpen(source string) int {
+// SilenceOpen makes the connections that are open now silent for good; new ones work.
+func (f *Forwarder) SilenceOpen(source string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for c := range f.conns {
-		if c.source == source {
+		if c.source == source || source == AnySource {
 			c.silent = true
 			n++
 		}
@@ -91,7 +93,8 @@
 	return n
 }
 
-func (f *forwarder) close() {
+// Close ends the listener and all connections.
+func (f *Forwarder) Close() {
 	f.listener.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,7 +103,23 @@
 	}
 }
 
-func (f *forwarder) accept() {
+// Addr returns the address that it listens on.
+func (f *Forwarder) Addr() string { return f.listener.Addr().String() }
+
+// Reset ends all open connections; new ones work.
+func (f *Forwarder) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if tcp, ok := c.in.(*net.TCPConn); ok {
+			// A connection that has just ended cannot be set; it needs no reset.
+			_ = tcp.SetLinger(0)
+		}
+		c.close()
+	}
+}
+
+func (f *Forwarder) accept() {
 	for {
 		in, err := f.listener.Accept()
 		if err != nil {
@@ -110,9 +129,9 @@
 	}
 }
 
-func (f *forwarder) serve(in net.Conn) {
+func (f *Forwarder) serve(in net.Conn) {
 	c := &forwarded{source: in.RemoteAddr().(*net.TCPAddr).IP.String(), in: in}
-	if f.mode(c) == linkRefuse {
+	if f.mode(c) == LinkRefuse {
 		in.Close()
 		return
 	}
@@ -134,15 +153,15 @@
 	f.mu.Unlock()
 }
 
-func (f *forwarder) copy(c *forwarded, from, to net.Conn) {
+func (f *Forwarder) copy(c *forwarded, from, to net.Conn) {
 	defer c.close()
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		for from == c.in && f.mode(c) == linkHold {
+		for from == c.in && f.mode(c) == LinkHold {
 			time.Sleep(10 * time.Millisecond)
 		}
-		if n > 0 && f.mode(c) == linkOpen {
+		if n > 0 && f.mode(c) == LinkOpen {
 			time.Sleep(f.delayOf(c))
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
@@ -150,7 +169,7 @@
 		}
 		if err != nil {
 			// A silent path does not deliver the end of a connection either.
-			for f.mode(c) == linkSilent {
+			for f.mode(c) == LinkSilent {
 				time.Sleep(50 * time.Millisecond)
 			}
 			return
@@ -158,22 +177,25 @@
 	}
 }
 
-func (f *forwarder) mode(c *forwarded) linkMode {
+func (f *Forwarder) mode(c *forwarded) LinkMode {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.silent {
-		return linkSilent
+		return LinkSilent
 	}
 	if m, ok := f.modes[c.source]; ok {
 		return m
 	}
-	return f.modes[f.anySource()]
+	return f.modes[AnySource]
 }
 
-func (f *forwarder) delayOf(c *forwarded) time.Duration {
+func (f *Forwarder) delayOf(c *forwarded) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.delay[c.source]
+	if d, ok := f.delay[c.source]; ok {
+		return d
+	}
+	return f.delay[AnySource]
 }
 
 func (c *forwarded) close() {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"poplargw.example/daemon/testbed"
 	"poplargw.example/platform/standin"
 )
 
@@ -48,27 +49,27 @@
 	}},
 	{"server crash", func(w *world, r *rand.Rand) {
 		s := pick(r, w.sides)
-		s.app.cut.Store(true)
-		s.app.reset()
+		s.app.Set(testbed.AnySource, testbed.LinkSilent)
+		s.app.Reset()
 		s.backend.Restart()
 		time.Sleep(span(r, 100*time.Millisecond, 1500*time.Millisecond))
-		s.app.cut.Store(false)
-		s.app.reset()
+		s.app.Set(testbed.AnySource, testbed.LinkOpen)
+		s.app.Reset()
 	}},
 	{"server cut off", func(w *world, r *rand.Rand) {
 		s := pick(r, w.sides)
-		s.app.cut.Store(true)
+		s.app.Set(testbed.AnySource, testbed.LinkSilent)
 		time.Sleep(span(r, 100*time.Millisecond, 1500*time.Millisecond))
-		s.app.cut.Store(false)
-		s.app.reset()
+		s.app.Set(testbed.AnySource, testbed.LinkOpen)
+		s.app.Reset()
 	}},
-	{"server connections silent", func(w *world, r *rand.Rand) { pick(r, w.sides).app.silence() }},
-	{"server connections reset", func(w *world, r *rand.Rand) { pick(r, w.sides).app.reset() }},
+	{"server connections silent", func(w *world, r *rand.Rand) { pick(r, w.sides).app.SilenceOpen(testbed.AnySource) }},
+	{"server connections reset", func(w *world, r *rand.Rand) { pick(r, w.sides).app.Reset() }},
 	{"server far", func(w *world, r *rand.Rand) {
 		s := pick(r, w.sides)
-		s.app.delay.Store(int64(span(r, 5*time.Millisecond, 40*time.Millisecond)))
+		s.app.SetDelay(testbed.AnySource, span(r, 5*time.Millisecond, 40*time.Millisecond))
 		time.Sleep(span(r, 300*time.Millisecond, 1500*time.Millisecond))
-		s.app.delay.Store(0)
+		s.app.SetDelay(testbed.AnySource, 0)
 	}},
 	{"server stalls", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{Stall: true}) }},
 	{"server slow", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{Slow: 6}) }},
@@ -91,7 +92,7 @@
 	{"store silent", func(w *world, r *rand.Rand) { w.storeFault(r, standin.StoreFaults{Silent: true}) }},
 	{"store slow", func(w *world, r *rand.Rand) { w.storeFault(r, standin.StoreFaults{Delay: 300 * time.Millisecond}) }},
 	{"store loses answers", func(w *world, r *rand.Rand) { w.storeFault(r, standin.StoreFaults{LoseWrites: true}) }},
-	{"store connections silent", func(w *world, r *rand.Rand) { w.storeAt.silence() }},
+	{"store connections silent", func(w *world, r *rand.Rand) { w.storeAt.SilenceOpen(testbed.AnySource) }},
 	{"leases lapse", func(w *world, r *rand.Rand) { w.store.Lapse() }},
 	{"history dropped", func(w *world, r *rand.Rand) { w.store.Compact() }},
 	{"configuration", func(w *world, r *rand.Rand) { w.configure() }},
--- a/soak/world.go
+++ b/soak/world.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"poplargw.example/daemon/testbed"
 	"poplargw.example/platform/standin"
 )
 
@@ -37,7 +38,7 @@
 	dir     string
 	binary  string
 	store   *standin.Store
-	storeAt *proxy
+	storeAt *testbed.Forwarder
 	entries []*node
 	sides   []*side
 	version int
@@ -61,7 +62,7 @@
 type side struct {
 	*node
 	backend *standin.Backend
-	app     *proxy
+	app     *testbed.Forwarder
 	control string
 	zone    string
 	mu      sync.Mutex
@@ -71,7 +72,7 @@
 
 func newWorld(t *testing.T, binary string, entries, sides int) *world {
 	w := &world{t: t, dir: t.TempDir(), binary: binary, store: standin.NewStore()}
-	w.storeAt = newProxy(t, w.serve(w.store))
+	w.storeAt = w.forward(w.serve(w.store))
 	w.configure()
 	for i := range sides {
 		w.addSide(i)
@@ -91,6 +92,16 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// forward puts a forwarder before an address.
+func (w *world) forward(target string) *testbed.Forwarder {
+	f, err := testbed.NewForwarder("127.0.0.1:0", target)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(f.Close)
+	return f
+}
+
 // prefix is the route of a version; each version drops the one before.
 func prefix(version int) string { return fmt.Sprintf("/v%d/", version) }
 
@@ -115,7 +126,7 @@
 
 func (w *world) settings(name, text string) string {
 	file := filepath.Join(w.dir, name+".toml")
-	tail := fmt.Sprintf("[bounds]\ngraceS = 6\nholdMaxMs = 1000\nstopMs = 50\nresendMs = 1300\n[platform]\naddr = %q\n", w.storeAt.addr())
+	tail := fmt.Sprintf("[bounds]\ngraceS = 6\nholdMaxMs = 1000\nstopMs = 50\nresendMs = 1300\n[platform]\naddr = %q\n", w.storeAt.Addr())
 	if err := os.WriteFile(file, []byte(fmt.Sprintf("node = %q\n%s\n%s", name, text, tail)), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -136,10 +147,10 @@
 		node:    &node{name: fmt.Sprintf("side-%d", i), role: "agent"},
 		backend: standin.NewBackend(fmt.Sprintf("i-%d", i)), control: freeAddress(w.t, ip), zone: []string{zoneA, zoneB}[i%2], state: "ready",
 	}
-	s.app = newProxy(w.t, w.serve(s.backend))
+	s.app = w.forward(w.serve(s.backend))
 	_, port, _ := net.SplitHostPort(freeAddress(w.t, ip))
 	s.file = w.settings(s.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [%s, %s]\napp = %q\nservice = %q\n[listen]\ncontrol = %q",
-		s.zone, ip, port, port, s.app.addr(), service, s.control))
+		s.zone, ip, port, port, s.app.Addr(), service, s.control))
 	w.sides = append(w.sides, s)
 	w.launch(s.node)
 	ctx, cancel := context.WithCancel(context.Background())
