--- /dev/null
+++ b/dispatch/jobs/queue.go
@@ -0,0 +1,103 @@
+package jobs
+
+import (
+	"sort"
+	"time"
+
+	"poplargw.example/dispatch/run"
+)
+
+// HasWaiting tells whether tasks wait for a place.
+func (s *Scheduler) HasWaiting() bool { return s.Want().Demand.CPU > 0 }
+
+// Want is what the tasks that wait for a place need in all, and the latest start of the most urgent.
+type Want struct {
+	Demand  run.Demand
+	Urgency time.Time
+}
+
+// wantedJobs bounds how many waiting jobs the demand told to agents covers.
+const wantedJobs = 8
+
+// Want returns what waits for a place, from the jobs that come first. Late jobs count as less urgent
+// than all others.
+func (s *Scheduler) Want() Want {
+	var w Want
+	covered := 0
+	for _, list := range [][]*job{s.onTime, s.late} {
+		for _, j := range list {
+			if covered == wantedJobs {
+				return w
+			}
+			covered++
+			if covered == 1 {
+				w.Urgency = j.key
+				if j.late {
+					w.Urgency = j.key.Add(lateUrgency)
+				}
+			}
+			for _, t := range j.tasks {
+				if t.state == waiting && j.runnable(t) {
+					w.Demand = w.Demand.Plus(j.Steps[t.step].Demand)
+				}
+			}
+		}
+	}
+	return w
+}
+
+// lateUrgency puts late jobs behind those of other entries that can still meet their objective.
+const lateUrgency = 10 * time.Second
+
+// enqueue puts a job with waiting tasks into the queue. A job that has begun comes first, so that
+// none waits long for its last task.
+func (s *Scheduler) enqueue(now time.Time, j *job) {
+	if j.queued {
+		return
+	}
+	j.queued = true
+	j.key = s.keyOf(j)
+	j.late = now.Add(j.work).After(j.objective)
+	list := s.list(j)
+	i := sort.Search(len(*list), func(i int) bool { return (*list)[i].key.After(j.key) })
+	*list = append(*list, nil)
+	copy((*list)[i+1:], (*list)[i:])
+	(*list)[i] = j
+}
+
+// keyOf is the job's place in the queue: its latest start, moved by its priority.
+func (s *Scheduler) keyOf(j *job) time.Time {
+	key := j.objective.Add(-j.work).Add(time.Duration(j.Queue.Priority) * priorityStep)
+	if !j.started.IsZero() {
+		key = key.Add(-startedBonus)
+	}
+	return key
+}
+
+const (
+	// priorityStep is how much later than its latest start a job counts for each priority number.
+	priorityStep = 50 * time.Millisecond
+	// startedBonus puts a job that has begun before jobs that have not.
+	startedBonus = time.Second
+)
+
+func (s *Scheduler) list(j *job) *[]*job {
+	if j.late {
+		return &s.late
+	}
+	return &s.onTime
+}
+
+func (s *Scheduler) dequeue(j *job) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	list := s.list(j)
+	for i, o := range *list {
+		if o == j {
+			*list = append((*list)[:i], (*list)[i+1:]...)
+			return
+		}
+	}
+}
