Place tasks near their data, and learn speeds without the distance

Change: the factor comes from the platform's farX; learned speeds, lag and moves leave it out. Test: TestTasksRunNearTheirData.

--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -156,7 +156,7 @@
 	a.server.health.Success()
 	a.server.unanswered = 0
 	s.learn(now, a, took)
-	work := time.Duration(float64(took) / a.server.slowness())
+	work := time.Duration(float64(took) / a.pace())
 	j.took = append(j.took, work)
 	j.revise(work)
 	if j.finished() {
@@ -174,7 +174,7 @@
 	if declared <= 0 || a.server.cell == nil {
 		return
 	}
-	a.server.cell.Observe(now, time.Duration(float64(took)/float64(declared)*float64(unit)))
+	a.server.cell.Observe(now, time.Duration(float64(took)/a.distance/float64(declared)*float64(unit)))
 	a.server.lag = max(1, a.server.lag*lagDecay)
 }
 
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -163,8 +163,13 @@
 	seq     uint64 // frame that carried the order
 	ordered time.Time
 	stopped bool
+	// distance is how many times longer the task runs there than near its data.
+	distance float64
 	// The two newest progress readings that differ in time by at least progressGap.
 	percent, before     int
 	percentAt, beforeAt time.Time
 	readAt              time.Time
 }
+
+// pace is the expected run time of the task where it runs, relative to its estimate.
+func (a *attempt) pace() float64 { return a.server.slowness() * a.distance }
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -14,8 +14,6 @@
 	longTask = 250 * time.Millisecond
 	// crowding is the cost of a full backend server against an empty one, as a share of the run time.
 	crowding = 0.15
-	// farFactor is how many times longer a task is taken to run away from its data.
-	farFactor = 1.5
 )
 
 // dispatch places waiting tasks until nothing fits.
@@ -106,10 +104,7 @@
 // stay free for long tasks.
 func (s *Scheduler) cost(j *job, t *task, v *server) float64 {
 	expected := j.expected(t)
-	slow := v.slowness()
-	if a := j.Steps[t.step].Affinity; a != "" && !v.state.HasLabel(a) {
-		slow *= farFactor
-	}
+	slow := v.slowness() * s.distance(j.Steps[t.step], v)
 	weight := crowding
 	if expected < longTask && slow < j.Queue.Stretch {
 		slow = 1
@@ -119,6 +114,14 @@
 	return seconds + seconds*weight*v.use()
 }
 
+// distance is how many times longer a task of the step runs on the backend server than near its data.
+func (s *Scheduler) distance(step Step, v *server) float64 {
+	if step.Affinity == "" || v.state.HasLabel(step.Affinity) {
+		return 1
+	}
+	return max(1, s.limits.FarFactor)
+}
+
 // use is the share of the backend server's processor that is taken.
 func (v *server) use() float64 {
 	if v.state.Room.CPU <= 0 {
@@ -129,13 +132,16 @@
 
 func (s *Scheduler) order(now time.Time, j *job, t *task, v *server) {
 	step := j.Steps[t.step]
-	a := &attempt{ref: s.newRun(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, ordered: now}
+	a := &attempt{
+		ref: s.newRun(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, ordered: now,
+		distance: s.distance(step, v),
+	}
 	t.state = placed
 	t.run = a
 	t.attempts++
 	s.note(Note{
 		Kind: Placed, Agent: v.agent, Ref: a.ref, Attempt: t.attempts, Age: now.Sub(v.heard), Free: v.room().CPU,
-		Expected: time.Duration(float64(j.expected(t)) * v.slowness()),
+		Expected: time.Duration(float64(j.expected(t)) * a.pace()),
 	})
 	v.runs[a.ref] = a
 	v.unacked = append(v.unacked, a)
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -378,3 +378,39 @@
 		t.Error("not ordered again after the pause")
 	}
 }
+
+// Guards against tasks far from their data while their rack has room, and against a backend server that
+// is taken to be slow because the data of its tasks is elsewhere.
+func TestTasksRunNearTheirData(t *testing.T) {
+	b := newBench(t, 0, 0)
+	b.limits.FarFactor = 3
+	for _, agent := range []string{"a0", "a1", "a2"} {
+		b.AgentUp(b.now, agent)
+		s := serverOf(agent, 6000)
+		s.Labels = []string{"rack-" + agent}
+		b.Report(b.now, agent, Report{Server: s, Free: s.Room})
+	}
+	b.take()
+	submit := func(id string) {
+		b.Submit(b.now, Job{ID: id, Queue: testQueue, Arrived: b.now, Steps: []Step{{
+			Count: 1, Demand: run.Demand{CPU: 3000}, Estimate: 200 * time.Millisecond, Affinity: "rack-a1",
+		}}})
+		b.take()
+	}
+	submit("j0")
+	submit("j1")
+	if n := len(b.orders["a1"]); n != 2 {
+		t.Fatalf("%d tasks near their data", n)
+	}
+	submit("j2")
+	for agent, list := range b.orders {
+		if agent == "a1" || len(list) == 0 {
+			continue
+		}
+		b.now = b.now.Add(600 * time.Millisecond)
+		b.event(agent, list[0].Ref, run.Done, 0)
+		if slow := b.servers[agent].slowness(); slow > 1.1 {
+			t.Errorf("%s counts as %.1f times slower after a task away from its data", agent, slow)
+		}
+	}
+}
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -119,9 +119,9 @@
 	var ratios []float64
 	for _, a := range v.runs {
 		if rest, known := a.remaining(now); known {
-			learned := float64(a.job.expected(a.task)) * v.slowness() / v.lag
+			learned := float64(a.job.expected(a.task)) * a.pace() / v.lag
 			if rest < stalledRest {
-				a.job.revise(time.Duration(float64(now.Sub(a.ordered)+rest) / v.slowness()))
+				a.job.revise(time.Duration(float64(now.Sub(a.ordered)+rest) / a.pace()))
 			}
 			ratios = append(ratios, float64(now.Sub(a.ordered)+rest)/max(learned, 1))
 		}
@@ -155,8 +155,8 @@
 	}
 	work := float64(j.expected(a.task))
 	if rest < stalledRest {
-		work = float64(now.Sub(a.ordered)+rest) / a.server.slowness()
+		work = float64(now.Sub(a.ordered)+rest) / a.pace()
 	}
-	fresh := moveCost + time.Duration(work*other.slowness())
+	fresh := moveCost + time.Duration(work*other.slowness()*s.distance(j.Steps[a.task.step], other))
 	return float64(rest) > moveGain*float64(fresh) && now.Add(fresh).Before(j.limit())
 }
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -122,6 +122,8 @@
 	Lost time.Duration
 	// MaxWaiting bounds the tasks that wait for a place.
 	MaxWaiting int
+	// FarFactor is how many times longer a task runs away from its data; below 1 counts as 1.
+	FarFactor float64
 	// RunOffset is added to the time in milliseconds that numbers runs, so that the numbers of
 	// several entries rise together: a backend server refuses a number below one that ended there.
 	RunOffset int64
