Take far places only when a job is late anyway, and let any priority wait a little

Cause: reading the change: with farX of 3 a place away from the data counted as a slow server and was given one task each 0.3 s, and a priority number above 2 left no share of the slack to wait. Change and tests: TestTasksRunNearTheirData, TestAnyPriorityMayWaitALittle.

--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -16,6 +16,8 @@
 	// slackStep is how much less of its slack a job may wait for each priority number, so that under
 	// load less urgent jobs are rejected first.
 	slackStep = 0.1
+	// leastShare is the part that a job of any priority may spend.
+	leastShare = 0.05
 	// shortfall is the part of the expected run time below which a job cannot end in time: declared
 	// times are off by about two fifths.
 	shortfall = 0.6
@@ -34,7 +36,7 @@
 	if len(j.tasks)+s.waitingTasks() > s.limits.MaxWaiting {
 		return wait, false
 	}
-	share := slackShare - slackStep*float64(j.Queue.Priority)
+	share := max(leastShare, slackShare-slackStep*float64(j.Queue.Priority))
 	return wait, float64(wait) <= share*float64(j.aim()-j.work)
 }
 
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -84,20 +84,34 @@
 
 func (s *Scheduler) eligible(now time.Time, j *job, t *task, v *server) bool {
 	step := j.Steps[t.step]
-	return v.takes(s.out) && v.state.Service == j.Queue.Service && !now.Before(v.pausedUntil) && s.fastEnough(now, j, t, v) && !t.avoid[v.state.Instance] &&
-		step.Demand.Fits(v.room()) && v.state.HasLabel(step.Label) && len(v.runs) < v.health.Limit(now) &&
-		(step.MaxPerServer == 0 || s.ofStep(j, t.step, v) < step.MaxPerServer)
+	switch {
+	case !v.takes(s.out), v.state.Service != j.Queue.Service, now.Before(v.pausedUntil), t.avoid[v.state.Instance]:
+		return false
+	case !step.Demand.Fits(v.room()), !v.state.HasLabel(step.Label), len(v.runs) >= v.health.Limit(now):
+		return false
+	case step.MaxPerServer > 0 && s.ofStep(j, t.step, v) >= step.MaxPerServer:
+		return false
+	}
+	return s.fastEnough(now, j, t, v)
 }
 
 // fastEnough tells whether the task is expected to end there while its answer is of use. A backend
-// server that is too slow gets one task now and then, which shows whether it still is.
+// server that is too slow gets one task now and then, which shows whether it still is. A place far from
+// the data that would make the job late is taken only when it is late anyway.
 func (s *Scheduler) fastEnough(now time.Time, j *job, t *task, v *server) bool {
-	pace := v.slowness() * s.distance(j.Steps[t.step], v)
-	if pace < slowPace {
+	slow := v.slowness()
+	distance := s.distance(j.Steps[t.step], v)
+	if slow*distance < slowPace {
 		return true
 	}
-	end := now.Add(time.Duration(float64(j.expected(t)) * pace))
-	return !end.After(j.objective) || len(v.runs) == 0 && now.Sub(v.lastOrder) > probeEvery
+	end := now.Add(time.Duration(float64(j.expected(t)) * slow * distance))
+	switch {
+	case !end.After(j.objective):
+		return true
+	case slow >= slowPace:
+		return len(v.runs) == 0 && now.Sub(v.lastOrder) > probeEvery
+	}
+	return j.late && !end.After(j.useful())
 }
 
 const (
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -399,10 +399,15 @@
 	}
 	submit("j0")
 	submit("j1")
-	if n := len(b.orders["a1"]); n != 2 {
-		t.Fatalf("%d tasks near their data", n)
-	}
 	submit("j2")
+	if n := b.placed(); len(b.orders["a1"]) != 2 || n != 2 {
+		t.Fatalf("%d tasks near their data, %d in all", len(b.orders["a1"]), n)
+	}
+	// No room came free near the data in time: far away the job is late, and still of use.
+	b.advance(200 * time.Millisecond)
+	if n := b.placed(); n != 3 {
+		t.Fatalf("%d tasks after the slack was used", n)
+	}
 	for agent, list := range b.orders {
 		if agent == "a1" || len(list) == 0 {
 			continue
@@ -414,3 +419,18 @@
 		}
 	}
 }
+
+// Guards against kinds of low priority that are rejected as soon as anything waits.
+func TestAnyPriorityMayWaitALittle(t *testing.T) {
+	b := newBench(t, 1, 10_000)
+	low := testQueue
+	low.Priority = 9
+	for i := range 3 {
+		b.submit(fmt.Sprint("j", i), 1, 3000, 400*time.Millisecond)
+	}
+	b.submit("waits", 1, 100, time.Millisecond)
+	b.submit("waits too", 1, 3000, 2*time.Millisecond)
+	if !b.submitTo(low, "low", 1, 3000, 400*time.Millisecond) {
+		t.Errorf("rejected behind a backlog of 6 ms: %+v", b.outcomes["low"])
+	}
+}
