--- a/daemon/cmd/poplargwd/dev.go
+++ b/daemon/cmd/poplargwd/dev.go
@@ -8,6 +8,7 @@
 
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/server"
+	"poplargw.example/daemon/signals"
 )
 
 func devCommand() *cli.Command {
@@ -22,10 +23,10 @@
 }
 
 func dev(_ context.Context, c *cli.Command) error {
-	signals := server.Notify()
+	sig := signals.Notify()
 	log, err := event.Open(c.String("log-level"), event.FormatAuto, os.Stderr)
 	if err != nil {
 		return err
 	}
-	return server.RunDev(signals, log, c.Root().Writer)
+	return server.RunDev(sig, log, c.Root().Writer)
 }
--- a/daemon/cmd/poplargwd/run.go
+++ b/daemon/cmd/poplargwd/run.go
@@ -11,6 +11,7 @@
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/server"
 	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/signals"
 )
 
 func runCommand() *cli.Command {
@@ -24,7 +25,7 @@
 
 func run(_ context.Context, c *cli.Command) error {
 	// Signals count from here, so that one during the start is not lost.
-	signals := server.Notify()
+	sig := signals.Notify()
 	name, err := settingsFile(c)
 	if err != nil {
 		return err
@@ -37,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	err = server.Run(signals, s, log)
+	err = server.Run(sig, s, log)
 	if err != nil && s.Log.Level == "debug" {
 		fmt.Fprintln(os.Stderr, trace.DebugReport(err))
 	}
--- a/daemon/server/dev.go
+++ b/daemon/server/dev.go
@@ -22,6 +22,7 @@
 	"poplargw.example/daemon/pki"
 	"poplargw.example/daemon/sample"
 	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/signals"
 	"poplargw.example/daemon/transport"
 	"poplargw.example/dispatch/decl"
 	"poplargw.example/store"
@@ -55,7 +56,7 @@
 
 // RunDev runs a whole development system in this process until a signal, on fixed loopback
 // addresses. It writes to out how to submit a job. Nothing is kept.
-func RunDev(sig Signals, log *event.Logger, out io.Writer) error {
+func RunDev(sig signals.Set, log *event.Logger, out io.Writer) error {
 	conf, err := devTLS()
 	if err != nil {
 		return err
@@ -83,7 +84,7 @@
 
 // runDev stops the parts in the order entry, backend server, agent, each after the one before, so
 // that accepted jobs end.
-func runDev(sig Signals, e, a *process, backend *sample.Server, out io.Writer) error {
+func runDev(sig signals.Set, e, a *process, backend *sample.Server, out io.Writer) error {
 	serving, leave := context.WithCancel(context.Background())
 	defer leave()
 	stopAgent := make(chan struct{})
@@ -93,7 +94,7 @@
 	var g errgroup.Group
 	g.Go(func() error {
 		defer leave()
-		return e.run(Signals{Stop: either(sig.Stop, stopEntry.Done()), Kill: sig.Kill})
+		return e.run(signals.Set{Stop: either(sig.Stop, stopEntry.Done()), Kill: sig.Kill})
 	})
 	g.Go(func() error {
 		defer close(stopAgent)
@@ -102,7 +103,7 @@
 	})
 	g.Go(func() error {
 		defer failed()
-		return a.run(Signals{Stop: stopAgent, Kill: sig.Kill})
+		return a.run(signals.Set{Stop: stopAgent, Kill: sig.Kill})
 	})
 	g.Go(func() error {
 		ctx, cancel := context.WithTimeout(serving, devStartLimit)
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -19,6 +19,7 @@
 
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/signals"
 	"poplargw.example/daemon/transport"
 	"poplargw.example/store"
 )
@@ -50,7 +51,7 @@
 
 // Run runs the daemon with the given settings until a signal or until one of its duties fails. It
 // returns nil after a complete graceful stop.
-func Run(sig Signals, s *settings.Settings, log *event.Logger) error {
+func Run(sig signals.Set, s *settings.Settings, log *event.Logger) error {
 	conf, err := transport.LoadTLS(s.TLS.Cert, s.TLS.Key, s.TLS.CA)
 	if err != nil {
 		return err
@@ -107,7 +108,7 @@
 }
 
 // run serves until a signal arrives or a duty fails, and then stops everything.
-func (p *process) run(sig Signals) error {
+func (p *process) run(sig signals.Set) error {
 	defer p.client.Close()
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/daemon/server/server_test.go
+++ b/daemon/server/server_test.go
@@ -16,6 +16,7 @@
 
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/signals"
 	"poplargw.example/daemon/transport"
 )
 
@@ -89,7 +90,7 @@
 	if err := r.process.listen(conf); err != nil {
 		t.Fatal(err)
 	}
-	go func() { r.result <- r.process.run(Signals{Stop: r.stop, Kill: r.kill}) }()
+	go func() { r.result <- r.process.run(signals.Set{Stop: r.stop, Kill: r.kill}) }()
 	return r
 }
 
--- a/daemon/server/signals.go
+++ b/daemon/signals/signals.go
@@ -1,4 +1,5 @@
-package server
+// Package signals turns the signals of the operating system into channels.
+package signals
 
 import (
 	"os"
@@ -6,14 +7,14 @@
 	"syscall"
 )
 
-// Signals says when a daemon stops. Stop starts the graceful stop. Kill cuts it short.
-type Signals struct {
+// Set says when a daemon stops. Stop starts the graceful stop. Kill cuts it short.
+type Set struct {
 	Stop <-chan struct{}
 	Kill <-chan struct{}
 }
 
 // Notify turns the first SIGTERM or SIGINT into Stop and the second into Kill.
-func Notify() Signals {
+func Notify() Set {
 	in := make(chan os.Signal, 2)
 	signal.Notify(in, syscall.SIGTERM, syscall.SIGINT)
 	stop, kill := make(chan struct{}), make(chan struct{})
@@ -23,7 +24,7 @@
 		<-in
 		close(kill)
 	}()
-	return Signals{Stop: stop, Kill: kill}
+	return Set{Stop: stop, Kill: kill}
 }
 
 // NotifyReload returns a channel that gets a value at each SIGHUP.
