--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	lastTick  time.Time
 	ended     *history
 	changed   chan struct{} // the set of agents has changed
+	ready     bool          // as last told to the load balancer
 }
 
 // domainsOut are the failure domains out of service as of a revision of the store.
@@ -160,7 +162,11 @@
 	if revision < e.out.revision {
 		return
 	}
+	same := slices.Equal(domains, e.out.domains)
 	e.out = domainsOut{revision: revision, domains: domains}
+	if same {
+		return
+	}
 	e.scheduler.SetOut(domains)
 	e.Log.Info(event.DomainsChanged, event.Fields{"out": len(domains), "revision": revision})
 	for _, a := range e.agents {
@@ -173,7 +179,13 @@
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.config != nil && e.scheduler.Stats().Servers > 0
+	servers := e.scheduler.Stats().Servers
+	ready := e.config != nil && servers > 0
+	if ready != e.ready {
+		e.ready = ready
+		e.Log.Info(event.ReadinessChanged, event.Fields{"ready": ready, "routes": e.config != nil, "servers": servers})
+	}
+	return ready
 }
 
 // Waiting returns the number of the queue's jobs of which no task has started.
