Let only an agent that was there say that a run has not run

The agent had restarted; its former life had started the runs and seen their ends, and the new one answered the claim of a run it did not know with "not run" (4010). Change: a claim says how long ago the run was ordered; an agent that started after it, or that may have forgotten the end, says that the run is over, not that it never began.

--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -88,7 +88,7 @@
 		f.Stops = append(f.Stops, RefOut(r))
 	}
 	for _, c := range b.Claims {
-		f.Claims = append(f.Claims, &peerv1.RunClaim{Ref: RefOut(c.Ref), Demand: DemandOut(c.Demand)})
+		f.Claims = append(f.Claims, &peerv1.RunClaim{Ref: RefOut(c.Ref), Demand: DemandOut(c.Demand), AgeMs: uint32(c.Age.Milliseconds())})
 	}
 	return f
 }
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -129,7 +129,8 @@
 	}
 	var events []run.Event
 	for _, c := range s.claims {
-		events = append(events, a.table.Claim(s.entry, link.RefIn(c.GetRef()), link.DemandIn(c.GetDemand())))
+		ordered := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
+		events = append(events, a.table.Claim(s.entry, link.RefIn(c.GetRef()), link.DemandIn(c.GetDemand()), now, ordered))
 	}
 	a.Log.Info(event.RunsClaimed, event.Fields{"entry": s.entry, "runs": len(events)})
 	s.claims = nil
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -30,7 +30,7 @@
 	v.batch = Batch{}
 	b := s.batch(v)
 	for _, a := range v.inOrder() {
-		b.Claims = append(b.Claims, Claim{Ref: a.ref, Demand: a.demand})
+		b.Claims = append(b.Claims, Claim{Ref: a.ref, Demand: a.demand, Age: now.Sub(a.ordered)})
 		if a.stopped {
 			b.Stops = append(b.Stops, a.ref)
 		}
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -94,6 +94,8 @@
 type Claim struct {
 	Ref    run.Ref
 	Demand run.Demand
+	// Age is how long ago the run was ordered.
+	Age time.Duration
 }
 
 // Batch is what an entry has to tell one agent, in the frame with the given number.
--- a/dispatch/runtable/look.go
+++ b/dispatch/runtable/look.go
@@ -162,8 +162,9 @@
 	return now.Sub(t.heard[r.owner]) > t.limits.OwnerSilence
 }
 
-// Claim answers an entry that asks what has become of a run. It adopts a run that was found.
-func (t *Table) Claim(owner string, ref run.Ref, demand run.Demand) run.Event {
+// Claim answers an entry at now that asks what has become of a run which it ordered at the given time.
+// It adopts a run that was found.
+func (t *Table) Claim(owner string, ref run.Ref, demand run.Demand, now, ordered time.Time) run.Event {
 	if r := t.runs[ref]; r != nil {
 		r.owner = owner
 		r.demand = demand
@@ -172,8 +173,20 @@
 	if e, ok := t.ends[ref]; ok {
 		return e.event
 	}
-	// The order has not arrived, and its token has expired or the link it came on is closed.
-	return run.Event{Ref: ref, Kind: run.NotRun, Reason: result.NoRecord}
+	if t.vouches(now, ordered) {
+		// The order has not arrived, and the link it came on is closed.
+		return run.Event{Ref: ref, Kind: run.NotRun, Reason: result.NoRecord}
+	}
+	return run.Event{Ref: ref, Kind: run.Stopped, Reason: result.NoRecord}
+}
+
+// vouchMargin covers the way of an order and of a claim, by which the time of an order is uncertain.
+const vouchMargin = time.Second
+
+// vouches tells whether the table would know a run that was ordered at the given time, had it begun: a
+// former life of the agent may have started it and seen its end.
+func (t *Table) vouches(now, ordered time.Time) bool {
+	return ordered.Sub(t.started) > vouchMargin && now.Sub(ordered) < t.limits.EndRetention-vouchMargin
 }
 
 // Settled tells whether claims can be answered. After the agent's own start it first has to look, or
