Judge a backend server's pace against its fleet, not against declared run times

A server at 2.2 times the declared run time gets one task each 0.3 s; when declared times are too low, or run times learned in a storm are too long, that is the whole fleet. Change: the pace is compared with the median of the service. Test: TestFleetIsNotSlowAsAWhole, which places 3 of 6 tasks with the absolute bound.

--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -66,6 +66,9 @@
 	v.entries = r.Entries
 	v.reported = true
 	v.ack(r.Ack)
+	if s.usual[v.state.Service] == 0 {
+		s.learnUsual()
+	}
 	s.dispatch(now)
 }
 
@@ -229,6 +232,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.settleLost(now)
 	s.moveStragglers(now)
+	s.learnUsual()
 	s.review(now)
 	s.dispatch(now)
 }
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"sort"
 	"time"
 
 	"poplargw.example/dispatch/run"
@@ -101,27 +102,44 @@
 func (s *Scheduler) fastEnough(now time.Time, j *job, t *task, v *server) bool {
 	slow := v.slowness()
 	distance := s.distance(j.Steps[t.step], v)
-	if slow*distance < slowPace {
+	usual := s.usual[j.Queue.Service]
+	if slow*distance < slowPace*usual {
 		return true
 	}
 	end := now.Add(time.Duration(float64(j.expected(t)) * slow * distance))
 	switch {
 	case !end.After(j.objective):
 		return true
-	case slow >= slowPace:
+	case slow >= slowPace*usual:
 		return len(v.runs) == 0 && now.Sub(v.lastOrder) > probeEvery
 	}
 	return j.late && !end.After(j.useful())
 }
 
 const (
-	// slowPace is the relative run time from which a backend server counts as slow; sound ones of one
-	// fleet differ by up to 1.8.
+	// slowPace is how many times slower than the median of its service a backend server has to be to
+	// count as slow; sound ones of one fleet differ by up to 2.5, and by 1.8 from their median. Measured
+	// against declared run times, which may all be too low, the whole fleet could be slow at once.
 	slowPace = 2.2
 	// probeEvery is the time between two tasks that show whether a slow backend server still is.
 	probeEvery = 300 * time.Millisecond
 )
 
+// learnUsual computes the median pace of the backend servers of each service.
+func (s *Scheduler) learnUsual() {
+	paces := map[string][]float64{}
+	for _, v := range s.fleet {
+		if v.takes(s.out) {
+			paces[v.state.Service] = append(paces[v.state.Service], v.slowness())
+		}
+	}
+	clear(s.usual)
+	for service, list := range paces {
+		sort.Float64s(list)
+		s.usual[service] = list[len(list)/2]
+	}
+}
+
 func (s *Scheduler) ofStep(j *job, step int, v *server) int {
 	n := 0
 	for _, a := range v.runs {
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -27,6 +27,7 @@
 	dirty    map[string]*server
 	leaving  bool
 	expected expectation
+	usual    map[string]float64 // median pace by service
 }
 
 // expectation is the number of agents that are about to connect after the entry's own start.
@@ -44,6 +45,7 @@
 		out:     map[string]bool{},
 		speeds:  estimate.New[string](),
 		groups:  map[string]*health.Group{},
+		usual:   map[string]float64{},
 		dirty:   map[string]*server{},
 	}
 }
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -434,3 +434,23 @@
 		t.Errorf("rejected behind a backlog of 6 ms: %+v", b.outcomes["low"])
 	}
 }
+
+// Guards against a fleet that gets no work because declared run times are too low by a factor: against
+// them every backend server seems to be slow.
+func TestFleetIsNotSlowAsAWhole(t *testing.T) {
+	b := newBench(t, 3, 100_000)
+	for i := range 30 {
+		b.submit(fmt.Sprint("j", i), 3, 1000, 50*time.Millisecond)
+		b.now = b.now.Add(250 * time.Millisecond)
+		for agent, list := range b.orders {
+			for _, o := range append([]Order(nil), list...) {
+				b.event(agent, o.Ref, run.Done, 0)
+			}
+		}
+		b.advance(time.Millisecond)
+	}
+	b.submit("last", 6, 1000, 50*time.Millisecond)
+	if n := b.placed(); n != 6 {
+		t.Errorf("%d of 6 tasks placed on servers at five times the declared run time", n)
+	}
+}
