--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -45,8 +45,7 @@
 }
 
 // SetAgents replaces the list of agents, by ID with their addresses. An ID never changes its address.
-// Agents that are no longer listed
-// stay in use while they answer.
+// Agents that are no longer listed stay in use while they answer.
 func (e *Entry) SetAgents(list map[string]string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -84,21 +84,23 @@
 // again when the stop is certain.
 func (s *Scheduler) moveStragglers(now time.Time) {
 	total, moving := 0, 0
-	for _, v := range s.fleet {
-		for _, a := range v.inOrder() {
+	runs := make([][]*attempt, len(s.fleet))
+	for i, v := range s.fleet {
+		runs[i] = v.inOrder()
+		for _, a := range runs[i] {
 			total++
 			if a.stopped {
 				moving++
 			}
 		}
-		s.noteLag(now, v)
+		s.noteLag(now, v, runs[i])
 	}
 	budget := max(movingLeast, total/movingShare) - moving
-	for _, v := range s.fleet {
+	for i, v := range s.fleet {
 		if !v.live || !v.reported {
 			continue
 		}
-		for _, a := range v.inOrder() {
+		for _, a := range runs[i] {
 			if budget <= 0 {
 				return
 			}
@@ -115,9 +117,9 @@
 
 // noteLag compares the pace of the runs on a backend server with what its learned speed promises.
 // Declared run times are often far off, so one run alone tells only of a large lag.
-func (s *Scheduler) noteLag(now time.Time, v *server) {
+func (s *Scheduler) noteLag(now time.Time, v *server, runs []*attempt) {
 	var ratios []float64
-	for _, a := range v.inOrder() {
+	for _, a := range runs {
 		if rest, known := a.remaining(now); known {
 			learned := float64(a.job.expected(a.task)) * a.pace() / v.lag
 			if rest < stalledRest {
