Look at one backend server for each report, and probe slow ones less often

An entry there has 0.192 of a core and 58 agents, and each report of an agent, also of a full one, looked at all 58 backend servers for every waiting task: 29 us a report at 1,000 to 2,000 reports a second. Ruled out: the load of the machine alone. Change: a report dispatches to its own backend server, an end to its own job, and the tick to all; the tasks of a step are tried once when none fits; batches are collected from the servers that have one. Orders to backend servers that are too slow, which show whether they still are, come at intervals that double up to 2.4 s: each entry sends its own, and most jobs with such a task are late.

--- a/dispatch/jobs/batch.go
+++ b/dispatch/jobs/batch.go
@@ -1,6 +1,9 @@
 package jobs
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"poplargw.example/dispatch/run"
@@ -26,11 +29,11 @@
 func (s *Scheduler) Take() ([]Outcome, []Batch) {
 	outcomes := s.outcomes
 	s.outcomes = nil
+	if len(s.dirty) == 0 {
+		return outcomes, nil
+	}
 	var batches []Batch
-	for _, v := range s.fleet {
-		if s.dirty[v.agent] == nil {
-			continue
-		}
+	for _, v := range s.dirtyInOrder() {
 		if v.live {
 			batches = append(batches, s.next(v))
 		}
@@ -40,6 +43,12 @@
 	return outcomes, batches
 }
 
+func (s *Scheduler) dirtyInOrder() []*server {
+	list := slices.Collect(maps.Values(s.dirty))
+	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.agent, b.agent) })
+	return list
+}
+
 // Notes returns what logs should show since the last call.
 func (s *Scheduler) Notes() []Note {
 	n := s.notes
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -69,7 +69,7 @@
 	if s.usual[v.state.Service] == 0 {
 		s.learnUsual()
 	}
-	s.dispatch(now)
+	s.dispatchTo(now, v)
 }
 
 // newLife starts the record of a backend server anew: another life may be of another kind.
@@ -100,7 +100,7 @@
 	}
 	s.forget(a)
 	s.settle(now, a, e)
-	s.dispatch(now)
+	s.dispatchJob(now, a.job)
 }
 
 // settle takes in the certain end of a run.
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -17,13 +18,39 @@
 	crowding = 0.15
 )
 
-// dispatch places waiting tasks until nothing fits.
-func (s *Scheduler) dispatch(now time.Time) {
-	s.placeList(now, s.onTime)
-	s.placeList(now, s.late)
+// dispatch places waiting tasks until nothing fits. It looks at every backend server for every waiting
+// task, so it runs once a tick; room that becomes free in between goes through dispatchTo.
+func (s *Scheduler) dispatch(now time.Time) { s.dispatchAmong(now, s.fleet) }
+
+// dispatchTo places waiting tasks on one backend server, whose room has changed. It answers overload of
+// a large fleet, in which jobs always wait and every end of a run is reported: a look at all backend
+// servers for each report took more processor time than a small VM has.
+func (s *Scheduler) dispatchTo(now time.Time, v *server) {
+	s.single[0] = v
+	s.dispatchAmong(now, s.single[:])
+}
+
+// dispatchJob places the waiting tasks of one job, unless enough others without a place come before it.
+func (s *Scheduler) dispatchJob(now time.Time, j *job) {
+	if !j.queued || slices.Index(*s.list(j), j) >= maxBlocked {
+		return
+	}
+	started := j.started
+	switch {
+	case s.placeJob(now, j, s.fleet):
+		s.dequeue(j)
+	case started != j.started:
+		s.dequeue(j)
+		s.enqueue(now, j)
+	}
 }
 
-func (s *Scheduler) placeList(now time.Time, list []*job) {
+func (s *Scheduler) dispatchAmong(now time.Time, servers []*server) {
+	s.placeList(now, s.onTime, servers)
+	s.placeList(now, s.late, servers)
+}
+
+func (s *Scheduler) placeList(now time.Time, list []*job, servers []*server) {
 	blocked := 0
 	var complete, begun []*job
 	for _, j := range list {
@@ -32,7 +59,7 @@
 		}
 		before := j.started
 		switch {
-		case s.placeJob(now, j):
+		case s.placeJob(now, j, servers):
 			complete = append(complete, j)
 		case before != j.started:
 			begun = append(begun, j)
@@ -50,16 +77,24 @@
 	}
 }
 
-// placeJob places the job's runnable tasks and tells whether none waits for a place.
-func (s *Scheduler) placeJob(now time.Time, j *job) bool {
+// placeJob places the job's runnable tasks among the servers and tells whether none waits for a place.
+func (s *Scheduler) placeJob(now time.Time, j *job, servers []*server) bool {
 	all := true
+	full := -1 // the step of which no task finds a place
 	for _, t := range j.tasks {
 		if t.state != waiting || !j.runnable(t) {
 			continue
 		}
-		v := s.pick(now, j, t)
+		if t.step == full {
+			continue
+		}
+		v := s.pick(now, j, t, servers)
 		if v == nil {
 			all = false
+			// The tasks of a step are alike, and one that avoids no backend server can go to the most.
+			if len(t.avoid) == 0 {
+				full = t.step
+			}
 			continue
 		}
 		s.order(now, j, t, v)
@@ -68,10 +103,10 @@
 }
 
 // pick chooses the backend server with the lowest cost among those that have room, or none.
-func (s *Scheduler) pick(now time.Time, j *job, t *task) *server {
+func (s *Scheduler) pick(now time.Time, j *job, t *task, servers []*server) *server {
 	var best *server
 	lowest := 0.0
-	for _, v := range s.fleet {
+	for _, v := range servers {
 		if !s.eligible(now, j, t, v) {
 			continue
 		}
@@ -111,7 +146,7 @@
 	case !end.After(j.objective):
 		return true
 	case slow >= slowPace*usual:
-		return len(v.runs) == 0 && now.Sub(v.lastOrder) > probeEvery
+		return len(v.runs) == 0 && now.Sub(v.lastOrder) > probeEvery<<min(v.probes, maxProbeDoublings)
 	}
 	return j.late && !end.After(j.useful())
 }
@@ -121,8 +156,10 @@
 	// count as slow; sound ones of one fleet differ by up to 2.5, and by 1.8 from their median. Measured
 	// against declared run times, which may all be too low, the whole fleet could be slow at once.
 	slowPace = 2.2
-	// probeEvery is the time between two tasks that show whether a slow backend server still is.
-	probeEvery = 300 * time.Millisecond
+	// probeEvery is the time between two tasks that show whether a slow backend server still is. It
+	// doubles while it is, because most jobs with such a task are late, and each entry sends its own.
+	probeEvery        = 300 * time.Millisecond
+	maxProbeDoublings = 3
 )
 
 // learnUsual computes the median pace of the backend servers of each service.
@@ -140,6 +177,14 @@
 	}
 }
 
+// probesAfter is the number of orders in a row, with the next one, to a backend server that is too slow.
+func (s *Scheduler) probesAfter(v *server) int {
+	if v.slowness() < slowPace*s.usual[v.state.Service] {
+		return 0
+	}
+	return v.probes + 1
+}
+
 func (s *Scheduler) ofStep(j *job, step int, v *server) int {
 	n := 0
 	for _, a := range v.runs {
@@ -196,6 +241,7 @@
 	})
 	v.runs[a.ref] = a
 	v.lastOrder = now
+	v.probes = s.probesAfter(v)
 	v.unacked = append(v.unacked, a)
 	if j.started.IsZero() {
 		j.started = now
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -28,6 +28,7 @@
 	leaving  bool
 	expected expectation
 	usual    map[string]float64 // median pace by service
+	single   [1]*server         // argument of dispatchTo, kept to save an allocation
 }
 
 // expectation is the number of agents that are about to connect after the entry's own start.
@@ -141,7 +142,7 @@
 	j.number = s.arrivals
 	s.jobs[j.ID] = j
 	s.enqueue(now, j)
-	s.dispatch(now)
+	s.dispatchJob(now, j)
 	return Outcome{}, true
 }
 
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -32,6 +32,7 @@
 	reported   bool
 	entries    int
 	lastOrder  time.Time
+	probes     int // orders in a row while it was too slow
 	unanswered int // orders in a row without an answer
 	// pausedUntil is until when the agent gets no orders because it refused one.
 	pausedUntil time.Time
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -151,7 +151,7 @@
 	if !known || !now.Add(rest).After(j.objective) {
 		return false
 	}
-	other := s.pick(now, j, a.task)
+	other := s.pick(now, j, a.task, s.fleet)
 	if other == nil || other == a.server {
 		return false
 	}
