Serve on when an entry lacks processor time

Logs of two of them: 70 links a second ended by the entry itself, as silent for 200 ms, and opened again with claims; agents stopped the runs (2,939 of 64,838). The entry read late what had come in time. Callers' jobs came on top, and all ended late. Ruled out: late ticks as the only measure. Change: dispatch/lag decides from mean delays whether the process is short of processor time. The entry feeds it the delays of its tick and those of agents' answers beyond the shortest of each agent. While short it allows for its own delay before it calls a link silent, and rejects new jobs with code 2001 and Retry-After; after a second it is not ready and asks callers to open their next connection elsewhere. Fewer frames: beats to busy agents come every 50 to 90 ms by the number of agents, order frames are answered only with news or after 40 ms, and frames that only tell of waiting tasks come at least 15 ms apart.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -39,6 +39,7 @@
 	AgentLost         ID = 669
 	ServerSuspended   ID = 670
 	EntryLeft         ID = 671
+	ProcessorShort    ID = 672
 )
 
 var runTexts = map[ID]string{
@@ -77,4 +78,5 @@
 	AgentLost:          "agent was silent until its runs had certainly ended",
 	ServerSuspended:    "backend server was suspended because it failed too many tasks",
 	EntryLeft:          "entry rejects further jobs because it stops",
+	ProcessorShort:     "entry is short of processor time, or no longer is",
 }
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -19,9 +19,14 @@
 	conn   *link.Conn
 	seq    uint64
 	ack    uint64
+	sent   time.Time // of the newest frame to the entry
 	claims []*peerv1.RunClaim
 }
 
+// answerWithin is how long after a frame to the entry one that carries orders needs no answer of its
+// own: the entry counts them against the room that it knows, and the next frame tells the rest.
+const answerWithin = 40 * time.Millisecond
+
 // serve handles one link until it ends.
 func (a *Agent) serve(ctx context.Context, conn *link.Conn) {
 	stop := context.AfterFunc(ctx, conn.Close)
@@ -69,7 +74,8 @@
 	}
 }
 
-// take handles one frame and answers it, so that the entry learns of the agent's clock and state.
+// take handles one frame. It answers those without orders, so that the entry learns of the agent's
+// clock and state, and others when there is something to tell or the last answer is old.
 func (a *Agent) take(ctx context.Context, s *session, f *peerv1.EntryFrame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -97,7 +103,11 @@
 			a.stop(ctx, ref)
 		}
 	}
-	a.tell(now, map[string][]run.Event{s.entry: refused})
+	tell := map[string][]run.Event{}
+	if len(f.GetOrders()) == 0 || len(refused) > 0 || now.Sub(s.sent) >= answerWithin {
+		tell[s.entry] = refused
+	}
+	a.tell(now, tell)
 }
 
 // order starts a run, or returns the event that refuses it.
@@ -142,6 +152,7 @@
 func (s *session) send(a *Agent, events []run.Event) {
 	s.seq++
 	now := steady.Now()
+	s.sent = now
 	f := &peerv1.AgentFrame{
 		Seq: s.seq, Ack: s.ack, ClockMs: uint64(now.Sub(a.began).Milliseconds()),
 		Server: link.ServerOut(a.table.Server(now), a.table.FreeFor(now, s.entry), len(a.sessions)),
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -16,6 +16,7 @@
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/steady"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/lag"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/route"
 )
@@ -43,6 +44,8 @@
 	waiters   map[string][]chan jobs.Outcome
 	out       domainsOut
 	lastTick  time.Time
+	ticks     lag.Meter // delays of the tick
+	answers   lag.Meter // delays of agents' answers beyond the shortest of each
 	ended     *history
 	changed   chan struct{} // the set of agents has changed
 	ready     bool          // as last told to the load balancer
@@ -63,6 +66,8 @@
 		waiters:   map[string][]chan jobs.Outcome{},
 		ended:     newHistory(),
 		changed:   make(chan struct{}, 1),
+		ticks:     lag.Meter{Over: ticksOver},
+		answers:   lag.Meter{Over: answersOver},
 	}
 	e.counters = newCounters(o.Metrics, e)
 	return e
@@ -105,6 +110,7 @@
 	defer e.mu.Unlock()
 	now := steady.Now()
 	late := !e.lastTick.IsZero() && now.Sub(e.lastTick) > lateTick
+	e.observeTick(now)
 	e.resume(now)
 	if !late {
 		e.endSilent(now)
@@ -114,15 +120,6 @@
 	e.beat(now)
 }
 
-// endSilent ends links that have been silent for too long; new ones are opened at once.
-func (e *Entry) endSilent(now time.Time) {
-	for _, id := range e.scheduler.Silent(now) {
-		if a := e.agents[id]; a != nil && a.conn != nil {
-			a.conn.Close()
-		}
-	}
-}
-
 // resume drops all jobs after a pause: their callers may have sent them again elsewhere, and what
 // waits in the sockets of this process is just as old. The caller holds the lock.
 func (e *Entry) resume(now time.Time) {
@@ -180,10 +177,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	servers := e.scheduler.Stats().Servers
-	ready := e.config != nil && servers > 0
+	short := e.lacksTime()
+	ready := e.config != nil && servers > 0 && !short
 	if ready != e.ready {
 		e.ready = ready
-		e.Log.Info(event.ReadinessChanged, event.Fields{"ready": ready, "routes": e.config != nil, "servers": servers})
+		e.Log.Info(event.ReadinessChanged, event.Fields{
+			"ready": ready, "routes": e.config != nil, "servers": servers, "processor_short": short,
+		})
 	}
 	return ready
 }
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -15,9 +15,18 @@
 )
 
 const (
-	// busyBeat is the time between frames to an agent that has runs of this entry. The agent stops
-	// the runs of an entry that it does not hear from; see runtable.Limits.OwnerSilence.
-	busyBeat = 50 * time.Millisecond
+	// leastBeat and mostBeat bound the time between frames to an agent that has runs of this entry. The
+	// agent stops the runs of an entry that it does not hear from for 300 ms, see
+	// runtable.Limits.OwnerSilence, and a stall shows in two or three readings of progress.
+	leastBeat = 50 * time.Millisecond
+	mostBeat  = 90 * time.Millisecond
+	// beatRate is the number of frames a second, without orders, that an entry sends to busy agents
+	// while that keeps the time between two within its bounds. A frame and its answer take 20 to 30 us,
+	// and a small VM has a fifth of a core.
+	beatRate = 500
+	// wantGap is the least time between two frames that only tell an agent whether tasks wait: offers of
+	// room are held for about that long.
+	wantGap = 15 * time.Millisecond
 	// idleBeat is the same without runs. It is below the age at which start tokens expire.
 	idleBeat = 120 * time.Millisecond
 	// dialLimit bounds one attempt to open a link.
@@ -42,6 +51,11 @@
 	listed   bool
 	unlisted time.Time // when it left the list
 	cancel   context.CancelFunc
+	// probed is when the frame probeSeq was sent, zero when its answer has come; shortest is the
+	// shortest time of such an answer.
+	probed   time.Time
+	probeSeq uint64
+	shortest time.Duration
 }
 
 // SetAgents replaces the list of agents, by ID with their addresses. An ID never changes its address.
@@ -140,6 +154,7 @@
 	defer e.mu.Unlock()
 	a.conn = conn
 	a.ack, a.token, a.outSent = 0, 0, false
+	a.probed = time.Time{}
 	e.scheduler.AgentUp(steady.Now(), a.id)
 	e.flush()
 	e.Log.Info(event.LinkOpened, event.Fields{"agent": a.id, "address": a.addr})
@@ -163,6 +178,7 @@
 	a.ack = f.GetSeq()
 	a.token = max(a.token, f.GetClockMs())
 	e.scheduler.Heard(now, a.id)
+	e.observeAnswer(a, now, f.GetAck())
 	for _, p := range f.GetProgress() {
 		e.scheduler.Progress(now, a.id, link.RefIn(p.GetRef()), int(p.GetPercent()))
 	}
@@ -176,7 +192,7 @@
 	}
 	e.flush()
 	// An agent holds room for an entry that wants some; it is told at once when that has changed.
-	if a.wanting != e.scheduler.HasWaiting() {
+	if a.wanting != e.scheduler.HasWaiting() && now.Sub(a.sent) >= wantGap {
 		e.beatOne(a)
 	}
 }
@@ -201,15 +217,24 @@
 		f.Out = &peerv1.DomainsOut{Revision: e.out.revision, Domains: e.out.domains}
 	}
 	a.sent = steady.Now()
+	if len(b.Orders) == 0 {
+		a.probe(a.sent, b.Seq)
+	}
 	a.conn.Send(f)
 }
 
+// busyBeat is the time between frames to a busy agent when there are so many agents.
+func busyBeat(agents int) time.Duration {
+	return min(mostBeat, max(leastBeat, time.Duration(agents)*time.Second/beatRate))
+}
+
 // beat sends an empty frame to each agent that has not had one for a while. The caller holds the lock.
 func (e *Entry) beat(now time.Time) {
+	busy := busyBeat(len(e.agents))
 	for id, a := range e.agents {
 		every := idleBeat
 		if e.scheduler.Busy(id) {
-			every = busyBeat
+			every = busy
 		}
 		if now.Sub(a.sent) >= every {
 			e.beatOne(a)
--- a/daemon/runentry/submit.go
+++ b/daemon/runentry/submit.go
@@ -7,6 +7,7 @@
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/steady"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/result"
 )
 
 // State is what the entry knows of a job.
@@ -38,10 +39,15 @@
 	}
 }
 
+// admit takes a job in or rejects it at once. An entry that is short of processor time rejects what is
+// new, so that it can end what it has: each job that it takes makes all others later.
 func (e *Entry) admit(j jobs.Job, done chan jobs.Outcome) (jobs.Outcome, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if here, _ := e.scheduler.Has(j.ID); !here {
+		if e.short() {
+			return jobs.Outcome{Job: j.ID, Code: result.Overloaded, Effect: result.NotRun, RetryAfter: shortRetry}, false
+		}
 		if o, ok := e.scheduler.Submit(steady.Now(), j); !ok {
 			return o, false
 		}
