Number a run anew when the backend server has seen a higher one

Cause: run numbers are milliseconds of an entry's clock. A job that is sent again to an entry whose clock is behind gets a lower number; a backend server that has ended a run of the task refuses it ("old") until that clock has caught up.

--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -135,6 +135,10 @@
 	unansweredPause = 300 * time.Millisecond
 )
 
+// renumberBy is added to a run's number when the backend server has seen a higher one: another entry
+// gave it, by a clock that is ahead. Numbers are milliseconds; clocks that jump differ by up to 6 s.
+const renumberBy = 10_000
+
 // refused takes in an order that has not run.
 func (s *Scheduler) refused(now time.Time, a *attempt, e run.Event) {
 	switch e.Reason {
@@ -149,6 +153,8 @@
 		// The backend server said that it is not healthy.
 		s.serverFailed(now, a)
 		a.task.avoid[a.server.state.Instance] = true
+	case result.OutdatedRun:
+		a.task.lastRun += renumberBy
 	default:
 		a.server.pausedUntil = now.Add(refusalPause)
 	}
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -454,3 +454,17 @@
 		t.Errorf("%d of 6 tasks placed on servers at five times the declared run time", n)
 	}
 }
+
+// Guards against a task that stays refused for as long as clocks differ: its caller sent the job again
+// to an entry whose clock is behind, and the backend server knows a run with a higher number.
+func TestOutdatedRunGetsAHigherNumber(t *testing.T) {
+	b := newBench(t, 1, 8000)
+	b.submit("j", 1, 1000, time.Second)
+	first := b.orders["a0"][0].Ref
+	b.orders["a0"] = nil
+	b.event("a0", first, run.NotRun, result.OutdatedRun)
+	b.take()
+	if len(b.orders["a0"]) != 1 || b.orders["a0"][0].Ref.Run < first.Run+6000 {
+		t.Errorf("orders after the refusal of run %d: %v", first.Run, b.orders["a0"])
+	}
+}
--- a/dispatch/result/catalogue.go
+++ b/dispatch/result/catalogue.go
@@ -92,6 +92,7 @@
 	NoRecord:         {"NoRecord", notRunOrUnk, Internal, "the agent has no start record of the task"},
 	NotAcknowledged:  {"NotAcknowledged", notRun, Internal, "not every entry has acknowledged a report of this agent yet"},
 	StartTooLate:     {"StartTooLate", notRun, Internal, "the backend server received the task after its latest start time"},
+	OutdatedRun:      {"OutdatedRun", notRun, Internal, "a run of the task with a higher number has ended at the backend server"},
 }
 
 // Lookup returns the description of a code.
--- a/dispatch/result/result.go
+++ b/dispatch/result/result.go
@@ -74,6 +74,7 @@
 	NoRecord         Code = 4010
 	NotAcknowledged  Code = 4011
 	StartTooLate     Code = 4012
+	OutdatedRun      Code = 4013
 )
 
 // Failure is the reason why a submission or a task has no answer.
