Soak: harm the links between entries and agents as well

Change: a forwarder stands before each agent, and the stand-in store names it in place of the agent's address. Seven kinds of faults: links cut, held up, refused, reset, silent while open, all silent at once, and slow by 5 to 150 ms. They stand at the end of the list; the regression seeds name how many kinds there were, so that they draw the same faults as when they failed.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -31,6 +31,8 @@
 	return pick(r, w.sides).node
 }
 
+// faults are the kinds of trouble. New ones go to the end, so that the cases of TestRegressions, which name
+// how many there were, draw the same ones again.
 var faults = []fault{
 	{"kill", func(w *world, r *rand.Rand) { w.anyNode(r).signal(syscall.SIGKILL) }},
 	{"kill twice", func(w *world, r *rand.Rand) {
@@ -96,6 +98,22 @@
 	{"leases lapse", func(w *world, r *rand.Rand) { w.store.Lapse() }},
 	{"history dropped", func(w *world, r *rand.Rand) { w.store.Compact() }},
 	{"configuration", func(w *world, r *rand.Rand) { w.configure() }},
+	{"links cut", func(w *world, r *rand.Rand) { w.cutLinks(r, testbed.LinkSilent) }},
+	{"links held up", func(w *world, r *rand.Rand) { w.cutLinks(r, testbed.LinkHold) }},
+	{"links refused", func(w *world, r *rand.Rand) { w.cutLinks(r, testbed.LinkRefuse) }},
+	{"links silent", func(w *world, r *rand.Rand) { pick(r, w.sides).links.SilenceOpen(testbed.AnySource) }},
+	{"all links silent", func(w *world, _ *rand.Rand) {
+		for _, s := range w.sides {
+			s.links.SilenceOpen(testbed.AnySource)
+		}
+	}},
+	{"links reset", func(w *world, r *rand.Rand) { pick(r, w.sides).links.Reset() }},
+	{"agent far", func(w *world, r *rand.Rand) {
+		s := pick(r, w.sides)
+		s.links.SetDelay(testbed.AnySource, span(r, 5*time.Millisecond, 150*time.Millisecond))
+		time.Sleep(span(r, 300*time.Millisecond, 1500*time.Millisecond))
+		s.links.SetDelay(testbed.AnySource, 0)
+	}},
 }
 
 func (s *side) setState(state string) {
@@ -105,6 +123,15 @@
 	s.beat()
 }
 
+// cutLinks harms the links of one agent for a while.
+func (w *world) cutLinks(r *rand.Rand, m testbed.LinkMode) {
+	s := pick(r, w.sides)
+	s.links.Set(testbed.AnySource, m)
+	time.Sleep(span(r, 100*time.Millisecond, 1500*time.Millisecond))
+	s.links.Set(testbed.AnySource, testbed.LinkOpen)
+	s.links.Reset()
+}
+
 func (w *world) serverFault(r *rand.Rand, f standin.BackendFaults) {
 	s := pick(r, w.sides)
 	s.backend.SetFaults(f)
@@ -118,12 +145,12 @@
 	w.store.SetFaults(standin.StoreFaults{})
 }
 
-// torment injects faults in series, some of which overlap, and returns when all are over.
-func (w *world) torment(r *rand.Rand, d time.Duration) []string {
+// torment injects faults of the given kinds in series, some of which overlap, and returns when all are over.
+func (w *world) torment(r *rand.Rand, kinds []fault, d time.Duration) []string {
 	var done []string
 	var wg sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		f := pick(r, faults)
+		f := pick(r, kinds)
 		own := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
 		done = append(done, f.name)
 		wg.Add(1)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,10 +18,11 @@
 // regressions are the seeds that ever failed, each with its cause.
 var regressions = []struct {
 	seed  uint64
+	kinds int // of faults when the seed failed
 	cause string
 }{
-	{29, "an agent that had restarted called a run not run which its former life had started and seen ending"},
-	{32, "the same"},
+	{29, 24, "an agent that had restarted called a run not run which its former life had started and seen ending"},
+	{32, 24, "the same"},
 }
 
 // backLimit is how long after the last fault every entry has to complete a job again.
@@ -55,7 +56,7 @@
 	program := binary(t)
 	seed, count := number(t, "SEED", 1), number(t, "SOAK_COUNT", 1)
 	for s := seed; s < seed+count; s++ {
-		t.Run(fmt.Sprintf("seed-%d", s), func(t *testing.T) { soak(t, program, s, number(t, "SOAK_SECONDS", 12)) })
+		t.Run(fmt.Sprintf("seed-%d", s), func(t *testing.T) { soak(t, program, s, faults, number(t, "SOAK_SECONDS", 12)) })
 	}
 }
 
@@ -65,12 +66,12 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) {
 			t.Log(r.cause)
-			soak(t, program, r.seed, 12)
+			soak(t, program, r.seed, faults[:r.kinds], 12)
 		})
 	}
 }
 
-func soak(t *testing.T, program string, seed, seconds uint64) {
+func soak(t *testing.T, program string, seed uint64, kinds []fault, seconds uint64) {
 	entries, sides := int(number(t, "SOAK_ENTRIES", 2)), int(number(t, "SOAK_SIDES", 4))
 	w := newWorld(t, program, entries, sides)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -79,7 +80,7 @@
 	w.awaitService(c, "start")
 	versions := w.watchVersions(ctx, c)
 	r := rand.New(rand.NewPCG(seed, 7))
-	done := w.torment(r, time.Duration(seconds)*time.Second)
+	done := w.torment(r, kinds, time.Duration(seconds)*time.Second)
 	w.awaitService(c, "the last fault")
 	w.evacuate(t, c)
 	cancel()
--- a/soak/world.go
+++ b/soak/world.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -42,6 +43,7 @@
 	entries []*node
 	sides   []*side
 	version int
+	linkAt  map[string]string // the forwarder before an agent's address
 }
 
 // node is a process of the product, started again when it ends.
@@ -63,6 +65,7 @@
 	*node
 	backend *standin.Backend
 	app     *testbed.Forwarder
+	links   *testbed.Forwarder // between the entries and the agent
 	control string
 	zone    string
 	mu      sync.Mutex
@@ -71,18 +74,30 @@
 }
 
 func newWorld(t *testing.T, binary string, entries, sides int) *world {
-	w := &world{t: t, dir: t.TempDir(), binary: binary, store: standin.NewStore()}
+	w := &world{t: t, dir: t.TempDir(), binary: binary, store: standin.NewStore(), linkAt: map[string]string{}}
 	w.storeAt = w.forward(w.serve(w.store))
 	w.configure()
 	for i := range sides {
 		w.addSide(i)
 	}
+	w.store.SetRewrite(w.throughForwarder)
+	for _, s := range w.sides {
+		w.launch(s.node)
+	}
 	for i := range entries {
 		w.addEntry(i)
 	}
 	return w
 }
 
+// throughForwarder lets entries find the forwarder in place of the agent.
+func (w *world) throughForwarder(_ string, value []byte) []byte {
+	for address, forwarder := range w.linkAt {
+		value = bytes.ReplaceAll(value, []byte(address), []byte(forwarder))
+	}
+	return value
+}
+
 func (w *world) serve(h http.Handler) string {
 	s := httptest.NewServer(h)
 	w.t.Cleanup(func() {
@@ -148,11 +163,13 @@
 		backend: standin.NewBackend(fmt.Sprintf("i-%d", i)), control: freeAddress(w.t, ip), zone: []string{zoneA, zoneB}[i%2], state: "ready",
 	}
 	s.app = w.forward(w.serve(s.backend))
-	_, port, _ := net.SplitHostPort(freeAddress(w.t, ip))
+	address := freeAddress(w.t, ip)
+	_, port, _ := net.SplitHostPort(address)
+	s.links = w.forward(address)
+	w.linkAt[address] = s.links.Addr()
 	s.file = w.settings(s.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [%s, %s]\napp = %q\nservice = %q\n[listen]\ncontrol = %q",
 		s.zone, ip, port, port, s.app.Addr(), service, s.control))
 	w.sides = append(w.sides, s)
-	w.launch(s.node)
 	ctx, cancel := context.WithCancel(context.Background())
 	w.t.Cleanup(cancel)
 	go func() {
