Hold no room for an entry that has lost its power

An agent keeps the connection of such an entry, and with it what the entry last said that its tasks want. Each time room became free some was offered to it, for 12 ms, and its urgency, long past, put it first. Ruled out: the admitted backlog (slackShare). Change: a demand counts for 250 ms after its entry has said it; entries silent for 0.5 s do not count among those that share a backend server.

--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -20,6 +20,7 @@
 	seq    uint64
 	ack    uint64
 	sent   time.Time // of the newest frame to the entry
+	heard  time.Time // of the newest frame from the entry
 	claims []*peerv1.RunClaim
 }
 
@@ -74,6 +75,22 @@
 	}
 }
 
+// entryLife is how long an entry counts as one that shares the backend server after its newest frame;
+// entries send one every 120 ms at least.
+const entryLife = 500 * time.Millisecond
+
+// entries is the number of entries that share the backend server. A connection may stay open for long
+// after its entry has lost its power.
+func (a *Agent) entries(now time.Time) int {
+	n := 0
+	for _, s := range a.sessions {
+		if now.Sub(s.heard) <= entryLife {
+			n++
+		}
+	}
+	return n
+}
+
 // take handles one frame. It answers those without orders, so that the entry learns of the agent's
 // clock and state, and others when there is something to tell or the last answer is old.
 func (a *Agent) take(ctx context.Context, s *session, f *peerv1.EntryFrame) {
@@ -85,7 +102,8 @@
 	now := steady.Now()
 	token := a.began.Add(time.Duration(f.GetTokenMs()) * time.Millisecond)
 	s.ack = f.GetSeq()
-	a.table.Want(s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandIn(f.GetWant()))
+	s.heard = now
+	a.table.Want(now, s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandIn(f.GetWant()))
 	a.table.Heard(s.entry, token)
 	if out := f.GetOut(); out != nil {
 		a.table.SetOut(out.GetRevision(), out.GetDomains())
@@ -155,7 +173,7 @@
 	s.sent = now
 	f := &peerv1.AgentFrame{
 		Seq: s.seq, Ack: s.ack, ClockMs: uint64(now.Sub(a.began).Milliseconds()),
-		Server: link.ServerOut(a.table.Server(now), a.table.FreeFor(now, s.entry), len(a.sessions)),
+		Server: link.ServerOut(a.table.Server(now), a.table.FreeFor(now, s.entry), a.entries(now)),
 	}
 	if s.seq == 1 {
 		f.Hello = &peerv1.LinkHello{Id: a.ID, Incarnation: a.Incarnation}
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -154,13 +154,14 @@
 	refused  int // orders for want of room
 	byKind   map[string]*tally
 	told     map[told]bool // tasks wait
+	gone     map[int]bool  // entries without power; agents notice only that they are silent
 }
 
 func newWorld(t *testing.T, seed uint64, entries int, speeds []float64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), works: map[string]time.Duration{},
 		taskWork: map[string]time.Duration{}, arrived: map[string]time.Time{}, kindOf: map[string]kind{}, byKind: map[string]*tally{},
-		told: map[told]bool{},
+		told: map[told]bool{}, gone: map[int]bool{},
 	}
 	for i := range 11 {
 		size := []float64{1, 1, 1.5}[i%3]
@@ -205,6 +206,9 @@
 
 // tick drives one entry.
 func (w *world) tick(i int) {
+	if w.gone[i] {
+		return
+	}
 	w.entries[i].Tick(w.now)
 	w.flush(i)
 	w.after(20*time.Millisecond, func() { w.tick(i) })
@@ -220,7 +224,9 @@
 func (w *world) beat(m *machine) {
 	if !m.dead {
 		for i := range w.entries {
-			w.sendWant(m, i)
+			if !w.gone[i] {
+				w.sendWant(m, i)
+			}
 			w.reportTo(m, i, nil)
 		}
 	}
@@ -242,6 +248,9 @@
 		}
 	}
 	w.after(oneWay, func() {
+		if w.gone[i] {
+			return
+		}
 		s.Heard(w.now, m.id)
 		for _, p := range progress {
 			s.Progress(w.now, m.id, p.ref, p.percent)
@@ -269,7 +278,7 @@
 }
 
 func (w *world) want(m *machine, i int, want Want) {
-	m.offers.Want(ownerOf(i), want.Urgency, want.Demand)
+	m.offers.Want(w.now, ownerOf(i), want.Urgency, want.Demand)
 	w.tell(m, map[int][]run.Event{})
 }
 
@@ -303,7 +312,7 @@
 		want := w.entries[i].Want()
 		w.told[told{m.id, i}] = want.Demand.CPU > 0
 		w.after(oneWay, func() {
-			m.offers.Want(ownerOf(i), want.Urgency, want.Demand)
+			m.offers.Want(w.now, ownerOf(i), want.Urgency, want.Demand)
 			w.receive(m, i, b)
 		})
 	}
@@ -404,6 +413,29 @@
 	}
 }
 
+// loseEntry takes the power of an entry. Agents stop its runs when it has been silent for 300 ms.
+func (w *world) loseEntry(i int) {
+	w.gone[i] = true
+	w.after(300*time.Millisecond, func() {
+		for _, m := range w.machines {
+			for _, ref := range m.refs() {
+				if m.runs[ref].entry == i {
+					w.end(m, ref, run.Stopped)
+				}
+			}
+		}
+	})
+}
+
+// entry picks an entry that has power.
+func (w *world) entry() int {
+	for {
+		if i := w.rng.IntN(len(w.entries)); !w.gone[i] {
+			return i
+		}
+	}
+}
+
 func (w *world) arrive(total float64) {
 	pick := w.rng.Float64() * total
 	k := kinds[0]
@@ -423,7 +455,7 @@
 		w.taskWork[run.TaskName(id, 0, 0, t)] = time.Duration(work * float64(time.Second))
 	}
 	w.works[id], w.arrived[id], w.kindOf[id] = time.Duration(longest*float64(time.Second)), w.now, k
-	i := w.rng.IntN(len(w.entries))
+	i := w.entry()
 	o, ok := w.entries[i].Submit(w.now, Job{
 		ID: id, Arrived: w.now,
 		Queue: route.Queue{Name: k.name, Service: "svc", Attempts: 3, Stretch: 1.6, Latency: 60 * time.Millisecond, Priority: k.priority},
@@ -594,3 +626,17 @@
 	w.run(8 * time.Second)
 	w.judge("after recovery", 0.98)
 }
+
+// Guards against room that is held for an entry which has lost its power while its tasks waited: on a day
+// with that and a high load the others served an eighth of their callers for two seconds. docs/platform.md
+// states 0.9 of what the room allows, from 0.5 s after the loss.
+func TestReplayEntryLost(t *testing.T) {
+	w := newWorld(t, 6, 3, speedsOne)
+	w.traffic(1.2, 2*time.Second)
+	w.run(2 * time.Second)
+	w.loseEntry(0)
+	w.from, w.until = w.now.Add(500*time.Millisecond), w.now.Add(3*time.Second)
+	w.traffic(0.9, 4*time.Second)
+	w.run(7 * time.Second)
+	w.judge("entry lost", 0.9)
+}
--- a/dispatch/runtable/offers.go
+++ b/dispatch/runtable/offers.go
@@ -20,8 +20,14 @@
 type want struct {
 	urgency time.Time
 	demand  run.Demand
+	at      time.Time // when the owner said so
 }
 
+// wantLife is how long a demand counts that its owner does not repeat. Entries send each agent a frame
+// every 120 ms at least. An entry that has lost its power otherwise keeps room for itself, for as long as
+// its connection seems to be open.
+const wantLife = 250 * time.Millisecond
+
 type offer struct {
 	demand run.Demand
 	until  time.Time
@@ -32,14 +38,14 @@
 	return &Offers{hold: hold, wants: map[string]want{}, offers: map[string]offer{}}
 }
 
-// Want records the demand of the owner's waiting tasks and the latest start of the most urgent one.
+// Want records at now the demand of the owner's waiting tasks and the latest start of the most urgent one.
 // No demand withdraws it, and the owner's offer.
-func (o *Offers) Want(owner string, urgency time.Time, demand run.Demand) {
+func (o *Offers) Want(now time.Time, owner string, urgency time.Time, demand run.Demand) {
 	if demand.CPU <= 0 && demand.MemoryMB <= 0 && demand.GPU <= 0 {
 		o.Drop(owner)
 		return
 	}
-	o.wants[owner] = want{urgency, demand}
+	o.wants[owner] = want{urgency: urgency, demand: demand, at: now}
 }
 
 // Drop forgets the owner.
@@ -74,7 +80,11 @@
 func (o *Offers) Next(now time.Time, free run.Demand) []string {
 	left := free.Minus(o.Others(now, ""))
 	var names []string
-	for name := range o.wants {
+	for name, w := range o.wants {
+		if now.Sub(w.at) > wantLife {
+			o.Drop(name)
+			continue
+		}
 		if f, ok := o.offers[name]; !ok || !now.Before(f.until) {
 			names = append(names, name)
 		}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -28,8 +28,8 @@
 }
 
 // Want records what the entry's waiting tasks need and how urgent they are; see Offers.
-func (t *Table) Want(owner string, urgency time.Time, demand run.Demand) {
-	t.offers.Want(owner, urgency, demand)
+func (t *Table) Want(now time.Time, owner string, urgency time.Time, demand run.Demand) {
+	t.offers.Want(now, owner, urgency, demand)
 }
 
 // Unlinked forgets what an entry without a link wants.
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -318,8 +318,8 @@
 	f := newFixture(t)
 	f.Heard("e2", f.now)
 	f.order(ref("a", 1), 9000)
-	f.Want("e1", f.now.Add(300*time.Millisecond), run.Demand{CPU: 1000})
-	f.Want("e2", f.now.Add(100*time.Millisecond), run.Demand{CPU: 1000})
+	f.Want(f.now, "e1", f.now.Add(300*time.Millisecond), run.Demand{CPU: 1000})
+	f.Want(f.now, "e2", f.now.Add(100*time.Millisecond), run.Demand{CPU: 1000})
 	if told := f.Offer(f.now); len(told) != 1 || told[0] != "e2" {
 		t.Fatalf("offered to %v", told)
 	}
@@ -333,7 +333,7 @@
 	if code := f.order(ref("b", 1), 1000); code != 0 {
 		t.Errorf("own offer: %d", code)
 	}
-	f.Want("e1", f.now, run.Demand{})
+	f.Want(f.now, "e1", f.now, run.Demand{})
 	if told := f.Offer(f.now); len(told) != 0 {
 		t.Errorf("offered without room: %v", told)
 	}
