Send unanswered orders again, and callers away from an entry that is not ready

Change: an order without an answer is sent again after five usual answer times, at most four times in all; copies carry the same run number and expiry, and a refusal is taken only when no other copy was sent. Looks allow 10 ms in place of 25 beyond their wait while answers get lost. An entry that is not ready closes its callers' connections, but not while it starts. The delays of a pause are dropped, and one delay counts for 100 ms at most.

--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"poplargw.example/daemon/event"
@@ -16,7 +18,7 @@
 	// is that entries hear of.
 	busyWait = 60 * time.Millisecond
 	// shakyWait is the same while answers get lost: each lost one is noticed only after its wait.
-	shakyWait = 20 * time.Millisecond
+	shakyWait = 10 * time.Millisecond
 	// shakyFor is how long after a lost answer that holds.
 	shakyFor = time.Second
 	// idleWait is the same while nothing runs. It is below the lease, so that a start after an idle
@@ -28,6 +30,8 @@
 	// leastMargin is the same while answers are fast, of which marginFactor usual ones are allowed.
 	leastMargin  = 25 * time.Millisecond
 	marginFactor = 10
+	// shakyMargin is leastMargin while answers get lost: the end of a run shows only after it.
+	shakyMargin = 10 * time.Millisecond
 	// retryPause is the pause after a look without an answer.
 	retryPause = 10 * time.Millisecond
 	// startMargin is how much longer than its expiry the answer to an order is waited for.
@@ -36,31 +40,82 @@
 	stopLimit = 150 * time.Millisecond
 )
 
-// start carries an order to the backend server.
+// maxCopies bounds how often one order is sent.
+const maxCopies = 4
+
+// startAnswer is the answer to one copy of an order.
+type startAnswer struct {
+	clock int64
+	took  time.Duration
+	err   error
+}
+
+// start carries an order to the backend server, and sends copies while there is no answer.
 func (a *Agent) start(ctx context.Context, ref run.Ref) {
 	a.mu.Lock()
 	order := a.specs[ref]
 	call := Start{Ref: ref, Spec: order.text, Checkpoint: order.checkpoint, Instance: order.instance, ExpiryMS: a.table.Expiry(ref)}
 	limit := a.table.Pending(steady.Now(), a.Limits.OrderExpiry) + startMargin
+	repeat := a.table.Repeat()
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	clock, err := a.Backend.Start(ctx, call)
+	answers := make(chan startAnswer, maxCopies)
+	var copies sync.WaitGroup
+	send := func() {
+		copies.Go(func() {
+			began := time.Now()
+			clock, err := a.Backend.Start(ctx, call)
+			answers <- startAnswer{clock: clock, took: time.Since(began), err: err}
+		})
+	}
+	send()
+	a.started(ref, awaitStart(answers, repeat, send))
+	// Copies that still wait are not cancelled before the limit: that would cost their connections.
+	copies.Wait()
+	cancel()
+}
+
+// awaitStart returns the answer to an order, of which send sends another copy. An answer tells what has
+// become of the order only if it says that the run is there, or if no other copy may have started it.
+func awaitStart(answers <-chan startAnswer, repeat time.Duration, send func()) startAnswer {
+	timer := time.NewTicker(repeat)
+	defer timer.Stop()
+	for sent, got := 1, 0; ; {
+		select {
+		case v := <-answers:
+			got++
+			switch {
+			case v.err == nil || sent == 1:
+				return v
+			case got == sent:
+				return startAnswer{err: fmt.Errorf("%d copies without a start, the last: %s", sent, v.err.Error())}
+			}
+		case <-timer.C:
+			if sent < maxCopies {
+				sent++
+				send()
+			}
+		}
+	}
+}
+
+// started takes in the answer to an order.
+func (a *Agent) started(ref run.Ref, v startAnswer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var refused *Refused
 	switch {
-	case err == nil:
-		a.table.Accepted(steady.Now(), ref, clock)
-	case errors.Is(err, ErrNotSent):
+	case v.err == nil:
+		a.table.Accepted(v.took, ref, v.clock)
+	case errors.Is(v.err, ErrNotSent):
 		a.deliver(a.table.Rejected(steady.Now(), ref, result.StartTooLate))
-	case errors.As(err, &refused):
+	case errors.As(v.err, &refused):
 		a.Log.Sample(event.StartRefused, event.Fields{"task": ref.Task, "run": ref.Run, "reason": refused.Reason})
 		a.deliver(a.table.Rejected(steady.Now(), ref, refused.Code))
 	default:
 		// The run may still begin until its expiry; a look settles it.
 		a.counters.unanswered.Inc()
-		a.Log.Warn(event.StartUnanswered, event.Fields{"task": ref.Task, "run": ref.Run, "error": err.Error()})
+		a.Log.Warn(event.StartUnanswered, event.Fields{"task": ref.Task, "run": ref.Run, "error": v.err.Error()})
 	}
 }
 
@@ -126,7 +181,7 @@
 	if a.table.Len() > 0 {
 		r.Wait = a.table.Pending(steady.Now(), busyWait)
 	}
-	if time.Since(a.lostAnswer) < shakyFor {
+	if a.shaky() {
 		r.Wait = min(r.Wait, shakyWait)
 	}
 	return r
@@ -134,9 +189,16 @@
 
 // margin is how long an answer may take beyond its wait. Only the goroutine that looks uses it.
 func (a *Agent) margin() time.Duration {
-	return min(lookMargin, max(leastMargin, marginFactor*a.overhead))
+	least := leastMargin
+	if a.shaky() {
+		least = shakyMargin
+	}
+	return min(lookMargin, max(least, marginFactor*a.overhead))
 }
 
+// shaky tells whether an answer was lost a moment ago. Only the goroutine that looks uses it.
+func (a *Agent) shaky() bool { return time.Since(a.lostAnswer) < shakyFor }
+
 // noteAnswer learns how much longer than their wait answers take. An answer that did not come doubles
 // it, so that a slow backend server is not taken for one that loses answers.
 func (a *Agent) noteAnswer(over time.Duration, err error) {
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -176,13 +176,11 @@
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	servers := e.scheduler.Stats().Servers
-	short := e.lacksTime()
-	ready := e.config != nil && servers > 0 && !short
+	ready := e.canServe()
 	if ready != e.ready {
 		e.ready = ready
 		e.Log.Info(event.ReadinessChanged, event.Fields{
-			"ready": ready, "routes": e.config != nil, "servers": servers, "processor_short": short,
+			"ready": ready, "routes": e.config != nil, "servers": e.scheduler.Servers(), "processor_short": e.lacksTime(),
 		})
 	}
 	return ready
--- a/daemon/runentry/lag.go
+++ b/daemon/runentry/lag.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/steady"
 )
 
 // An entry with a fifth of a core that is slowed several times once spent what it had on closing links
@@ -14,6 +15,8 @@
 	// of ticks, and about as long of answers with 50 agents.
 	ticksOver   = 5
 	answersOver = 32
+	// pausedTick is the gap between two ticks that counts as a pause of the process.
+	pausedTick = 300 * time.Millisecond
 	// silenceLags is how many mean delays a frame may wait in a socket beyond the usual silence.
 	silenceLags = 4
 	// shortRetry is when a caller may come back whom an entry without processor time has rejected: by
@@ -26,9 +29,21 @@
 	if e.lastTick.IsZero() {
 		return
 	}
+	if now.Sub(e.lastTick) > pausedTick {
+		e.forgetProbes()
+		return
+	}
 	e.observe(func() { e.ticks.Observe(now, max(0, now.Sub(e.lastTick)-tickEvery)) })
 }
 
+// forgetProbes drops the probes without an answer after a pause of the process: their delays tell of the
+// pause, after which the process has all the processor time that it needs.
+func (e *Entry) forgetProbes() {
+	for _, a := range e.agents {
+		a.probed = time.Time{}
+	}
+}
+
 // probe notes when a frame was sent that the agent answers at once. The caller holds the lock.
 func (a *agent) probe(now time.Time, seq uint64) {
 	if a.probed.IsZero() {
@@ -66,12 +81,18 @@
 // lacksTime tells whether that lasts. The caller holds the lock.
 func (e *Entry) lacksTime() bool { return e.ticks.Lasting() || e.answers.Lasting() }
 
-// SendsAway tells whether callers should open their next connection, which reaches another entry then,
-// because this one lacks processor time for longer.
+// SendsAway tells whether callers should open a new connection for their next request, because the load
+// balancer leads it to another entry: this one is not ready. Callers who kept their connection to an
+// entry that was cut off from all agents were rejected for as long as the cut lasted.
 func (e *Entry) SendsAway() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lacksTime()
+	return !e.canServe() && !e.scheduler.Warming(steady.Now())
+}
+
+// canServe tells whether the entry can serve callers. The caller holds the lock.
+func (e *Entry) canServe() bool {
+	return e.config != nil && e.scheduler.Servers() > 0 && !e.lacksTime()
 }
 
 // endSilent ends links that have been silent for too long; new ones are opened at once. An entry that
--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -69,7 +69,7 @@
 		return 0
 	}
 	pace := s.pace(now, j.Queue.Service)
-	if pace <= 0 && s.warming(now) {
+	if pace <= 0 && s.Warming(now) {
 		return 0
 	}
 	if pace <= 0 {
@@ -82,7 +82,7 @@
 // entry's tasks get done each second: its present share of the backend servers that work.
 func (s *Scheduler) pace(now time.Time, service string) float64 {
 	total, used, servers, entries := s.capacity(service)
-	if s.warming(now) && servers > 0 && s.expected.agents > servers {
+	if s.Warming(now) && servers > 0 && s.expected.agents > servers {
 		total *= float64(s.expected.agents) / float64(servers)
 	}
 	share := minShare
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -75,8 +75,8 @@
 	s.expected.agents = agents
 }
 
-// warming tells whether agents are known that may still connect after the entry's own start.
-func (s *Scheduler) warming(now time.Time) bool {
+// Warming tells whether agents are known that may still connect after the entry's own start.
+func (s *Scheduler) Warming(now time.Time) bool {
 	if !now.Before(s.expected.until) {
 		return false
 	}
@@ -89,14 +89,23 @@
 	return known < s.expected.agents
 }
 
+// Servers returns the number of backend servers that take work.
+func (s *Scheduler) Servers() int {
+	n := 0
+	for _, v := range s.fleet {
+		if v.takes(s.out) {
+			n++
+		}
+	}
+	return n
+}
+
 // Stats returns what the scheduler holds.
 func (s *Scheduler) Stats() Stats {
 	st := Stats{Jobs: len(s.jobs)}
+	st.Servers = s.Servers()
 	for _, v := range s.fleet {
 		st.Runs += len(v.runs)
-		if v.takes(s.out) {
-			st.Servers++
-		}
 	}
 	for _, j := range s.inOrder() {
 		if j.started.IsZero() {
@@ -160,7 +169,7 @@
 		}
 		known = true
 	}
-	if !known && s.warming(now) {
+	if !known && s.Warming(now) {
 		return 0
 	}
 	if !known {
--- a/dispatch/lag/lag.go
+++ b/dispatch/lag/lag.go
@@ -11,6 +11,8 @@
 	// turns of the processor.
 	shortAt  = 50 * time.Millisecond
 	enoughAt = 15 * time.Millisecond
+	// most is the longest delay that counts, so that a few long ones do not outweigh many short ones.
+	most = 100 * time.Millisecond
 	// longFor is the time after which a shortage lasts: callers are better served elsewhere.
 	longFor = time.Second
 )
@@ -31,7 +33,7 @@
 	if m.since.IsZero() {
 		m.since = now
 	}
-	m.mean += (late - m.mean) / time.Duration(max(1, m.Over))
+	m.mean += (min(late, most) - m.mean) / time.Duration(max(1, m.Over))
 	if !m.short && m.mean >= shortAt || m.short && m.mean < enoughAt {
 		m.short = !m.short
 		m.since = now
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -98,8 +98,17 @@
 	answerFactor = 15
 	// answerDecay is the weight of the past in the usual answer time.
 	answerDecay = 0.9
+	// repeatFactor is how many usual answer times an order may be without an answer before it is sent
+	// once more, and leastRepeat the least such time.
+	repeatFactor = 5
+	leastRepeat  = 8 * time.Millisecond
 )
 
+// Repeat is how long an order may be without an answer before it is sent once more. A copy cannot start
+// a second run: it carries the same number and the same expiry. Without copies, a backend server that
+// leaves three orders in ten unanswered made most jobs wait for an expiry.
+func (t *Table) Repeat() time.Duration { return max(leastRepeat, repeatFactor*t.answers) }
+
 // expiry is how long an order may take to the backend server. An order whose answer is lost keeps its
 // task waiting for that long.
 func (t *Table) expiry() time.Duration {
@@ -139,14 +148,14 @@
 	return 0
 }
 
-// Accepted records that the backend server has answered at now that it has started the run, at clockMS
-// of its own clock.
-func (t *Table) Accepted(now time.Time, ref run.Ref, clockMS int64) {
+// Accepted records that the backend server has answered that it has started the run, at clockMS of its
+// own clock. The answered copy of the order took the given time.
+func (t *Table) Accepted(took time.Duration, ref run.Ref, clockMS int64) {
 	r := t.runs[ref]
 	if r == nil {
 		return
 	}
-	t.answered(now.Sub(r.found))
+	t.answered(took)
 	t.accept(r, clockMS)
 }
 
