Read the first view soon after the store's return

An entry that starts serves nobody before it has read the routes and the agents, and its pauses between reads had grown to up to 1.2 s when the store came back. Ruled out: asking other processes. All have just started, and none has a disk.

--- a/store/follow.go
+++ b/store/follow.go
@@ -16,6 +16,9 @@
 	Wait time.Duration
 	// Margin is how much longer than its wait a watch may take, and how long a read may take.
 	Margin time.Duration
+	// FirstPause bounds the pause between failed reads before the first view, for followers that cannot
+	// serve without one; 0 means the ordinary bound.
+	FirstPause time.Duration
 	// Apply gets each new view, sorted by key. Views never go back to an older revision.
 	Apply func(View)
 	// Lost and Regained are told when the store stops answering and when it answers again.
@@ -142,12 +145,16 @@
 		f.failing = true
 		f.Lost(err)
 	}
-	pause(ctx, &f.pause)
+	most := backoffLast
+	if f.revision == 0 && f.FirstPause > 0 {
+		most = f.FirstPause
+	}
+	pause(ctx, &f.pause, most)
 }
 
-// pause waits for about the given time and doubles it up to backoffLast.
-func pause(ctx context.Context, d *time.Duration) {
+// pause waits for about the given time and doubles it up to the given bound.
+func pause(ctx context.Context, d *time.Duration, most time.Duration) {
 	// The loop that calls sees the end of ctx itself.
 	_ = sleep(ctx, *d/2+rand.N(*d))
-	*d = min(2**d, backoffLast)
+	*d = min(2**d, most)
 }
--- a/store/register.go
+++ b/store/register.go
@@ -36,9 +36,9 @@
 			_ = sleep(ctx, r.ttl/renewals) // the loop sees the end of ctx itself
 		case errors.Is(err, ErrLeaseLost):
 			r.end(err)
-			pause(ctx, &delay)
+			pause(ctx, &delay, backoffLast)
 		default:
-			pause(ctx, &delay)
+			pause(ctx, &delay, backoffLast)
 		}
 	}
 	r.remove()
