--- a/daemon/runentry/lag.go
+++ b/daemon/runentry/lag.go
@@ -7,8 +7,8 @@
 	"poplargw.example/daemon/steady"
 )
 
-// An entry with a fifth of a core that is slowed several times once spent what it had on closing links
-// that only it read late, and on jobs that it could not end: see docs/CAPACITY.md.
+// An entry that reads late takes live links for silent ones, and takes in jobs that it cannot end. This
+// file measures by how much it is late; docs/CAPACITY.md has figures.
 
 const (
 	// ticksOver and answersOver are the numbers of delays that the means are over: a tenth of a second
