--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -193,7 +193,7 @@
 	}
 	e.flush()
 	// An agent holds room for an entry that wants some; it is told at once when that has changed.
-	if a.wanting != e.scheduler.HasWaiting() && now.Sub(a.sent) >= wantGap {
+	if now.Sub(a.sent) >= wantGap && a.wanting != e.scheduler.HasWaiting() {
 		e.beatOne(a)
 	}
 }
@@ -203,12 +203,13 @@
 	if a.conn == nil {
 		return
 	}
+	a.sent = steady.Now()
 	f := link.BatchOut(b)
 	f.Ack, f.TokenMs = a.ack, a.token
 	want := e.scheduler.Want()
 	a.wanting = want.Demand.CPU > 0
 	if a.wanting {
-		f.Want, f.SlackMs = link.DemandOut(want.Demand), want.Urgency.Sub(steady.Now()).Milliseconds()
+		f.Want, f.SlackMs = link.DemandOut(want.Demand), want.Urgency.Sub(a.sent).Milliseconds()
 	}
 	if b.Seq == 1 {
 		f.Hello = &peerv1.LinkHello{Id: e.ID, Incarnation: e.Incarnation}
@@ -217,7 +218,6 @@
 		a.outSent = true
 		f.Out = &peerv1.DomainsOut{Revision: e.out.revision, Domains: e.out.domains}
 	}
-	a.sent = steady.Now()
 	if len(b.Orders) == 0 {
 		a.probe(a.sent, b.Seq)
 	}
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -35,14 +35,7 @@
 	if !j.queued || slices.Index(*s.list(j), j) >= maxBlocked {
 		return
 	}
-	started := j.started
-	switch {
-	case s.placeJob(now, j, s.fleet):
-		s.dequeue(j)
-	case started != j.started:
-		s.dequeue(j)
-		s.enqueue(now, j)
-	}
+	s.requeue(now, j, s.placeJob(now, j, s.fleet))
 }
 
 func (s *Scheduler) dispatchAmong(now time.Time, servers []*server) {
@@ -52,40 +45,58 @@
 
 func (s *Scheduler) placeList(now time.Time, list []*job, servers []*server) {
 	blocked := 0
-	var complete, begun []*job
+	var changed []tried
 	for _, j := range list {
 		if blocked >= maxBlocked {
 			break
 		}
-		before := j.started
-		switch {
-		case s.placeJob(now, j, servers):
-			complete = append(complete, j)
-		case before != j.started:
-			begun = append(begun, j)
-			blocked++
-		default:
+		r := s.placeJob(now, j, servers)
+		if r != allPlaced {
 			blocked++
 		}
+		if r != nonePlaced {
+			changed = append(changed, tried{j, r})
+		}
 	}
-	for _, j := range complete {
-		s.dequeue(j)
+	for _, c := range changed {
+		s.requeue(now, c.job, c.result)
 	}
-	for _, j := range begun {
-		s.dequeue(j)
+}
+
+// placement is how many of a job's waiting tasks have found a place.
+type placement int
+
+const (
+	nonePlaced placement = iota
+	// firstPlaced: the job has begun, and some of its tasks still wait.
+	firstPlaced
+	allPlaced
+)
+
+// tried is a job with the result of placing its tasks.
+type tried struct {
+	job    *job
+	result placement
+}
+
+// requeue corrects the job's place in the queue: one that has begun comes before those that have not, and
+// one without waiting tasks leaves it.
+func (s *Scheduler) requeue(now time.Time, j *job, r placement) {
+	if r == nonePlaced {
+		return
+	}
+	s.dequeue(j)
+	if r == firstPlaced {
 		s.enqueue(now, j)
 	}
 }
 
-// placeJob places the job's runnable tasks among the servers and tells whether none waits for a place.
-func (s *Scheduler) placeJob(now time.Time, j *job, servers []*server) bool {
-	all := true
+// placeJob places the job's runnable tasks among the servers.
+func (s *Scheduler) placeJob(now time.Time, j *job, servers []*server) placement {
+	started, all := j.started, true
 	full := -1 // the step of which no task finds a place
 	for _, t := range j.tasks {
-		if t.state != waiting || !j.runnable(t) {
-			continue
-		}
-		if t.step == full {
+		if t.state != waiting || t.step == full || !j.runnable(t) {
 			continue
 		}
 		v := s.pick(now, j, t, servers)
@@ -99,7 +110,13 @@
 		}
 		s.order(now, j, t, v)
 	}
-	return all
+	switch {
+	case all:
+		return allPlaced
+	case started != j.started:
+		return firstPlaced
+	}
+	return nonePlaced
 }
 
 // pick chooses the backend server with the lowest cost among those that have room, or none.
@@ -145,7 +162,7 @@
 	switch {
 	case !end.After(j.objective):
 		return true
-	case slow >= slowPace*usual:
+	case s.tooSlow(v):
 		return len(v.runs) == 0 && now.Sub(v.lastOrder) > probeEvery<<min(v.probes, maxProbeDoublings)
 	}
 	return j.late && !end.After(j.useful())
@@ -179,12 +196,17 @@
 
 // probesAfter is the number of orders in a row, with the next one, to a backend server that is too slow.
 func (s *Scheduler) probesAfter(v *server) int {
-	if v.slowness() < slowPace*s.usual[v.state.Service] {
+	if !s.tooSlow(v) {
 		return 0
 	}
 	return v.probes + 1
 }
 
+// tooSlow tells whether the backend server is far slower than is usual for its service.
+func (s *Scheduler) tooSlow(v *server) bool {
+	return v.slowness() >= slowPace*s.usual[v.state.Service]
+}
+
 func (s *Scheduler) ofStep(j *job, step int, v *server) int {
 	n := 0
 	for _, a := range v.runs {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -58,21 +58,10 @@
 		s.app.Set(testbed.AnySource, testbed.LinkOpen)
 		s.app.Reset()
 	}},
-	{"server cut off", func(w *world, r *rand.Rand) {
-		s := pick(r, w.sides)
-		s.app.Set(testbed.AnySource, testbed.LinkSilent)
-		time.Sleep(span(r, 100*time.Millisecond, 1500*time.Millisecond))
-		s.app.Set(testbed.AnySource, testbed.LinkOpen)
-		s.app.Reset()
-	}},
+	{"server cut off", func(w *world, r *rand.Rand) { cut(r, pick(r, w.sides).app, testbed.LinkSilent) }},
 	{"server connections silent", func(w *world, r *rand.Rand) { pick(r, w.sides).app.SilenceOpen(testbed.AnySource) }},
 	{"server connections reset", func(w *world, r *rand.Rand) { pick(r, w.sides).app.Reset() }},
-	{"server far", func(w *world, r *rand.Rand) {
-		s := pick(r, w.sides)
-		s.app.SetDelay(testbed.AnySource, span(r, 5*time.Millisecond, 40*time.Millisecond))
-		time.Sleep(span(r, 300*time.Millisecond, 1500*time.Millisecond))
-		s.app.SetDelay(testbed.AnySource, 0)
-	}},
+	{"server far", func(w *world, r *rand.Rand) { delay(r, pick(r, w.sides).app, 40*time.Millisecond) }},
 	{"server stalls", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{Stall: true}) }},
 	{"server slow", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{Slow: 6}) }},
 	{"server fails", func(w *world, r *rand.Rand) { w.serverFault(r, standin.BackendFaults{FailAll: true}) }},
@@ -98,9 +87,9 @@
 	{"leases lapse", func(w *world, r *rand.Rand) { w.store.Lapse() }},
 	{"history dropped", func(w *world, r *rand.Rand) { w.store.Compact() }},
 	{"configuration", func(w *world, r *rand.Rand) { w.configure() }},
-	{"links cut", func(w *world, r *rand.Rand) { w.cutLinks(r, testbed.LinkSilent) }},
-	{"links held up", func(w *world, r *rand.Rand) { w.cutLinks(r, testbed.LinkHold) }},
-	{"links refused", func(w *world, r *rand.Rand) { w.cutLinks(r, testbed.LinkRefuse) }},
+	{"links cut", func(w *world, r *rand.Rand) { cut(r, pick(r, w.sides).links, testbed.LinkSilent) }},
+	{"links held up", func(w *world, r *rand.Rand) { cut(r, pick(r, w.sides).links, testbed.LinkHold) }},
+	{"links refused", func(w *world, r *rand.Rand) { cut(r, pick(r, w.sides).links, testbed.LinkRefuse) }},
 	{"links silent", func(w *world, r *rand.Rand) { pick(r, w.sides).links.SilenceOpen(testbed.AnySource) }},
 	{"all links silent", func(w *world, _ *rand.Rand) {
 		for _, s := range w.sides {
@@ -108,12 +97,7 @@
 		}
 	}},
 	{"links reset", func(w *world, r *rand.Rand) { pick(r, w.sides).links.Reset() }},
-	{"agent far", func(w *world, r *rand.Rand) {
-		s := pick(r, w.sides)
-		s.links.SetDelay(testbed.AnySource, span(r, 5*time.Millisecond, 150*time.Millisecond))
-		time.Sleep(span(r, 300*time.Millisecond, 1500*time.Millisecond))
-		s.links.SetDelay(testbed.AnySource, 0)
-	}},
+	{"agent far", func(w *world, r *rand.Rand) { delay(r, pick(r, w.sides).links, 150*time.Millisecond) }},
 }
 
 func (s *side) setState(state string) {
@@ -123,13 +107,19 @@
 	s.beat()
 }
 
-// cutLinks harms the links of one agent for a while.
-func (w *world) cutLinks(r *rand.Rand, m testbed.LinkMode) {
-	s := pick(r, w.sides)
-	s.links.Set(testbed.AnySource, m)
+// cut harms the connections through a forwarder for a while and then resets them.
+func cut(r *rand.Rand, f *testbed.Forwarder, m testbed.LinkMode) {
+	f.Set(testbed.AnySource, m)
 	time.Sleep(span(r, 100*time.Millisecond, 1500*time.Millisecond))
-	s.links.Set(testbed.AnySource, testbed.LinkOpen)
-	s.links.Reset()
+	f.Set(testbed.AnySource, testbed.LinkOpen)
+	f.Reset()
+}
+
+// delay slows the connections through a forwarder for a while by 5 ms or more.
+func delay(r *rand.Rand, f *testbed.Forwarder, most time.Duration) {
+	f.SetDelay(testbed.AnySource, span(r, 5*time.Millisecond, most))
+	time.Sleep(span(r, 300*time.Millisecond, 1500*time.Millisecond))
+	f.SetDelay(testbed.AnySource, 0)
 }
 
 func (w *world) serverFault(r *rand.Rand, f standin.BackendFaults) {
