Keep links from each entry to a part of the agents

Cause: each entry kept a link to each agent, 13,200 links at 55 entries and 240 agents with a frame each way every 50 to 120 ms. Ruled out: the jobs themselves (4,100 task starts a second over 295 processes).

Change: dispatch/partner chooses an entry's agents, without I/O: all up to 64; else 24 of its own failure domain and one of each other one, by rendezvous hash; partners that cannot take work are replaced; the set grows while tasks wait or little room is free, up to one agent for each task, and shrinks after 4 s of ample room. The scheduler forgets agents that are let go, but not their suspension, and counts links that are being opened as room. Agents state their failure domain in the store. An agent's frame describes its backend server only when that has changed. Changes of the list of agents are read at most every 50 ms.

Fewer entries race for each agent's room.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	bin/replay -deployments umucyo -scenarios steady70 -seed 2
 	bin/replay -deployments umucyo -scenarios steady70 -seed 3
 	bin/replay -probe
+	POPLARGW_FULL_REPLAY=1 go test ./dispatch/jobs -count=1 -run 'TestReplay(LargeFleet|LinksDoNotGrow|FewEntries)' -v -timeout 20m
 
 # Measures what docs/CAPACITY.md is computed from; takes about ten minutes.
 capacity: build
--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -29,11 +29,11 @@
 	run.Draining: peerv1.RunServerState_RUN_SERVER_STATE_DRAINING,
 }
 
-// ServerOut encodes a backend server with its free room and the number of entries that share it.
-func ServerOut(s run.Server, free run.Demand, entries int) *peerv1.RunServer {
+// ServerOut encodes a backend server.
+func ServerOut(s run.Server) *peerv1.RunServer {
 	return &peerv1.RunServer{
 		Instance: s.Instance, Service: s.Service, Domain: s.Domain, State: stateOut[s.State],
-		Room: DemandOut(s.Room), Free: DemandOut(free), Labels: s.Labels, Entries: uint32(entries),
+		Room: DemandOut(s.Room), Labels: s.Labels,
 	}
 }
 
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -22,6 +22,7 @@
 	sent   time.Time // of the newest frame to the entry
 	heard  time.Time // of the newest frame from the entry
 	claims []*peerv1.RunClaim
+	server run.Server // as the entry was told
 }
 
 // answerWithin is how long after a frame to the entry one that carries orders needs no answer of its
@@ -173,7 +174,11 @@
 	s.sent = now
 	f := &peerv1.AgentFrame{
 		Seq: s.seq, Ack: s.ack, ClockMs: uint64(now.Sub(a.began).Milliseconds()),
-		Server: link.ServerOut(a.table.Server(now), a.table.FreeFor(now, s.entry), a.entries(now)),
+		Free: link.DemandOut(a.table.FreeFor(now, s.entry)), Entries: uint32(a.entries(now)),
+	}
+	if server := a.table.Server(now); s.seq == 1 || !server.Equal(&s.server) {
+		f.Server = link.ServerOut(server)
+		s.server = server
 	}
 	if s.seq == 1 {
 		f.Hello = &peerv1.LinkHello{Id: a.ID, Incarnation: a.Incarnation}
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -17,6 +17,7 @@
 	"poplargw.example/daemon/steady"
 	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/lag"
+	"poplargw.example/dispatch/partner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/route"
 )
@@ -25,7 +26,9 @@
 type Options struct {
 	ID          string
 	Incarnation string
-	Limits      jobs.Limits
+	// Domain is the entry's failure domain.
+	Domain string
+	Limits jobs.Limits
 	// Links secures the links to agents; nil means plain connections.
 	Links   *tls.Config
 	Log     *event.Logger
@@ -40,14 +43,16 @@
 	mu        sync.Mutex
 	scheduler *jobs.Scheduler
 	config    *route.Config
-	agents    map[string]*agent // by ID
+	fleet     map[string]Agent  // all agents, by ID
+	agents    map[string]*agent // partners, by ID
+	partners  *partner.Set
 	waiters   map[string][]chan jobs.Outcome
 	out       domainsOut
 	lastTick  time.Time
 	ticks     lag.Meter // delays of the tick
 	answers   lag.Meter // delays of agents' answers beyond the shortest of each
 	ended     *history
-	changed   chan struct{} // the set of agents has changed
+	changed   chan struct{} // the set of partners has changed
 	ready     bool          // as last told to the load balancer
 }
 
@@ -62,7 +67,9 @@
 	e := &Entry{
 		Options:   o,
 		scheduler: jobs.New(o.Limits),
+		fleet:     map[string]Agent{},
 		agents:    map[string]*agent{},
+		partners:  partner.New(o.ID, o.Domain),
 		waiters:   map[string][]chan jobs.Outcome{},
 		ended:     newHistory(),
 		changed:   make(chan struct{}, 1),
@@ -116,6 +123,7 @@
 		e.endSilent(now)
 	}
 	e.scheduler.Tick(now)
+	e.stepPartners(now)
 	e.flush()
 	e.beat(now)
 }
@@ -165,6 +173,8 @@
 		return
 	}
 	e.scheduler.SetOut(domains)
+	e.partners.SetOut(domains)
+	e.stepPartners(steady.Now())
 	e.Log.Info(event.DomainsChanged, event.Fields{"out": len(domains), "revision": revision})
 	for _, a := range e.agents {
 		a.outSent = false
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -5,13 +5,12 @@
 	"math/rand/v2"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/link"
 	"poplargw.example/daemon/steady"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/run"
 )
 
 const (
@@ -34,9 +33,6 @@
 	// redialFirst and redialLast bound the pause between attempts, which doubles.
 	redialFirst = 30 * time.Millisecond
 	redialLast  = 400 * time.Millisecond
-	// absentAgent is how long an agent that is not in the store any more is still dialled: keys also
-	// vanish while the store is down.
-	absentAgent = 30 * time.Second
 )
 
 // agent is the link to one agent. Its fields are guarded by the entry's lock.
@@ -49,66 +45,20 @@
 	outSent  bool
 	wanting  bool // the agent was told that tasks wait
 	listed   bool
-	unlisted time.Time // when it left the list
-	cancel   context.CancelFunc
+	unlisted time.Time          // when it left the list
+	cancel   context.CancelFunc // nil until its link is dialled
 	// probed is when the frame probeSeq was sent, zero when its answer has come; shortest is the
 	// shortest time of such an answer.
 	probed   time.Time
 	probeSeq uint64
 	shortest time.Duration
-}
-
-// SetAgents replaces the list of agents, by ID with their addresses. An ID never changes its address.
-// Agents that are no longer listed stay in use while they answer.
-func (e *Entry) SetAgents(list map[string]string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := steady.Now()
-	for id, a := range e.agents {
-		_, ok := list[id]
-		if a.listed && !ok {
-			a.unlisted = now
-		}
-		a.listed = ok
-	}
-	for id, addr := range list {
-		if e.agents[id] == nil {
-			e.agents[id] = &agent{id: id, addr: addr, listed: true}
-		}
-	}
-	e.scheduler.Expect(now, len(list))
-	e.Log.Info(event.AgentsChanged, event.Fields{"listed": len(list), "known": len(e.agents)})
-	select {
-	case e.changed <- struct{}{}:
-	default:
-	}
-}
-
-// connect keeps a link to each known agent.
-func (e *Entry) connect(ctx context.Context, g *errgroup.Group) error {
-	for {
-		select {
-		case <-e.changed:
-		case <-ctx.Done():
-			return nil
-		}
-		e.mu.Lock()
-		for _, a := range e.agents {
-			if a.cancel != nil {
-				continue
-			}
-			own, cancel := context.WithCancel(ctx)
-			a.cancel = cancel
-			g.Go(func() error { e.keep(own, a); return nil })
-		}
-		e.mu.Unlock()
-	}
+	server   run.Server // as the agent last described it
 }
 
 // keep dials the agent again and again.
 func (e *Entry) keep(ctx context.Context, a *agent) {
 	pause := redialFirst
-	for ctx.Err() == nil && !e.dropAbsent(a) {
+	for ctx.Err() == nil {
 		conn, err := link.Dial(ctx, a.addr, e.Links, dialLimit)
 		if err != nil {
 			steady.Sleep(ctx, jitter(pause))
@@ -120,25 +70,14 @@
 	}
 }
 
-// dropAbsent forgets an agent that has been gone from the list for long.
-func (e *Entry) dropAbsent(a *agent) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if a.listed || steady.Now().Sub(a.unlisted) < absentAgent {
-		return false
-	}
-	if e.agents[a.id] == a {
-		delete(e.agents, a.id)
-	}
-	return true
-}
-
 // use serves a link until it ends.
 func (e *Entry) use(ctx context.Context, a *agent, conn *link.Conn) {
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	defer conn.Close()
-	e.open(a, conn)
+	if !e.open(a, conn) {
+		return
+	}
 	for {
 		var f peerv1.AgentFrame
 		if err := conn.Receive(&f); err != nil {
@@ -149,15 +88,20 @@
 	}
 }
 
-func (e *Entry) open(a *agent, conn *link.Conn) {
+// open puts a link into use, unless its agent was let go meanwhile.
+func (e *Entry) open(a *agent, conn *link.Conn) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.agents[a.id] != a {
+		return false
+	}
 	a.conn = conn
 	a.ack, a.token, a.outSent = 0, 0, false
 	a.probed = time.Time{}
 	e.scheduler.AgentUp(steady.Now(), a.id)
 	e.flush()
 	e.Log.Info(event.LinkOpened, event.Fields{"agent": a.id, "address": a.addr})
+	return true
 }
 
 func (e *Entry) lost(a *agent, conn *link.Conn, err error) {
@@ -174,6 +118,9 @@
 func (e *Entry) take(a *agent, f *peerv1.AgentFrame) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.agents[a.id] != a {
+		return
+	}
 	now := steady.Now()
 	a.ack = f.GetSeq()
 	a.token = max(a.token, f.GetClockMs())
@@ -187,10 +134,11 @@
 		e.scheduler.Event(now, a.id, link.EventIn(v))
 	}
 	if s := f.GetServer(); s != nil {
-		e.scheduler.Report(now, a.id, jobs.Report{
-			Server: link.ServerIn(s), Free: link.DemandIn(s.GetFree()), Ack: f.GetAck(), Entries: int(s.GetEntries()),
-		})
+		a.server = link.ServerIn(s)
 	}
+	e.scheduler.Report(now, a.id, jobs.Report{
+		Server: a.server, Free: link.DemandIn(f.GetFree()), Ack: f.GetAck(), Entries: int(f.GetEntries()),
+	})
 	e.flush()
 	// An agent holds room for an entry that wants some; it is told at once when that has changed.
 	if now.Sub(a.sent) >= wantGap && a.wanting != e.scheduler.HasWaiting() {
--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -82,8 +82,12 @@
 // entry's tasks get done each second: its present share of the backend servers that work.
 func (s *Scheduler) pace(now time.Time, service string) float64 {
 	total, used, servers, entries := s.capacity(service)
-	if s.Warming(now) && servers > 0 && s.expected.agents > servers {
-		total *= float64(s.expected.agents) / float64(servers)
+	coming := s.opening
+	if s.Warming(now) {
+		coming = max(coming, s.expected.agents-servers)
+	}
+	if servers > 0 {
+		total *= float64(servers+coming) / float64(servers)
 	}
 	share := minShare
 	if entries > 0 {
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -10,6 +10,9 @@
 	"poplargw.example/dispatch/run"
 )
 
+// maxSuspended bounds the suspended backend servers that are remembered without a link to their agents.
+const maxSuspended = 1024
+
 // maxFailures bounds the failures of a task that are put down to failing backend servers.
 const maxFailures = 6
 
@@ -82,11 +85,22 @@
 	if v.health != nil {
 		s.groups[v.state.Service].Remove(v.health)
 	}
-	v.health = group.Add()
+	v.health = s.recall(group, state.Instance)
 	v.cell = s.speeds.Kind(state.Service).Cell(state.Instance)
 	v.lag = 1
 }
 
+// recall returns the health of a backend server, with a suspension from before its agent was released.
+func (s *Scheduler) recall(group *health.Group, instance string) *health.Server {
+	former := s.suspended[instance]
+	if former == nil {
+		return group.Add()
+	}
+	delete(s.suspended, instance)
+	group.Restore(former)
+	return former
+}
+
 // Event records what has happened to a run. Events of runs that are not known are ignored: they were
 // settled before.
 func (s *Scheduler) Event(now time.Time, agent string, e run.Event) {
@@ -253,13 +267,30 @@
 			s.forget(a)
 			s.settle(now, a, run.Event{Ref: a.ref, Kind: run.Stopped, Reason: result.AgentLost})
 		}
-		if v.health != nil {
-			s.groups[v.state.Service].Remove(v.health)
-		}
-		delete(s.servers, v.agent)
-		delete(s.dirty, v.agent)
-		s.fleet = slices.DeleteFunc(s.fleet, func(o *server) bool { return o == v })
+		s.remove(v)
+	}
+}
+
+// Release forgets an agent that has no runs of this entry. It tells whether it did.
+func (s *Scheduler) Release(agent string) bool {
+	v := s.servers[agent]
+	if v == nil || len(v.runs) > 0 {
+		return v == nil
+	}
+	s.remove(v)
+	return true
+}
+
+func (s *Scheduler) remove(v *server) {
+	if v.health != nil {
+		s.groups[v.state.Service].Remove(v.health)
+	}
+	if v.health != nil && v.health.Suspended() && len(s.suspended) < maxSuspended {
+		s.suspended[v.state.Instance] = v.health
 	}
+	delete(s.servers, v.agent)
+	delete(s.dirty, v.agent)
+	s.fleet = slices.DeleteFunc(s.fleet, func(o *server) bool { return o == v })
 }
 
 // Silent returns the agents whose links have been silent for too long. The caller ends the links.
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"poplargw.example/dispatch/partner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/route"
 	"poplargw.example/dispatch/run"
@@ -55,6 +56,9 @@
 	stall bool
 	runs  map[run.Ref]*simRun
 	acked []uint64 // newest frame of each entry
+	// sessions are the entries that have a link, in ascending order.
+	sessions []int
+	domain   string
 	// offers shares free room among the entries, by their number.
 	offers *runtable.Offers
 }
@@ -156,30 +160,68 @@
 	byKind   map[string]*tally
 	told     map[told]bool // tasks wait
 	gone     map[int]bool  // entries without power; agents notice only that they are silent
+	// beatEvery is the time between two reports of a machine without news.
+	beatEvery time.Duration
+	// weights are the entries' shares of the callers; nil means equal ones.
+	weights []float64
+	byID    map[string]*machine
+	// partners are the sets of entries that do not know all machines; see large_test.go.
+	partners []*partner.Set
+	frames   []int // of each entry, both ways
 }
 
 func newWorld(t *testing.T, seed uint64, entries int, speeds []float64) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), works: map[string]time.Duration{},
 		taskWork: map[string]time.Duration{}, arrived: map[string]time.Time{}, kindOf: map[string]kind{}, byKind: map[string]*tally{},
-		told: map[told]bool{}, gone: map[int]bool{},
+		told: map[told]bool{}, gone: map[int]bool{}, beatEvery: 50 * time.Millisecond, byID: map[string]*machine{},
+		frames: make([]int, entries),
 	}
-	for i := range 11 {
+	w.addMachines(11, 1, speeds, entries)
+	for i := range entries {
+		w.entries = append(w.entries, New(testLimits))
+		for _, m := range w.machines {
+			w.link(i, m)
+		}
+	}
+	w.start()
+	return w
+}
+
+// addMachines adds backend servers of three sizes, in failure domains in turn.
+func (w *world) addMachines(n, domains int, speeds []float64, entries int) {
+	for range n {
+		i := len(w.machines)
 		size := []float64{1, 1, 1.5}[i%3]
-		w.machines = append(w.machines, &machine{
+		m := &machine{
 			id: fmt.Sprintf("m%02d", i), room: int64(32000 * size), speed: speeds[i%len(speeds)], runs: map[run.Ref]*simRun{},
-			acked: make([]uint64, entries), offers: runtable.NewOffers(offerHold),
-		})
-	}
-	for range entries {
-		s := New(testLimits)
-		w.entries = append(w.entries, s)
-		for _, m := range w.machines {
-			s.AgentUp(w.now, m.id)
-			s.Report(w.now, m.id, Report{Server: serverOf(m.id, m.room), Free: m.free()})
-			s.Take()
+			acked: make([]uint64, entries), offers: runtable.NewOffers(offerHold), domain: domainName(i % domains),
 		}
+		w.machines = append(w.machines, m)
+		w.byID[m.id] = m
 	}
+}
+
+func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
+
+// link opens a link between an entry and a machine.
+func (w *world) link(i int, m *machine) {
+	s := w.entries[i]
+	m.sessions = append(m.sessions, i)
+	slices.Sort(m.sessions)
+	s.AgentUp(w.now, m.id)
+	s.Report(w.now, m.id, Report{Server: m.server(), Free: m.freeFor(i, w.now), Entries: len(m.sessions)})
+	s.Take()
+}
+
+func (m *machine) server() run.Server {
+	v := serverOf(m.id, m.room)
+	v.Domain = m.domain
+	return v
+}
+
+// start lets everybody do what is done at fixed times.
+func (w *world) start() {
 	for i := range w.entries {
 		w.tick(i)
 	}
@@ -187,7 +229,6 @@
 		w.beat(m)
 		w.retry(m)
 	}
-	return w
 }
 
 func (w *world) after(d time.Duration, do func()) {
@@ -211,6 +252,7 @@
 		return
 	}
 	w.entries[i].Tick(w.now)
+	w.stepPartners(i)
 	w.flush(i)
 	w.after(20*time.Millisecond, func() { w.tick(i) })
 }
@@ -224,20 +266,21 @@
 // beat lets an agent tell all entries its state and the progress of their runs.
 func (w *world) beat(m *machine) {
 	if !m.dead {
-		for i := range w.entries {
+		for _, i := range m.sessions {
 			if !w.gone[i] {
 				w.sendWant(m, i)
 			}
 			w.reportTo(m, i, nil)
 		}
 	}
-	w.after(50*time.Millisecond, func() { w.beat(m) })
+	w.after(w.beatEvery, func() { w.beat(m) })
 }
 
 // reportTo sends an agent's state to an entry, with events.
 func (w *world) reportTo(m *machine, i int, events []run.Event) {
 	s := w.entries[i]
-	report := Report{Server: serverOf(m.id, m.room), Free: m.freeFor(i, w.now), Ack: m.acked[i], Entries: len(w.entries)}
+	w.frames[i]++
+	report := Report{Server: m.server(), Free: m.freeFor(i, w.now), Ack: m.acked[i], Entries: len(m.sessions)}
 	type seen struct {
 		ref     run.Ref
 		percent int
@@ -276,6 +319,7 @@
 func (w *world) sendWant(m *machine, i int) {
 	want := w.entries[i].Want()
 	w.told[told{m.id, i}] = want.Demand.CPU > 0
+	w.frames[i]++
 	w.after(oneWay, func() { w.want(m, i, want) })
 }
 
@@ -290,7 +334,7 @@
 	for _, name := range m.offers.Next(w.now, m.free()) {
 		offered[name] = true
 	}
-	for i := range w.entries {
+	for _, i := range m.sessions {
 		if list, ok := events[i]; ok || offered[ownerOf(i)] {
 			w.reportTo(m, i, list)
 		}
@@ -310,9 +354,10 @@
 		w.outcome(o)
 	}
 	for _, b := range batches {
-		m := w.machineOf(b.Agent)
+		m := w.byID[b.Agent]
 		want := w.entries[i].Want()
 		w.told[told{m.id, i}] = want.Demand.CPU > 0
+		w.frames[i]++
 		w.after(oneWay, func() {
 			m.offers.Want(w.now, ownerOf(i), want.Urgency, want.Demand)
 			w.receive(m, i, b)
@@ -320,15 +365,6 @@
 	}
 }
 
-func (w *world) machineOf(id string) *machine {
-	for _, m := range w.machines {
-		if m.id == id {
-			return m
-		}
-	}
-	return nil
-}
-
 func (w *world) receive(m *machine, i int, b Batch) {
 	if m.dead {
 		return
@@ -432,10 +468,29 @@
 // entry picks an entry that has power.
 func (w *world) entry() int {
 	for {
-		if i := w.rng.IntN(len(w.entries)); !w.gone[i] {
+		i := w.rng.IntN(len(w.entries))
+		if w.weights != nil {
+			i = w.weighted()
+		}
+		if !w.gone[i] {
+			return i
+		}
+	}
+}
+
+// weighted picks an entry by its share of the callers.
+func (w *world) weighted() int {
+	sum := 0.0
+	for _, x := range w.weights {
+		sum += x
+	}
+	pick := w.rng.Float64() * sum
+	for i, x := range w.weights {
+		if pick -= x; pick < 0 {
 			return i
 		}
 	}
+	return len(w.weights) - 1
 }
 
 func (w *world) arrive(total float64) {
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -22,13 +22,16 @@
 	out      map[string]bool
 	speeds   *estimate.Table[string]
 	groups   map[string]*health.Group
-	outcomes []Outcome
-	notes    []Note
-	dirty    map[string]*server
-	leaving  bool
-	expected expectation
-	usual    map[string]float64 // median pace by service
-	single   [1]*server         // argument of dispatchTo, kept to save an allocation
+	// suspended are suspended backend servers whose agents were released, by instance.
+	suspended map[string]*health.Server
+	outcomes  []Outcome
+	notes     []Note
+	dirty     map[string]*server
+	leaving   bool
+	expected  expectation
+	opening   int                // agents to which links are being opened
+	usual     map[string]float64 // median pace by service
+	single    [1]*server         // argument of dispatchTo, kept to save an allocation
 }
 
 // expectation is the number of agents that are about to connect after the entry's own start.
@@ -40,14 +43,15 @@
 // New returns a scheduler without servers.
 func New(limits Limits) *Scheduler {
 	return &Scheduler{
-		limits:  limits,
-		servers: map[string]*server{},
-		jobs:    map[string]*job{},
-		out:     map[string]bool{},
-		speeds:  estimate.New[string](),
-		groups:  map[string]*health.Group{},
-		usual:   map[string]float64{},
-		dirty:   map[string]*server{},
+		limits:    limits,
+		servers:   map[string]*server{},
+		jobs:      map[string]*job{},
+		out:       map[string]bool{},
+		speeds:    estimate.New[string](),
+		groups:    map[string]*health.Group{},
+		suspended: map[string]*health.Server{},
+		usual:     map[string]float64{},
+		dirty:     map[string]*server{},
 	}
 }
 
@@ -75,6 +79,10 @@
 	s.expected.agents = agents
 }
 
+// SetOpening tells the scheduler to how many agents links are being opened, besides those that it knows: a
+// job that they have room for is not rejected in the few milliseconds which that takes.
+func (s *Scheduler) SetOpening(agents int) { s.opening = agents }
+
 // Warming tells whether agents are known that may still connect after the entry's own start.
 func (s *Scheduler) Warming(now time.Time) bool {
 	if !now.Before(s.expected.until) {
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -483,3 +483,45 @@
 		}
 	}
 }
+
+// Guards against jobs rejected while the room for them is a few milliseconds away, on agents to which links
+// are being opened.
+func TestLinksBeingOpenedCountAsRoom(t *testing.T) {
+	rejected := func(opening int) int {
+		b := newBench(t, 1, 10_000)
+		b.SetOpening(opening)
+		n := 0
+		for i := range 10 {
+			if !b.submit(fmt.Sprint("j", i), 2, 3000, 100*time.Millisecond) {
+				n++
+			}
+		}
+		return n
+	}
+	if few, many := rejected(10), rejected(0); few >= many {
+		t.Errorf("%d rejected while ten links are opened, %d without", few, many)
+	}
+}
+
+// Guards against runs that are forgotten with their agent, and against a failing backend server that takes
+// new tasks at once because its agent was let go and taken again.
+func TestReleasedAgent(t *testing.T) {
+	b := newBench(t, 4, 10_000)
+	b.submit("j", 1, 3000, time.Second)
+	for agent, orders := range b.orders {
+		if got := b.Release(agent); got != (len(orders) == 0) {
+			t.Errorf("agent %s with %d runs was released: %v", agent, len(orders), got)
+		}
+	}
+	b = newBench(t, 4, 10_000)
+	for range 10 {
+		b.servers["a0"].health.Failure(b.now)
+	}
+	if !b.Release("a0") || b.Usable("a0") {
+		t.Error("a0 is still in use")
+	}
+	b.up("a0", 10_000)
+	if b.Usable("a0") || !b.Usable("a1") {
+		t.Errorf("a0 usable %v although it was suspended, a1 %v", b.Usable("a0"), b.Usable("a1"))
+	}
+}
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -78,3 +78,28 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].earlier(list[j]) })
 	return list
 }
+
+// Usable tells whether the agent's backend server can take work at a pace that is usual for its service.
+func (s *Scheduler) Usable(agent string) bool {
+	v := s.servers[agent]
+	return v != nil && v.takes(s.out) && !v.health.Suspended() && !s.tooSlow(v)
+}
+
+// Room returns the free and the whole processor room of the backend servers that take work.
+func (s *Scheduler) Room() (free, room int64) {
+	for _, v := range s.fleet {
+		if v.takes(s.out) {
+			free += max(0, v.room().CPU)
+			room += v.state.Room.CPU
+		}
+	}
+	return free, room
+}
+
+// Tasks returns the number of tasks without a place, of jobs that may have one, and of those with one.
+func (s *Scheduler) Tasks() (waiting, runs int) {
+	for _, v := range s.fleet {
+		runs += len(v.runs)
+	}
+	return s.waitingTasks(), runs
+}
--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"poplargw.example/dispatch/result"
 )
@@ -104,15 +105,13 @@
 	Labels   []string
 }
 
+// Equal tells whether both say the same.
+func (s *Server) Equal(o *Server) bool {
+	return s.Instance == o.Instance && s.Service == o.Service && s.Domain == o.Domain && s.State == o.State &&
+		s.Room == o.Room && slices.Equal(s.Labels, o.Labels)
+}
+
 // HasLabel tells whether the server carries the label; every server carries the empty one.
 func (s *Server) HasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range s.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return label == "" || slices.Contains(s.Labels, label)
 }
--- a/dispatch/table/table.go
+++ b/dispatch/table/table.go
@@ -2,9 +2,8 @@
 package table
 
 import (
-	"hash/fnv"
-
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	"poplargw.example/dispatch/rendezvous"
 	"poplargw.example/dispatch/submission"
 )
 
@@ -17,7 +16,7 @@
 		if m.GetLeaving() {
 			continue
 		}
-		s := score(m.GetId(), k)
+		s := rendezvous.Score(m.GetId(), []byte(k.Caller), k.ID[:])
 		if best == nil || s > bestScore || s == bestScore && m.GetId() < best.GetId() {
 			best, bestScore = m, s
 		}
@@ -34,22 +33,3 @@
 	}
 	return nil
 }
-
-func score(member string, k submission.Key) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(member))
-	h.Write([]byte{0})
-	h.Write([]byte(k.Caller))
-	h.Write(k.ID[:])
-	return mix(h.Sum64())
-}
-
-// mix is the finalizer of MurmurHash3. FNV alone leaves scores of similar
-// member names correlated, which makes the shares of the members uneven.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/store/follow.go
+++ b/store/follow.go
@@ -19,6 +19,9 @@
 	// FirstPause bounds the pause between failed reads before the first view, for followers that cannot
 	// serve without one; 0 means the ordinary bound.
 	FirstPause time.Duration
+	// Gather is the pause after a change before the next watch, so that many changes at the same time are
+	// read with few calls; 0 means none.
+	Gather time.Duration
 	// Apply gets each new view, sorted by key. Views never go back to an older revision.
 	Apply func(View)
 	// Lost and Regained are told when the store stops answering and when it answers again.
@@ -101,6 +104,7 @@
 	f.revision = c.Revision
 	if changed {
 		f.apply()
+		_ = sleep(ctx, f.Gather) // the loop sees the end of ctx itself
 	}
 	return nil
 }
--- a/store/follow_test.go
+++ b/store/follow_test.go
@@ -52,3 +52,48 @@
 		t.Errorf("%d reads while the store was down for %s with pauses of at most %s", d.reads, down, first*3/2)
 	}
 }
+
+// busyStore is a keyspace in which a key changes for each millisecond that has passed.
+type busyStore struct {
+	Keyspace
+	begun time.Time
+
+	mu      sync.Mutex
+	watches int
+}
+
+func (b *busyStore) Range(context.Context, string) (View, error) { return View{Revision: 1}, nil }
+
+func (b *busyStore) WatchPrefix(_ context.Context, _ string, after uint64, _ time.Duration) (Changes, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watches++
+	time.Sleep(time.Millisecond)
+	c := Changes{Revision: max(after, uint64(time.Since(b.begun).Milliseconds())) + 1}
+	for r := after + 1; r <= c.Revision; r++ {
+		c.List = append(c.List, Change{Item: Item{Key: "p/k", Revision: r}})
+	}
+	return c, nil
+}
+
+// Guards against a call of the store for each of many changes at one moment: after a loss of all power,
+// each agent's key is a change for every entry.
+func TestChangesAreGathered(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const gather, views = 20 * time.Millisecond, 10
+	b := &busyStore{begun: time.Now()}
+	seen := make(chan View, views)
+	go Follow(ctx, b, FollowOptions{
+		Prefix: "p/", Wait: time.Second, Margin: time.Second, Gather: gather,
+		Apply: func(v View) { seen <- v }, Lost: func(error) {}, Regained: func() {},
+	})
+	for range views {
+		<-seen
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if most := int(time.Since(b.begun)/gather) + 2; b.watches > most {
+		t.Errorf("%d watches, at most %d with pauses of %s", b.watches, most, gather)
+	}
+}
