Log the room that a rejection rests on, and replay a burst at a large fleet

Found with the new fields free_cpu and room_cpu of event 650: the median rejection rests on 1 to 2% of free room over 60 to 74 agents, 90 of 100 on less than 6%, at 40 to 49 entries. The fleet is full, and what is free is smaller than a task. Ruled out: partners that are too few, a domain's entries alone.

Trial, reverted: the backlog was divided by the entries whose tasks wait instead of by all that share a backend server.

The replay stays.

--- a/daemon/runentry/notes.go
+++ b/daemon/runentry/notes.go
@@ -55,6 +55,9 @@
 	if o.RetryAfter > 0 {
 		f["retry_after_ms"] = o.RetryAfter.Milliseconds()
 	}
+	if o.Room > 0 {
+		f["free_cpu"], f["room_cpu"] = o.Free, o.Room
+	}
 	e.Log.Sample(event.JobEnded, f)
 }
 
--- a/dispatch/jobs/large_test.go
+++ b/dispatch/jobs/large_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"os"
@@ -119,25 +120,30 @@
 	name string
 	load float64
 	from func(w *world)
+	// least is the stated share within the objective; 0 means leastServed.
+	least float64
+	// before is the load of the second before; 0 means the same.
+	before float64
 }
 
 var patterns = []pattern{
-	{"load of 0.7", 0.7, func(*world) {}},
-	{"load of 0.95", 0.95, func(*world) {}},
-	{"burst of 1.8 at one entry", 0.6, func(w *world) { w.weights[slices.Index(w.weights, slices.Max(w.weights))] *= 1.8 }},
-	{"domain lost", 0.6, func(w *world) {
+	{name: "load of 0.7", load: 0.7, from: func(*world) {}},
+	{name: "load of 0.95", load: 0.95, from: func(*world) {}},
+	{name: "burst of 1.8", before: 0.72, load: 1.3, from: func(*world) {}, least: 0.9 / 1.3},
+	{name: "burst of 1.8 at one entry", load: 0.6, from: func(w *world) { w.weights[slices.Index(w.weights, slices.Max(w.weights))] *= 1.8 }},
+	{name: "domain lost", load: 0.6, from: func(w *world) {
 		for i, m := range w.machines {
 			if i%5 == 1 {
 				w.kill(m)
 			}
 		}
 	}},
-	{"slow rack", 0.6, func(w *world) {
+	{name: "slow rack", load: 0.6, from: func(w *world) {
 		for _, m := range w.machines[:8] {
 			w.change(m, func(m *machine) { m.speed *= 5 })
 		}
 	}},
-	{"empty backend servers added", 0.9, func(w *world) {
+	{name: "empty backend servers added", load: 0.9, from: func(w *world) {
 		w.addMachines(len(w.machines)/4, 5, speedsOne, len(w.entries))
 		added := w.machines[len(w.machines)*4/5:]
 		for _, m := range added {
@@ -156,7 +162,7 @@
 // play replays a pattern and returns what share of the jobs was served within the objective.
 func (p pattern) play(t *testing.T, entries, machines int, whole bool) (*world, float64) {
 	w := largeWorld(t, 7, entries, machines, whole)
-	w.traffic(p.load, time.Second)
+	w.traffic(cmp.Or(p.before, p.load), time.Second)
 	w.run(time.Second)
 	p.from(w)
 	w.from = w.now.Add(300 * time.Millisecond)
@@ -202,8 +208,8 @@
 		t.Run(p.name, func(t *testing.T) {
 			part, served := p.play(t, entries, machines, false)
 			part.report("part", served)
-			if served < leastServed {
-				t.Errorf("%.3f within the objective, at least %.3f is stated", served, leastServed)
+			if least := cmp.Or(p.least, leastServed); served < least {
+				t.Errorf("%.3f within the objective, at least %.3f is stated", served, least)
 			}
 			if os.Getenv(fullReplay) == "" {
 				return
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -153,7 +153,9 @@
 	j := newJob(in)
 	j.key = s.keyOf(j)
 	if wait, ok := s.admissible(now, j); !ok {
-		return Outcome{Job: in.ID, Code: result.DeadlineUnmet, Effect: result.NotRun, RetryAfter: wait}, false
+		o := Outcome{Job: in.ID, Code: result.DeadlineUnmet, Effect: result.NotRun, RetryAfter: wait}
+		o.Free, o.Room = s.Room()
+		return o, false
 	}
 	s.arrivals++
 	j.number = s.arrivals
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -44,6 +44,8 @@
 	Started time.Time
 	// RetryAfter is when a rejected job would find room.
 	RetryAfter time.Duration
+	// Free and Room are the processor room that a rejection rests on, in thousandths of a core.
+	Free, Room int64
 }
 
 // NoteKind is a decision or a change of belief that logs should show.
