--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -32,6 +32,11 @@
 	gauge("poplargw_entry_waiting_tasks", func(s jobs.Stats) int { return s.WaitingTasks })
 	gauge("poplargw_entry_runs", func(s jobs.Stats) int { return s.Runs })
 	gauge("poplargw_entry_usable_servers", func(s jobs.Stats) int { return s.Servers })
+	set.GetOrCreateGauge("poplargw_entry_partners", func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return float64(e.partners.Len())
+	})
 	return &counters{
 		set:       set,
 		abandoned: set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total"),
--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -50,6 +50,7 @@
 	var load partner.Load
 	load.Waiting, load.Runs = e.scheduler.Tasks()
 	load.Free, load.Room = e.scheduler.Room()
+	load.Unfit = e.scheduler.TakeUnfit()
 	change := e.partners.Step(now, load, (*view)(e))
 	for _, id := range change.Open {
 		a := e.fleet[id]
@@ -59,6 +60,7 @@
 		e.letGo(e.agents[id])
 	}
 	e.scheduler.SetOpening(e.partners.Opening())
+	e.scheduler.SetPartial(!e.partners.Whole())
 	if len(change.Open) > 0 {
 		select {
 		case e.changed <- struct{}{}:
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -30,6 +30,8 @@
 	leaving   bool
 	expected  expectation
 	opening   int                // agents to which links are being opened
+	partial   bool               // there are agents without a link that are not being opened
+	unfit     bool               // a job was refused because it fits on no known backend server
 	usual     map[string]float64 // median pace by service
 	single    [1]*server         // argument of dispatchTo, kept to save an allocation
 }
@@ -83,6 +85,17 @@
 // job that they have room for is not rejected in the few milliseconds which that takes.
 func (s *Scheduler) SetOpening(agents int) { s.opening = agents }
 
+// SetPartial tells the scheduler whether there are agents that it does not know: a job that fits on none of
+// those that it knows may then fit elsewhere.
+func (s *Scheduler) SetPartial(partial bool) { s.partial = partial }
+
+// TakeUnfit tells whether a job was refused since the last call because it fits on no known backend server.
+func (s *Scheduler) TakeUnfit() bool {
+	unfit := s.unfit
+	s.unfit = false
+	return unfit
+}
+
 // Warming tells whether agents are known that may still connect after the entry's own start.
 func (s *Scheduler) Warming(now time.Time) bool {
 	if !now.Before(s.expected.until) {
@@ -186,9 +199,14 @@
 		return result.NotReady
 	}
 	for _, step := range in.Steps {
-		if !s.everFits(in.Queue.Service, step) {
-			return result.CannotRun
+		if s.everFits(in.Queue.Service, step) {
+			continue
+		}
+		if s.partial {
+			s.unfit = true
+			return result.NotReady
 		}
+		return result.CannotRun
 	}
 	return 0
 }
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -525,3 +525,21 @@
 		t.Errorf("a0 usable %v although it was suspended, a1 %v", b.Usable("a0"), b.Usable("a1"))
 	}
 }
+
+// Guards against "cannot run" for a job that only agents without a link have a place for: its caller would not
+// come back, and the entry would not look for them.
+func TestUnfitJobWithPartOfTheFleet(t *testing.T) {
+	b := newBench(t, 2, 10_000)
+	b.submit("all", 1, 20_000, time.Second)
+	if o := b.outcomes["all"]; o.Code != result.CannotRun || b.TakeUnfit() {
+		t.Errorf("with all agents: %+v", o)
+	}
+	b.SetPartial(true)
+	b.submit("part", 1, 20_000, time.Second)
+	if o := b.outcomes["part"]; o.Code != result.NotReady || o.Effect != result.NotRun || o.RetryAfter <= 0 {
+		t.Errorf("with a part of the agents: %+v", o)
+	}
+	if !b.TakeUnfit() || b.TakeUnfit() {
+		t.Error("the refusal is not told, or twice")
+	}
+}
--- a/dispatch/partner/partner.go
+++ b/dispatch/partner/partner.go
@@ -66,6 +66,8 @@
 type Load struct {
 	// Waiting and Runs are the entry's tasks without a place and with one.
 	Waiting, Runs int
+	// Unfit tells that a job was refused because it fits on no partner.
+	Unfit bool
 	// Free and Room are the partners' processor room, in thousandths of a core.
 	Free, Room int64
 }
@@ -194,7 +196,7 @@
 // resize adapts the number of agents beyond the base.
 func (s *Set) resize(now time.Time, load Load) {
 	free := float64(load.Free) / float64(max(1, load.Room))
-	if load.Waiting > 0 || load.Runs > 0 && free < scarceRoom {
+	if load.Waiting > 0 || load.Unfit || load.Runs > 0 && free < scarceRoom {
 		s.ampleSince = time.Time{}
 		s.grow(now, load)
 		return
@@ -215,6 +217,9 @@
 		s.pause = growFirst
 	}
 	most := min(perTask*(load.Waiting+load.Runs), len(s.ranked)-s.base)
+	if load.Unfit {
+		most = len(s.ranked) - s.base
+	}
 	s.added = max(0, min(most, s.extra+max(growStep, (s.base+s.extra)/growPart))-s.extra)
 	s.extra += s.added
 	s.runs = load.Runs
--- a/dispatch/partner/partner_test.go
+++ b/dispatch/partner/partner_test.go
@@ -273,3 +273,18 @@
 		}
 	})
 }
+
+// Guards against a job that fits on few agents only, none of which is ever tried: the whole fleet is, within a
+// few seconds in which such jobs are refused.
+func TestUnfitJobsReachTheWholeFleet(t *testing.T) {
+	s := New("entry", domain(0))
+	s.SetFleet(fleetOf(240))
+	now := settle(s, start, fakeView{})
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		s.Step(now, Load{Unfit: true, Free: 90, Room: 100}, fakeView{})
+	}
+	if !s.Whole() {
+		t.Errorf("%d of 240 agents after ten seconds", s.Len())
+	}
+}
