Split placement by duty, and drop limits that nothing applies

dispatch/jobs/place.go chose, judged and ordered in 330 lines: what fits and at which cost is in fit.go, an attempt and its order in attempt.go, room and pace beside admission. dispatch/partner likewise: resizing and choosing apart. The operators' limits on headers and idle connections were decoded and read by nothing; docs say so. Agents that left the fleet are no longer kept as resting.

--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -99,6 +99,37 @@
 	return share * total
 }
 
+// capacity is the processor room of the backend servers that take work, each at its own speed, and the
+// part of the plain room that is in use.
+func (s *Scheduler) capacity(service string) (atSpeed float64, used int64, servers, entries int) {
+	for _, v := range s.fleet {
+		if !v.takes(s.out) || v.state.Service != service {
+			continue
+		}
+		servers++
+		entries = max(entries, v.entries)
+		used += v.state.Room.CPU - max(0, v.room().CPU)
+		if !v.health.Suspended() {
+			atSpeed += float64(v.state.Room.CPU) / v.slowness()
+		}
+	}
+	return atSpeed, used, servers, entries
+}
+
+// own is the processor room that this entry's runs occupy.
+func (s *Scheduler) own(service string) int64 {
+	var sum int64
+	for _, v := range s.fleet {
+		if v.state.Service != service {
+			continue
+		}
+		for _, a := range v.runs {
+			sum += a.demand.CPU
+		}
+	}
+	return sum
+}
+
 // review moves jobs that cannot meet their objective behind the others, and ends those whose answer
 // would come too late to be of use. Each is answered at once.
 func (s *Scheduler) review(now time.Time) {
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -153,33 +153,3 @@
 	}
 	return sum
 }
-
-// attempt is one run of a task.
-type attempt struct {
-	ref     run.Ref
-	job     *job
-	task    *task
-	server  *server
-	demand  run.Demand
-	seq     uint64 // frame that carried the order
-	ordered time.Time
-	begun   time.Time // as far as is known; the order at first
-	stopped bool
-	// distance is how many times longer the task runs there than near its data.
-	distance float64
-	// The two newest progress readings that differ in time by at least progressGap.
-	percent, before     int
-	percentAt, beforeAt time.Time
-	readAt              time.Time
-}
-
-// pace is the expected run time of the task where it runs, relative to its estimate.
-func (a *attempt) pace() float64 { return a.server.slowness() * a.distance }
-
-// earlier orders runs by time and, for those of one moment, by name.
-func (a *attempt) earlier(o *attempt) bool {
-	if !a.ordered.Equal(o.ordered) {
-		return a.ordered.Before(o.ordered)
-	}
-	return a.ref.Task < o.ref.Task
-}
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -312,19 +312,24 @@
 	}
 }
 
+// rejectedOfTen returns how many of ten jobs are rejected by a scheduler with one backend server.
+func rejectedOfTen(t *testing.T, prepare func(*bench)) int {
+	b := newBench(t, 1, 10_000)
+	prepare(b)
+	n := 0
+	for i := range 10 {
+		if !b.submit(fmt.Sprint("j", i), 2, 3000, 100*time.Millisecond) {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against jobs rejected for want of room while the agents of a system that starts are still
 // connecting: 46 were rejected within 0.2 s of the return of power.
 func TestStartingEntryCountsOnAgentsToCome(t *testing.T) {
 	rejected := func(expect int) int {
-		b := newBench(t, 1, 10_000)
-		b.Expect(b.now, expect)
-		n := 0
-		for i := range 10 {
-			if !b.submit(fmt.Sprint("j", i), 2, 3000, 100*time.Millisecond) {
-				n++
-			}
-		}
-		return n
+		return rejectedOfTen(t, func(b *bench) { b.Expect(b.now, expect) })
 	}
 	if few, many := rejected(11), rejected(1); few >= many {
 		t.Errorf("%d rejected with agents to come, %d without", few, many)
@@ -488,15 +493,7 @@
 // are being opened.
 func TestLinksBeingOpenedCountAsRoom(t *testing.T) {
 	rejected := func(opening int) int {
-		b := newBench(t, 1, 10_000)
-		b.SetOpening(opening)
-		n := 0
-		for i := range 10 {
-			if !b.submit(fmt.Sprint("j", i), 2, 3000, 100*time.Millisecond) {
-				n++
-			}
-		}
-		return n
+		return rejectedOfTen(t, func(b *bench) { b.SetOpening(opening) })
 	}
 	if few, many := rejected(10), rejected(0); few >= many {
 		t.Errorf("%d rejected while ten links are opened, %d without", few, many)
--- a/dispatch/partner/partner.go
+++ b/dispatch/partner/partner.go
@@ -9,11 +9,7 @@
 // the order, and the set grows while tasks wait or little of its room is free.
 package partner
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// allOf is the number of agents up to which an entry keeps a link to each: the frames of as many links
@@ -47,7 +43,7 @@
 	// sickLeast is the least number of partners of a failure domain that cannot take work, and are more than
 	// half of it, for which the entry looks for others in other domains.
 	sickLeast = 4
-	// scarceRoom is the part of its partners' room below which an entry adds more, and amplRoom the part
+	// scarceRoom is the part of its partners' room below which an entry adds more, and ampleRoom the part
 	// above which it lets some go.
 	scarceRoom = 0.15
 	ampleRoom  = 0.4
@@ -134,12 +130,17 @@
 		m.listed = false
 		m.rank = len(s.ranked)
 	}
+	resting := map[string]time.Time{}
 	for i, a := range s.ranked {
 		if m := s.members[a.ID]; m != nil {
 			m.rank = i
 			m.listed = true
 		}
+		if until, ok := s.resting[a.ID]; ok {
+			resting[a.ID] = until
+		}
 	}
+	s.resting = resting
 }
 
 // Drop forgets a partner that is gone for good.
@@ -192,133 +193,3 @@
 	}
 	return openGrace
 }
-
-// resize adapts the number of agents beyond the base.
-func (s *Set) resize(now time.Time, load Load) {
-	free := float64(load.Free) / float64(max(1, load.Room))
-	if load.Waiting > 0 || load.Unfit || load.Runs > 0 && free < scarceRoom {
-		s.ampleSince = time.Time{}
-		s.grow(now, load)
-		return
-	}
-	if free < ampleRoom {
-		s.ampleSince = time.Time{}
-		return
-	}
-	s.shrink(now)
-}
-
-func (s *Set) grow(now time.Time, load Load) {
-	if now.Sub(s.grown) < s.pause {
-		return
-	}
-	s.pause = min(2*s.pause, growLast)
-	if load.Runs >= s.runs+s.added/2 || now.Sub(s.grown) > 2*growLast {
-		s.pause = growFirst
-	}
-	most := min(perTask*(load.Waiting+load.Runs), len(s.ranked)-s.base)
-	if load.Unfit {
-		most = len(s.ranked) - s.base
-	}
-	s.added = max(0, min(most, s.extra+max(growStep, (s.base+s.extra)/growPart))-s.extra)
-	s.extra += s.added
-	s.runs = load.Runs
-	s.grown = now
-}
-
-func (s *Set) shrink(now time.Time) {
-	if s.ampleSince.IsZero() {
-		s.ampleSince = now
-	}
-	if s.extra == 0 || now.Sub(s.ampleSince) < shrinkAfter || now.Sub(s.shrunk) < shrinkEvery {
-		return
-	}
-	s.shrunk = now
-	s.extra -= max(min(growStep, s.extra), s.extra/growPart)
-}
-
-// open takes the next agents in the order.
-func (s *Set) open(now time.Time, n int) []string {
-	var ids []string
-	sick := s.sick()
-	for i, a := range s.ranked {
-		if len(ids) >= n {
-			break
-		}
-		if s.members[a.ID] != nil || i >= s.base && (s.out[a.Domain] || sick[a.Domain]) || s.rests(now, a.ID) {
-			continue
-		}
-		s.members[a.ID] = &member{rank: i, domain: a.Domain, since: now, listed: true, opening: true}
-		s.opening++
-		ids = append(ids, a.ID)
-	}
-	return ids
-}
-
-// sick returns the failure domains of which most partners cannot take work.
-func (s *Set) sick() map[string]bool {
-	failing, all := map[string]int{}, map[string]int{}
-	for _, m := range s.members {
-		all[m.domain]++
-		if !m.usable && !m.opening {
-			failing[m.domain]++
-		}
-	}
-	sick := map[string]bool{}
-	for domain, n := range failing {
-		sick[domain] = n >= sickLeast && 2*n > all[domain]
-	}
-	return sick
-}
-
-func (s *Set) rests(now time.Time, agent string) bool {
-	until, ok := s.resting[agent]
-	if ok && !now.Before(until) {
-		delete(s.resting, agent)
-		return false
-	}
-	return ok
-}
-
-// shed returns the partners beyond those that are needed, the last in the order first. Those of the base
-// stay, so that they are in use again as soon as they can take work, and those with tasks of the entry.
-func (s *Set) shed(now time.Time, view View) []string {
-	var ids []string
-	working := s.working()
-	for _, id := range s.spare() {
-		m := s.members[id]
-		if m.usable && working <= s.base+s.extra || view.Busy(id) {
-			continue
-		}
-		if m.usable {
-			working--
-		} else {
-			s.resting[id] = now.Add(restFor)
-		}
-		delete(s.members, id)
-		ids = append(ids, id)
-	}
-	return ids
-}
-
-func (s *Set) working() int {
-	n := 0
-	for _, m := range s.members {
-		if m.usable || m.opening {
-			n++
-		}
-	}
-	return n
-}
-
-// spare returns the partners that are not part of the base, the last in the order first.
-func (s *Set) spare() []string {
-	var ids []string
-	for id, m := range s.members {
-		if m.listed && m.rank >= s.base && !m.opening {
-			ids = append(ids, id)
-		}
-	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(s.members[b].rank, s.members[a].rank) })
-	return ids
-}
--- a/dispatch/route/route.go
+++ b/dispatch/route/route.go
@@ -29,10 +29,7 @@
 
 // Limits bounds what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Config is one version of the routes. It is immutable.
