Do not take an agent's new link out of use when its former one ends

Cause: an entry that lets an agent go and takes it again has a new link; the goroutine of the former link marked the agent as down when it noticed its own end, and the agent got no orders until the next link.

An announcement that cannot be saved is logged once, not at every attempt.

--- a/daemon/runagent/memory.go
+++ b/daemon/runagent/memory.go
@@ -67,17 +67,21 @@
 	}
 }
 
-// save tries until the announcement is kept or a newer one waits.
+// save tries until the announcement is kept or a newer one waits. It logs the first failure only: the
+// store may be away for long.
 func (a *Agent) save(ctx context.Context, n Announcement) {
-	pause := memoryFirst
-	for ctx.Err() == nil && len(a.announced) == 0 {
+	failed := false
+	for pause := memoryFirst; ctx.Err() == nil && len(a.announced) == 0; {
 		call, cancel := context.WithTimeout(ctx, memoryLimit)
 		err := a.Memory.Save(call, n)
 		cancel()
 		if err == nil {
 			return
 		}
-		a.Log.Warn(event.AnnouncementNotSaved, event.Fields{"instance": n.Server.Instance, "error": err.Error()})
+		if !failed {
+			failed = true
+			a.Log.Warn(event.AnnouncementNotSaved, event.Fields{"instance": n.Server.Instance, "error": err.Error()})
+		}
 		steady.Sleep(ctx, pause)
 		pause = min(2*pause, memoryLast)
 	}
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -109,6 +109,9 @@
 	defer e.mu.Unlock()
 	if a.conn == conn {
 		a.conn = nil
+	}
+	// An agent that was let go may have been taken again, with a link of its own.
+	if e.agents[a.id] == a && a.conn == nil {
 		e.scheduler.AgentDown(a.id)
 	}
 	e.Log.Info(event.LinkLost, event.Fields{"agent": a.id, "reason": err.Error()})
