Look at a backend server again beside a look that is overdue

Cause: while answers get lost, an agent waited 100 ms for each lost one before it looked again, because each loss doubled the margin up to 90 ms. Ends of runs, and the room that they leave, were hidden: a third of the jobs of a burst were late. Change: looks overlap, four at most; a new one is sent when the newest takes longer than three usual answer times. An order whose connection breaks is sent again at once. Several renewals of the lease may be under way.

--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -45,11 +45,6 @@
 	reached  bool
 	// announced holds the newest announcement that is not kept yet.
 	announced chan Announcement
-
-	// overhead is how much longer than its wait a look takes, lostAnswer when the last one had none.
-	// Only the goroutine that looks uses them.
-	overhead   time.Duration
-	lostAnswer time.Time
 }
 
 // spec is what the backend server is given with a start.
@@ -82,7 +77,7 @@
 func (a *Agent) Run(ctx context.Context, l net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return a.accept(ctx, g, l) })
-	g.Go(func() error { a.watch(ctx); return nil })
+	g.Go(func() error { newWatcher(a).run(ctx); return nil })
 	g.Go(func() error { a.sweep(ctx); return nil })
 	g.Go(func() error { a.keep(ctx); return nil })
 	g.Go(func() error { a.recall(ctx); return nil })
--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -14,26 +14,6 @@
 )
 
 const (
-	// busyWait is how long a look waits for an end while tasks run; it is also how old the progress
-	// is that entries hear of.
-	busyWait = 60 * time.Millisecond
-	// shakyWait is the same while answers get lost: each lost one is noticed only after its wait.
-	shakyWait = 10 * time.Millisecond
-	// shakyFor is how long after a lost answer that holds.
-	shakyFor = time.Second
-	// idleWait is the same while nothing runs. It is below the lease, so that a start after an idle
-	// time is renewed before it lapses.
-	idleWait = 200 * time.Millisecond
-	// lookMargin is how much longer than its wait a look may take at most. A backend server on the same
-	// VM answers within a few milliseconds; slower VMs need some tens.
-	lookMargin = 90 * time.Millisecond
-	// leastMargin is the same while answers are fast, of which marginFactor usual ones are allowed.
-	leastMargin  = 25 * time.Millisecond
-	marginFactor = 10
-	// shakyMargin is leastMargin while answers get lost: the end of a run shows only after it.
-	shakyMargin = 10 * time.Millisecond
-	// retryPause is the pause after a look without an answer.
-	retryPause = 10 * time.Millisecond
 	// startMargin is how much longer than its expiry the answer to an order is waited for.
 	startMargin = 20 * time.Millisecond
 	// stopLimit bounds one call that stops a run. Sweeps repeat it until the run has ended.
@@ -75,8 +55,9 @@
 	cancel()
 }
 
-// awaitStart returns the answer to an order, of which send sends another copy. An answer tells what has
-// become of the order only if it says that the run is there, or if no other copy may have started it.
+// awaitStart returns the answer to an order, of which send sends another copy after a while without an
+// answer, and at once when a connection broke. An answer tells what has become of the order only if it says
+// that the run is there, or if no other copy may have started it.
 func awaitStart(answers <-chan startAnswer, repeat time.Duration, send func()) startAnswer {
 	timer := time.NewTicker(repeat)
 	defer timer.Stop()
@@ -85,8 +66,11 @@
 		case v := <-answers:
 			got++
 			switch {
-			case v.err == nil || sent == 1:
+			case v.err == nil || got == sent && sent == 1 && !v.broken():
 				return v
+			case v.broken() && sent < maxCopies:
+				sent++
+				send()
 			case got == sent:
 				return startAnswer{err: fmt.Errorf("%d copies without a start, the last: %s", sent, v.err.Error())}
 			}
@@ -99,6 +83,12 @@
 	}
 }
 
+// broken tells whether the connection broke, so that nobody knows whether the copy has started the run.
+func (v startAnswer) broken() bool {
+	var refused *Refused
+	return v.err != nil && !errors.As(v.err, &refused) && !errors.Is(v.err, ErrNotSent) && !errors.Is(v.err, context.DeadlineExceeded)
+}
+
 // started takes in the answer to an order.
 func (a *Agent) started(ref run.Ref, v startAnswer) {
 	a.mu.Lock()
@@ -134,96 +124,3 @@
 		}
 	}()
 }
-
-// watch looks at the backend server again and again; each look renews the lease.
-func (a *Agent) watch(ctx context.Context) {
-	reachable := true
-	for ctx.Err() == nil {
-		err := a.look(ctx, reachable)
-		reachable = err == nil
-		if err != nil {
-			steady.Sleep(ctx, retryPause)
-		}
-	}
-}
-
-func (a *Agent) look(ctx context.Context, reachable bool) error {
-	request := a.lookRequest(reachable)
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+a.margin())
-	defer cancel()
-	began := time.Now()
-	seen, err := a.Backend.Look(ctx, request)
-	a.noteAnswer(time.Since(began)-request.Wait, err)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.noteReach(err)
-	a.table.Sent(!errors.Is(err, ErrNotSent))
-	if err != nil {
-		return err
-	}
-	settled := a.table.Settled(steady.Now())
-	a.deliver(a.table.Looked(steady.Now(), seen))
-	if !settled {
-		a.reportAll()
-	}
-	return nil
-}
-
-// lookRequest waits for an end only when the last look was answered.
-func (a *Agent) lookRequest(reachable bool) LookRequest {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	r := LookRequest{LeaseMS: a.table.Lease(steady.Now()), LastSeen: a.table.LastSeen()}
-	if !reachable || r.LeaseMS == 0 {
-		return r
-	}
-	r.Wait = idleWait
-	if a.table.Len() > 0 {
-		r.Wait = a.table.Pending(steady.Now(), busyWait)
-	}
-	if a.shaky() {
-		r.Wait = min(r.Wait, shakyWait)
-	}
-	return r
-}
-
-// margin is how long an answer may take beyond its wait. Only the goroutine that looks uses it.
-func (a *Agent) margin() time.Duration {
-	least := leastMargin
-	if a.shaky() {
-		least = shakyMargin
-	}
-	return min(lookMargin, max(least, marginFactor*a.overhead))
-}
-
-// shaky tells whether an answer was lost a moment ago. Only the goroutine that looks uses it.
-func (a *Agent) shaky() bool { return time.Since(a.lostAnswer) < shakyFor }
-
-// noteAnswer learns how much longer than their wait answers take. An answer that did not come doubles
-// it, so that a slow backend server is not taken for one that loses answers.
-func (a *Agent) noteAnswer(over time.Duration, err error) {
-	switch {
-	case err != nil:
-		a.lostAnswer = time.Now()
-		a.overhead = min(lookMargin, 2*max(a.overhead, time.Millisecond))
-	case over > a.overhead:
-		a.overhead = over
-	case over > 0:
-		a.overhead -= (a.overhead - over) / overheadWeight
-	}
-}
-
-// overheadWeight is how many answers it takes to forget a slow one for the most part.
-const overheadWeight = 4
-
-// noteReach logs when the backend server is lost and when it is back. The caller holds the lock.
-func (a *Agent) noteReach(err error) {
-	switch {
-	case err == nil && !a.reached:
-		a.reached = true
-		a.Log.Info(event.ServerReachable, nil)
-	case err != nil && a.reached:
-		a.reached = false
-		a.Log.Warn(event.ServerUnreachable, event.Fields{"error": err.Error()})
-	}
-}
--- a/daemon/runagent/calls_test.go
+++ b/daemon/runagent/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,3 +94,18 @@
 		t.Error("the refusal of the only copy was not taken")
 	}
 }
+
+// Guards against an order whose connection breaks and that nobody sends again: its task waited for the
+// expiry of the order.
+func TestOrderOnABrokenConnectionIsSentAgain(t *testing.T) {
+	answers := make(chan startAnswer, maxCopies)
+	sent := 1
+	answers <- startAnswer{err: errors.New("connection reset by peer")}
+	v := awaitStart(answers, time.Hour, func() {
+		sent++
+		answers <- startAnswer{clock: 7}
+	})
+	if v.err != nil || v.clock != 7 || sent != 2 {
+		t.Errorf("%d copies, answer %+v", sent, v)
+	}
+}
--- a/dispatch/runtable/look.go
+++ b/dispatch/runtable/look.go
@@ -1,6 +1,7 @@
 package runtable
 
 import (
+	"slices"
 	"time"
 
 	"poplargw.example/dispatch/result"
@@ -40,23 +41,35 @@
 	if !t.clock.known || now.Sub(t.clock.read) > t.limits.RenewFor {
 		return 0
 	}
-	t.sending = t.clock.at(now) + t.limits.Lease.Milliseconds()
-	return t.sending
+	end := t.clock.at(now) + t.limits.Lease.Milliseconds()
+	t.sending = append(t.sending, end)
+	return end
 }
 
-// Sent tells whether the newest renewal may have reached the backend server. One for which no
-// connection could be made has not, and moves nothing.
-func (t *Table) Sent(sent bool) {
+// Sent tells whether the renewal to the given end may have reached the backend server. One for which no
+// connection could be made has not, and moves nothing. Several renewals may be under way.
+func (t *Table) Sent(end int64, sent bool) {
+	if i := slices.Index(t.sending, end); i >= 0 {
+		t.sending = slices.Delete(t.sending, i, i+1)
+	}
 	if sent {
-		t.granted = max(t.granted, t.sending)
+		t.granted = max(t.granted, end)
+	}
+}
+
+// mostGranted is the latest end of a lease that the backend server may know, or may come to know.
+func (t *Table) mostGranted() int64 {
+	most := t.granted
+	for _, end := range t.sending {
+		most = max(most, end)
 	}
-	t.sending = 0
+	return most
 }
 
 // Lapsed ends all runs when the newest lease has certainly passed on the backend server, which does
 // not answer.
 func (t *Table) Lapsed(now time.Time) []Event {
-	if len(t.runs) == 0 || !t.clock.known || t.clock.atLeast(now) <= max(t.granted, t.sending) {
+	if len(t.runs) == 0 || !t.clock.known || t.clock.atLeast(now) <= t.mostGranted() {
 		return nil
 	}
 	t.looked = false
--- a/dispatch/runtable/model_test.go
+++ b/dispatch/runtable/model_test.go
@@ -127,10 +127,10 @@
 			"look": func(t *rapid.T) {
 				lease := table.Lease(now)
 				if rapid.Bool().Draw(t, "not sent") {
-					table.Sent(false)
+					table.Sent(lease, false)
 					return
 				}
-				table.Sent(true)
+				table.Sent(lease, true)
 				l := m.look(lease, table.LastSeen())
 				if rapid.Bool().Draw(t, "lost") {
 					return
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -103,7 +103,7 @@
 	lastSeen   int64
 	// granted is the latest end of a lease that the backend server may know.
 	granted int64
-	sending int64 // end of the lease in a renewal that is under way; 0 if there is none
+	sending []int64 // ends of the lease in renewals that are under way
 	started time.Time
 	settled bool
 	answers time.Duration // usual time of an answer to an order
@@ -196,7 +196,8 @@
 	t.settled = true
 	t.foreign = true
 	t.lastSeen = 0
-	t.granted, t.sending = 0, 0
+	t.granted = 0
+	t.sending = nil
 	t.quarantine = 0
 	t.clock = serverClock{}
 	return t.loseAll(now)
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -247,8 +247,7 @@
 	f := newFixture(t)
 	f.order(ref("a", 1), 1000)
 	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
-	f.Lease(f.now)
-	f.Sent(true)
+	f.Sent(f.Lease(f.now), true)
 	f.advance(testLimits.Lease)
 	if events := f.Lapsed(f.now); len(events) != 0 {
 		t.Fatalf("lapsed at the lease: %+v", events)
@@ -345,15 +344,14 @@
 	f := newFixture(t)
 	f.order(ref("a", 1), 1000)
 	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
-	f.Lease(f.now)
-	f.Sent(true)
+	f.Sent(f.Lease(f.now), true)
 	f.advance(testLimits.RenewFor)
-	f.Lease(f.now)
+	renewal := f.Lease(f.now)
 	f.advance(testLimits.Lease - testLimits.RenewFor + 20*time.Millisecond)
 	if events := f.Lapsed(f.now); len(events) != 0 {
 		t.Fatalf("lapsed while a renewal is under way: %+v", events)
 	}
-	f.Sent(false)
+	f.Sent(renewal, false)
 	single(t, f.Lapsed(f.now), run.Stopped, result.ServerLost)
 }
 
