Mend five faults of how work waits, is given up and is sent back

Each was seen on the code before with the test named; each test fails there. - A pass over the queue ended at the twelfth job without a place, whatever it waited for. What is bounded now is the look at jobs that wait for the same thing: service, label, data, and processor, memory and GPUs in classes of a power of two. Room wanted is told to an agent only for tasks that its backend server can run, and a job that can start at once is not rejected for a backlog that waits for something else (TestJobsThatWaitForSomethingElseHoldUpNobody, TestJobWithRoomIsNotRejected). - A run that gained no percent in 200 ms counted as stalled, so that healthy runs of 30 s were stopped. A stall is now a time without the progress that the run's own rate, or before the first percent its expected time, promises (TestLongRunsAreNotStalled). - Deadline-Ms was not read. A job that has begun goes on behind what is on time until then, and one that cannot end before is rejected at once. - Times of several steps were never revised: given up after 1.5 s with most done. What a step took now corrects the job's other steps. - Everybody who was rejected was told the length of the backlog, so all came back in one second. An entry now keeps a book of what it has promised for the next 30 seconds, less urgent jobs later, and says that the queue is full when nothing is left (code 2001).

--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -30,7 +30,10 @@
 // nobody is served in time.
 func (s *Scheduler) admissible(now time.Time, j *job) (time.Duration, bool) {
 	wait := s.wait(now, j, s.onTime)
-	if wait == 0 {
+	if !j.Deadline.IsZero() && now.Add(wait+time.Duration(shortfall*float64(j.work))).After(j.Deadline) {
+		return wait, false
+	}
+	if wait == 0 || s.startsNow(now, j) {
 		return 0, true
 	}
 	if len(j.tasks)+s.waitingTasks() > s.limits.MaxWaiting {
@@ -57,18 +60,11 @@
 // wait is how long the tasks of those jobs that come before j need at the rate at which this entry
 // gets room.
 func (s *Scheduler) wait(now time.Time, j *job, lists ...[]*job) time.Duration {
-	backlog := 0.0
-	for _, list := range lists {
-		for _, o := range list {
-			if o != j && o.Queue.Service == j.Queue.Service && (o.late != j.late || !o.key.After(j.key)) {
-				backlog += o.waitingDemand()
-			}
-		}
-	}
+	backlog := s.backlog(j, lists)
 	if backlog == 0 {
 		return 0
 	}
-	pace := s.pace(now, j.Queue.Service)
+	pace := s.pace(now, j.Queue.Service, j.pool())
 	if pace <= 0 && s.Warming(now) {
 		return 0
 	}
@@ -78,49 +74,91 @@
 	return time.Duration(backlog / pace * float64(time.Second))
 }
 
+// backlog is the processor time, in thousandths of a core times seconds, that the jobs before j need of the
+// backend servers which j may use.
+func (s *Scheduler) backlog(j *job, lists [][]*job) float64 {
+	mine := j.pool()
+	common := s.commonShare(j.Queue.Service, mine)
+	sum := 0.0
+	for _, list := range lists {
+		for _, o := range list {
+			if o == j || o.Queue.Service != j.Queue.Service || o.late == j.late && o.key.After(j.key) {
+				continue
+			}
+			switch theirs := o.pool(); {
+			case theirs == mine:
+				sum += o.waitingDemand()
+			case theirs.plain():
+				sum += common * o.waitingDemand()
+			}
+		}
+	}
+	return sum
+}
+
+// commonShare is the share of the service's room that is in the pool.
+func (s *Scheduler) commonShare(service string, p pool) float64 {
+	if p.plain() {
+		return 1
+	}
+	all := s.capacity(service, pool{})
+	if all.atSpeed <= 0 {
+		return 0
+	}
+	return s.capacity(service, p).atSpeed / all.atSpeed
+}
+
 // pace is the processor time, in thousandths of a core times seconds of declared run time, that this
 // entry's tasks get done each second: its present share of the backend servers that work.
-func (s *Scheduler) pace(now time.Time, service string) float64 {
-	total, used, servers, entries := s.capacity(service)
+func (s *Scheduler) pace(now time.Time, service string, p pool) float64 {
+	c := s.capacity(service, p)
 	coming := s.opening
 	if s.Warming(now) {
-		coming = max(coming, s.expected.agents-servers)
+		coming = max(coming, s.expected.agents-c.servers)
 	}
-	if servers > 0 {
-		total *= float64(servers+coming) / float64(servers)
+	if c.servers > 0 {
+		c.atSpeed *= float64(c.servers+coming) / float64(c.servers)
 	}
 	share := minShare
-	if entries > 0 {
-		share = 1 / float64(entries)
+	if c.entries > 0 {
+		share = 1 / float64(c.entries)
 	}
-	if used > 0 {
-		share = max(share, float64(s.own(service))/float64(used))
+	if c.used > 0 {
+		share = max(share, float64(s.own(service, p))/float64(c.used))
 	}
-	return share * total
+	return share * c.atSpeed
+}
+
+// capacity is the processor room of backend servers that take work.
+type capacity struct {
+	// atSpeed is the room at each backend server's own speed.
+	atSpeed float64
+	// used is the part of the plain room that is in use.
+	used             int64
+	servers, entries int
 }
 
-// capacity is the processor room of the backend servers that take work, each at its own speed, and the
-// part of the plain room that is in use.
-func (s *Scheduler) capacity(service string) (atSpeed float64, used int64, servers, entries int) {
+func (s *Scheduler) capacity(service string, p pool) capacity {
+	var c capacity
 	for _, v := range s.fleet {
-		if !v.takes(s.out) || v.state.Service != service {
+		if !v.takes(s.out) || v.state.Service != service || !p.has(&v.state) {
 			continue
 		}
-		servers++
-		entries = max(entries, v.entries)
-		used += v.state.Room.CPU - max(0, v.room().CPU)
+		c.servers++
+		c.entries = max(c.entries, v.entries)
+		c.used += v.state.Room.CPU - max(0, v.room().CPU)
 		if !v.health.Suspended() {
-			atSpeed += float64(v.state.Room.CPU) / v.slowness()
+			c.atSpeed += float64(v.state.Room.CPU) / v.slowness()
 		}
 	}
-	return atSpeed, used, servers, entries
+	return c
 }
 
 // own is the processor room that this entry's runs occupy.
-func (s *Scheduler) own(service string) int64 {
+func (s *Scheduler) own(service string, p pool) int64 {
 	var sum int64
 	for _, v := range s.fleet {
-		if v.state.Service != service {
+		if v.state.Service != service || !p.has(&v.state) {
 			continue
 		}
 		for _, a := range v.runs {
@@ -130,8 +168,9 @@
 	return sum
 }
 
-// review moves jobs that cannot meet their objective behind the others, and ends those whose answer
-// would come too late to be of use. Each is answered at once.
+// review moves jobs that cannot meet their objective behind the others, and ends those whose callers have
+// left, or whose answer would come too late to be of use. Each is answered at once. One that may have begun
+// goes on while its caller waits: the caller could not tell whether it has run.
 func (s *Scheduler) review(now time.Time) {
 	for _, j := range s.inOrder() {
 		switch {
@@ -147,14 +186,14 @@
 
 func (s *Scheduler) rejection(now time.Time, j *job) Outcome {
 	if !j.mayHaveRun() {
-		return Outcome{Code: result.DeadlineUnmet, RetryAfter: max(s.wait(now, j, s.onTime, s.late), retryLater)}
+		return s.turnAway(now, j, s.wait(now, j, s.onTime, s.late))
 	}
 	return Outcome{Code: result.DeadlineExceeded}
 }
 
-// hopeless tells whether a job with waiting tasks cannot end while its answer is of use.
+// hopeless tells whether a job of which nothing has run cannot end while its answer is of use.
 func (s *Scheduler) hopeless(now time.Time, j *job) bool {
-	if !j.queued {
+	if !j.queued || j.mayHaveRun() {
 		return false
 	}
 	for _, t := range j.tasks {
@@ -163,7 +202,7 @@
 			return true
 		}
 	}
-	if !j.late || j.mayHaveRun() || now.Sub(j.reviewed) < reviewEvery {
+	if !j.late || now.Sub(j.reviewed) < reviewEvery {
 		return false
 	}
 	j.reviewed = now
--- a/dispatch/jobs/cost_test.go
+++ b/dispatch/jobs/cost_test.go
@@ -64,7 +64,7 @@
 func BenchmarkWantInOverload(b *testing.B) {
 	s, _ := overloaded(b)
 	for b.Loop() {
-		s.Want()
+		s.Want(s.fleet[0].agent)
 	}
 }
 
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -184,8 +184,9 @@
 	a.server.unanswered = 0
 	s.learn(now, a, took)
 	work := time.Duration(float64(took) / a.pace())
-	j.took = append(j.took, work)
-	j.revise(work)
+	j.steps[t.step].done++
+	j.steps[t.step].ran += work
+	j.revise(t.step, work)
 	if j.finished() {
 		s.finish(j, Outcome{})
 		return
--- a/dispatch/jobs/fit.go
+++ b/dispatch/jobs/fit.go
@@ -14,16 +14,26 @@
 )
 
 func (s *Scheduler) eligible(now time.Time, j *job, t *task, v *server) bool {
+	step := j.Steps[t.step]
+	if !s.hasRoom(now, j, t, v) || t.avoid[v.state.Instance] {
+		return false
+	}
+	if step.MaxPerServer > 0 && s.ofStep(j, t.step, v) >= step.MaxPerServer {
+		return false
+	}
+	return s.fastEnough(now, j, t, v)
+}
+
+// hasRoom tells whether the backend server takes tasks like t and has room for one.
+func (s *Scheduler) hasRoom(now time.Time, j *job, t *task, v *server) bool {
 	step := j.Steps[t.step]
 	switch {
-	case !v.takes(s.out), v.state.Service != j.Queue.Service, now.Before(v.pausedUntil), t.avoid[v.state.Instance]:
+	case !v.takes(s.out), v.state.Service != j.Queue.Service, now.Before(v.pausedUntil):
 		return false
 	case !step.Demand.Fits(v.room()), !v.state.HasLabel(step.Label), len(v.runs) >= v.health.Limit(now):
 		return false
-	case step.MaxPerServer > 0 && s.ofStep(j, t.step, v) >= step.MaxPerServer:
-		return false
 	}
-	return s.fastEnough(now, j, t, v)
+	return true
 }
 
 // fastEnough tells whether the task is expected to end there while its answer is of use. A backend
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -24,6 +24,7 @@
 	// sick counts the failures on backend servers that failed other jobs as well.
 	sick       int
 	lastRun    uint64
+	stalls     int // runs that were stopped without any progress
 	checkpoint string
 	avoid      map[string]bool
 }
@@ -44,52 +45,84 @@
 	ran bool
 	// reviewed is when it was last looked at whether the job, which is late, can still be served.
 	reviewed time.Time
-	// took are the normalized run times of the tasks that are done.
-	took []time.Duration
+	steps    []stepState
+}
+
+// stepState is what is known of a step's tasks, which are alike.
+type stepState struct {
+	shape shape
+	// done is the number of tasks that are done, and ran their run times in all at normal speed.
+	done int
+	ran  time.Duration
+	// least is the run time at normal speed that progress has shown; 0 while there is none.
+	least time.Duration
 }
 
 func newJob(j Job) *job {
-	o := &job{Job: j, left: make([]int, len(j.Steps))}
-	chain := make([]time.Duration, len(j.Steps))
+	o := &job{Job: j, left: make([]int, len(j.Steps)), steps: make([]stepState, len(j.Steps))}
 	for s, step := range j.Steps {
 		o.left[s] = step.Count
+		o.steps[s].shape = shapeOf(j.Queue.Service, step)
 		for i := range step.Count {
 			o.tasks = append(o.tasks, &task{name: run.TaskName(j.ID, 0, s, i), step: s, avoid: map[string]bool{}})
 		}
+	}
+	o.work = o.longestChain()
+	o.objective = j.Arrived.Add(objective(j, o.work))
+	return o
+}
+
+// longestChain is the expected run time of the longest chain of steps.
+func (j *job) longestChain() time.Duration {
+	longest := time.Duration(0)
+	chain := make([]time.Duration, len(j.Steps))
+	for s, step := range j.Steps {
 		for _, a := range step.After {
 			chain[s] = max(chain[s], chain[a])
 		}
-		chain[s] += step.Estimate
-		o.work = max(o.work, chain[s])
+		chain[s] += max(j.stepTime(s), j.steps[s].least)
+		longest = max(longest, chain[s])
 	}
-	o.objective = j.Arrived.Add(objective(j, o.work))
-	return o
+	return longest
 }
 
 const (
 	// usefulFactor is how many latency objectives an answer may take and still be of use.
 	usefulFactor = 3
-	// patienceFactor is the same for a job that runs: the declared run times on which an objective
-	// rests are often too low.
+	// patienceFactor is the same for a job that runs and whose caller has not said how long it waits: the
+	// declared run times on which an objective rests are often too low.
 	patienceFactor = 4
 )
 
 // aim is the job's latency objective.
 func (j *job) aim() time.Duration { return j.objective.Sub(j.Arrived) }
 
-// useful is until when an answer is of use.
-func (j *job) useful() time.Time { return j.Arrived.Add(usefulFactor * j.aim()) }
+// useful is until when an answer is of use to a caller whose job has not begun.
+func (j *job) useful() time.Time {
+	end := j.Arrived.Add(usefulFactor * j.aim())
+	if !j.Deadline.IsZero() && j.Deadline.Before(end) {
+		return j.Deadline
+	}
+	return end
+}
 
-// limit is when the job is given up.
-func (j *job) limit() time.Time { return j.Arrived.Add(patienceFactor * j.aim()) }
+// limit is when the job is given up: its caller has left.
+func (j *job) limit() time.Time {
+	if !j.Deadline.IsZero() {
+		return j.Deadline
+	}
+	return j.Arrived.Add(patienceFactor * j.aim())
+}
 
-// revise takes in that a task is longer than was declared.
-func (j *job) revise(work time.Duration) {
-	if len(j.Steps) > 1 || work <= j.work {
+// revise takes in that a task of the step is longer than was declared.
+func (j *job) revise(step int, work time.Duration) {
+	j.steps[step].least = max(j.steps[step].least, work)
+	longest := j.longestChain()
+	if longest <= j.work {
 		return
 	}
-	j.work = work
-	j.objective = j.Arrived.Add(objective(j.Job, work))
+	j.work = longest
+	j.objective = j.Arrived.Add(objective(j.Job, longest))
 }
 
 // objective is the time within which the job earns its full worth.
@@ -116,20 +149,26 @@
 	return true
 }
 
-// expected is the run time of one of the job's tasks on a backend server of normal speed. The tasks
-// of a step are alike, and declared times are often far off, so tasks that are done count more.
-func (j *job) expected(t *task) time.Duration {
-	if len(j.took) == 0 {
-		return j.Steps[t.step].Estimate
+// expected is the run time of one of the job's tasks on a backend server of normal speed.
+func (j *job) expected(t *task) time.Duration { return j.stepTime(t.step) }
+
+// stepTime is the run time of the step's tasks at normal speed. Declared times are often far off, so tasks
+// that are done count more, and those of other steps tell by how much the job's are off.
+func (j *job) stepTime(step int) time.Duration {
+	if s := j.steps[step]; s.done > 0 {
+		return s.ran / time.Duration(s.done)
 	}
-	if len(j.Steps) > 1 {
-		return j.Steps[t.step].Estimate
+	var ran, declared time.Duration
+	for i, s := range j.steps {
+		if s.done > 0 {
+			ran += s.ran / time.Duration(s.done)
+			declared += j.Steps[i].Estimate
+		}
 	}
-	var sum time.Duration
-	for _, d := range j.took {
-		sum += d
+	if declared <= 0 {
+		return j.Steps[step].Estimate
 	}
-	return sum / time.Duration(len(j.took))
+	return time.Duration(float64(j.Steps[step].Estimate) * float64(ran) / float64(declared))
 }
 
 // mayHaveRun tells whether a task has run or may be running.
@@ -142,6 +181,15 @@
 	return j.ran
 }
 
+// demand is the processor time, in thousandths of a core times seconds, that all its tasks need.
+func (j *job) demand() float64 {
+	sum := 0.0
+	for _, t := range j.tasks {
+		sum += float64(j.Steps[t.step].Demand.CPU) * j.expected(t).Seconds()
+	}
+	return sum
+}
+
 // waitingDemand is the processor time, in thousandths of a core times seconds, that the job's tasks
 // without a place need.
 func (j *job) waitingDemand() float64 {
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -1,13 +1,19 @@
 package jobs
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// maxBlocked bounds how many jobs without a place one pass looks at.
+// maxBlocked bounds how many jobs that wait for the same thing one pass looks at. Those that wait for
+// something else are looked at all the same: a pass that ended at the first twelve jobs without a place left
+// other services' backend servers idle.
 const maxBlocked = 12
 
+// pass is one look at waiting jobs and the backend servers that they may be placed on.
+type pass struct {
+	now     time.Time
+	servers []*server
+	blocked map[shape]int // jobs without a place
+}
+
 // dispatch places waiting tasks until nothing fits. It looks at every backend server for every waiting
 // task, so it runs once a tick; room that becomes free in between goes through dispatchTo.
 func (s *Scheduler) dispatch(now time.Time) { s.dispatchAmong(now, s.fleet) }
@@ -20,12 +26,38 @@
 	s.dispatchAmong(now, s.single[:])
 }
 
-// dispatchJob places the waiting tasks of one job, unless enough others without a place come before it.
+// dispatchJob places the waiting tasks of one job, unless enough others that wait for the same thing come
+// before it.
 func (s *Scheduler) dispatchJob(now time.Time, j *job) {
-	if !j.queued || slices.Index(*s.list(j), j) >= maxBlocked {
+	if !j.queued || s.ahead(j) >= maxBlocked {
 		return
 	}
-	s.requeue(now, j, s.placeJob(now, j, s.fleet))
+	s.requeue(now, j, s.placeJob(&pass{now: now, servers: s.fleet, blocked: map[shape]int{}}, j))
+}
+
+// ahead is the number of jobs of one shape with the job that come before it, up to maxBlocked.
+func (s *Scheduler) ahead(j *job) int {
+	n := 0
+	want := j.waitsFor()
+	for _, o := range *s.list(j) {
+		if o == j || n == maxBlocked {
+			break
+		}
+		if o.waitsFor() == want {
+			n++
+		}
+	}
+	return n
+}
+
+// waitsFor is the shape of the first step of which tasks wait for a place.
+func (j *job) waitsFor() shape {
+	for _, t := range j.tasks {
+		if t.state == waiting && j.runnable(t) {
+			return j.steps[t.step].shape
+		}
+	}
+	return shape{}
 }
 
 func (s *Scheduler) dispatchAmong(now time.Time, servers []*server) {
@@ -34,17 +66,13 @@
 }
 
 func (s *Scheduler) placeList(now time.Time, list []*job, servers []*server) {
-	blocked := 0
+	if len(list) == 0 {
+		return
+	}
+	p := &pass{now: now, servers: servers, blocked: map[shape]int{}}
 	var changed []tried
 	for _, j := range list {
-		if blocked >= maxBlocked {
-			break
-		}
-		r := s.placeJob(now, j, servers)
-		if r != allPlaced {
-			blocked++
-		}
-		if r != nonePlaced {
+		if r := s.placeJob(p, j); r != nonePlaced {
 			changed = append(changed, tried{j, r})
 		}
 	}
@@ -81,24 +109,33 @@
 	}
 }
 
-// placeJob places the job's runnable tasks among the servers.
-func (s *Scheduler) placeJob(now time.Time, j *job, servers []*server) placement {
+// placeJob places the job's runnable tasks among the servers of the pass.
+func (s *Scheduler) placeJob(p *pass, j *job) placement {
 	started, all := j.started, true
 	full := -1 // the step of which no task finds a place
 	for _, t := range j.tasks {
-		if t.state != waiting || t.step == full || !j.runnable(t) {
+		if t.state != waiting || !j.runnable(t) {
 			continue
 		}
-		v := s.pick(now, j, t, servers)
-		if v == nil {
+		shape := j.steps[t.step].shape
+		if t.step == full || p.blocked[shape] >= maxBlocked {
 			all = false
-			// The tasks of a step are alike, and one that avoids no backend server can go to the most.
-			if len(t.avoid) == 0 {
-				full = t.step
-			}
 			continue
 		}
-		s.order(now, j, t, v)
+		v := s.pick(p.now, j, t, p.servers)
+		if v != nil {
+			s.order(p.now, j, t, v)
+			continue
+		}
+		all = false
+		// The tasks of a step are alike, and one that avoids no backend server can go to the most.
+		if len(t.avoid) > 0 {
+			continue
+		}
+		full = t.step
+		if !s.blocksItself(p, j, t) {
+			p.blocked[shape]++
+		}
 	}
 	switch {
 	case all:
@@ -109,6 +146,64 @@
 	return nonePlaced
 }
 
+// blocksItself tells whether the task waits only because as many of its step as may be are on each backend
+// server with room. There are never more such jobs than runs.
+func (s *Scheduler) blocksItself(p *pass, j *job, t *task) bool {
+	step := j.Steps[t.step]
+	if step.MaxPerServer <= 0 {
+		return false
+	}
+	for _, v := range p.servers {
+		if s.ofStep(j, t.step, v) >= step.MaxPerServer && s.hasRoom(p.now, j, t, v) {
+			return true
+		}
+	}
+	return false
+}
+
+// startsNow tells whether all tasks that the new job may start have room at this moment. Then no job that
+// waits could use that room: it would have it already.
+func (s *Scheduler) startsNow(now time.Time, j *job) bool {
+	need := make([]int, len(j.Steps))
+	for _, t := range j.tasks {
+		if j.runnable(t) {
+			need[t.step]++
+		}
+	}
+	first := map[int]*task{}
+	for _, t := range j.tasks {
+		if first[t.step] == nil {
+			first[t.step] = t
+		}
+	}
+	for step, n := range need {
+		if n > 0 && s.places(now, j, first[step], n) < n {
+			return false
+		}
+	}
+	return true
+}
+
+// places is the number of tasks like t that have room now, up to most.
+func (s *Scheduler) places(now time.Time, j *job, t *task, most int) int {
+	n := 0
+	step := j.Steps[t.step]
+	for _, v := range s.fleet {
+		if n >= most {
+			break
+		}
+		if !s.eligible(now, j, t, v) {
+			continue
+		}
+		fit := step.Demand.Times(v.room())
+		if step.MaxPerServer > 0 {
+			fit = min(fit, step.MaxPerServer)
+		}
+		n += min(fit, v.health.Limit(now)-len(v.runs))
+	}
+	return n
+}
+
 // pick chooses the backend server with the lowest cost among those that have room, or none.
 func (s *Scheduler) pick(now time.Time, j *job, t *task, servers []*server) *server {
 	var best *server
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -7,10 +7,11 @@
 	"poplargw.example/dispatch/run"
 )
 
-// HasWaiting tells whether tasks wait for a place.
-func (s *Scheduler) HasWaiting() bool { return s.Want().Demand.CPU > 0 }
+// HasWaiting tells whether tasks wait for a place at the agent's backend server.
+func (s *Scheduler) HasWaiting(agent string) bool { return s.Want(agent).Demand.CPU > 0 }
 
-// Want is what the tasks that wait for a place need in all, and the latest start of the most urgent.
+// Want is what the tasks that wait for a place at one backend server need in all, and the latest start of the
+// most urgent.
 type Want struct {
 	Demand  run.Demand
 	Urgency time.Time
@@ -19,33 +20,53 @@
 // wantedJobs bounds how many waiting jobs the demand told to agents covers.
 const wantedJobs = 8
 
-// Want returns what waits for a place, from the jobs that come first. Late jobs count as less urgent
-// than all others.
-func (s *Scheduler) Want() Want {
+// Want returns what waits for a place and could have it at the agent's backend server, from the jobs that come
+// first. Late jobs count as less urgent than all others.
+func (s *Scheduler) Want(agent string) Want {
 	var w Want
+	v := s.servers[agent]
+	if v == nil {
+		return w
+	}
 	covered := 0
 	for _, list := range [][]*job{s.onTime, s.late} {
 		for _, j := range list {
 			if covered == wantedJobs {
 				return w
 			}
+			demand := j.wants(&v.state)
+			if demand.CPU <= 0 {
+				continue
+			}
 			covered++
-			if covered == 1 {
-				w.Urgency = j.key
-				if j.late {
-					w.Urgency = j.key.Add(lateUrgency)
-				}
+			w.Demand = w.Demand.Plus(demand)
+			if covered > 1 {
+				continue
 			}
-			for _, t := range j.tasks {
-				if t.state == waiting && j.runnable(t) {
-					w.Demand = w.Demand.Plus(j.Steps[t.step].Demand)
-				}
+			w.Urgency = j.key
+			if j.late {
+				w.Urgency = j.key.Add(lateUrgency)
 			}
 		}
 	}
 	return w
 }
 
+// wants is what the job's tasks without a place need that the backend server could run.
+func (j *job) wants(v *run.Server) run.Demand {
+	var sum run.Demand
+	if j.Queue.Service != v.Service {
+		return sum
+	}
+	for _, t := range j.tasks {
+		step := j.Steps[t.step]
+		if t.state == waiting && j.runnable(t) && v.HasLabel(step.Label) && step.Demand.Fits(v.Room) {
+			sum = sum.Plus(step.Demand)
+		}
+	}
+	return sum
+}
+
 // lateUrgency puts late jobs behind those of other entries that can still meet their objective.
 const lateUrgency = 10 * time.Second
 
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -28,6 +28,7 @@
 	notes     []Note
 	dirty     map[string]*server
 	leaving   bool
+	promised  map[string]*promises // by service
 	expected  expectation
 	opening   int                // agents to which links are being opened
 	partial   bool               // there are agents without a link that are not being opened
@@ -54,6 +55,7 @@
 		suspended: map[string]*health.Server{},
 		usual:     map[string]float64{},
 		dirty:     map[string]*server{},
+		promised:  map[string]*promises{},
 	}
 }
 
@@ -166,9 +168,7 @@
 	j := newJob(in)
 	j.key = s.keyOf(j)
 	if wait, ok := s.admissible(now, j); !ok {
-		o := Outcome{Job: in.ID, Code: result.DeadlineUnmet, Effect: result.NotRun, RetryAfter: wait}
-		o.Free, o.Room = s.Room()
-		return o, false
+		return s.turnAway(now, j, wait), false
 	}
 	s.arrivals++
 	j.number = s.arrivals
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -24,9 +24,17 @@
 	lagDecay = 0.7
 	// maxLag bounds the lag, so that a backend server that recovers is tried again.
 	maxLag = 8
-	// stallAfter is the time without progress that counts as a stall: even a task of 6 s gains a
-	// percent each 60 ms, and readings are up to 70 ms old.
+	// stallAfter is the least time without progress that counts as a stall: readings are up to 70 ms old.
 	stallAfter = 200 * time.Millisecond
+	// stallPercents is the same for long runs, in the time that one percent takes: percents are whole
+	// numbers, and a run of 30 s gains one in 300 ms.
+	stallPercents = 4
+	// firstPercents is the same before the first percent, as the run may be as many times longer than
+	// was declared.
+	firstPercents = 12
+	// maxStalls bounds how often that time doubles: a task without any progress on several backend
+	// servers is longer than was declared rather than stalled.
+	maxStalls = 6
 	// stalledRest stands for the rest of a run that stalls.
 	stalledRest = time.Hour
 	// lagOfMany and lagOfFew are the least lags that count, when at least manyRuns runs show it or
@@ -76,12 +84,16 @@
 	return max(0, rest), true
 }
 
-// stalled tells whether the readings show no progress. Only readings tell it: a slow agent sends none.
+// stalled tells whether the readings show no progress for longer than the run's own rate explains. Only
+// readings tell it: a slow agent sends none.
 func (a *attempt) stalled() bool {
 	if a.percent == 0 {
-		return a.readAt.Sub(a.begun) > stallAfter
+		expected := time.Duration(float64(a.job.expected(a.task)) * a.pace())
+		patience := max(stallAfter, expected*firstPercents/100) << a.task.stalls
+		return a.readAt.Sub(a.begun) > patience
 	}
-	return a.readAt.Sub(a.percentAt) > stallAfter
+	percent := a.percentAt.Sub(a.begun) / time.Duration(a.percent)
+	return a.readAt.Sub(a.percentAt) > max(stallAfter, stallPercents*percent)
 }
 
 // moveStragglers stops runs that would end sooner with a fresh start elsewhere. The task is placed
@@ -111,6 +123,9 @@
 			if !a.stopped && s.straggles(now, a) {
 				rest, _ := a.remaining(now)
 				s.note(Note{Kind: Moved, Agent: v.agent, Ref: a.ref, Attempt: a.task.attempts, Rest: rest, Age: now.Sub(v.heard)})
+				if rest == stalledRest && a.percent == 0 {
+					a.task.stalls = min(a.task.stalls+1, maxStalls)
+				}
 				s.stop(a)
 				a.task.avoid[v.state.Instance] = true
 				budget--
@@ -127,7 +142,7 @@
 		if rest, known := a.remaining(now); known {
 			learned := float64(a.job.expected(a.task)) * a.pace() / v.lag
 			if rest < stalledRest {
-				a.job.revise(time.Duration(float64(now.Sub(a.begun)+rest) / a.pace()))
+				a.job.revise(a.task.step, time.Duration(float64(now.Sub(a.begun)+rest)/a.pace()))
 			}
 			ratios = append(ratios, float64(now.Sub(a.begun)+rest)/max(learned, 1))
 		}
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -34,6 +34,8 @@
 	Spec    string
 	Steps   []Step
 	Arrived time.Time
+	// Deadline is until when the caller waits; zero if it is not known.
+	Deadline time.Time
 }
 
 // Outcome is how a job has ended. Code 0 means completed.
--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"poplargw.example/dispatch/result"
@@ -21,6 +22,17 @@
 	return d.CPU <= free.CPU && d.MemoryMB <= free.MemoryMB && d.GPU <= free.GPU
 }
 
+// Times returns how many times d can be placed in the given free room.
+func (d Demand) Times(free Demand) int {
+	n := math.MaxInt32
+	for _, part := range [][2]int64{{d.CPU, free.CPU}, {d.MemoryMB, free.MemoryMB}, {d.GPU, free.GPU}} {
+		if part[0] > 0 {
+			n = min(n, int(max(0, part[1])/part[0]))
+		}
+	}
+	return n
+}
+
 // Plus returns the sum of two demands.
 func (d Demand) Plus(o Demand) Demand {
 	return Demand{d.CPU + o.CPU, d.MemoryMB + o.MemoryMB, d.GPU + o.GPU}
