Place tasks where they end in time, and leave the rest to those that need it

Short tasks were those below 250 ms, a figure of today's tasks. Change: backend servers on which a task meets its objective with a margin of 1.4 count alike, whatever its length. A job that can still be on time on a quarter of the backend servers waits for one of them rather than take a place where it ends late. An agent is told of tasks only if they would be placed there.

--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -144,7 +144,7 @@
 	})
 	e.flush()
 	// An agent holds room for an entry that wants some; it is told at once when that has changed.
-	if now.Sub(a.sent) >= wantGap && a.wanting != e.scheduler.HasWaiting(a.id) {
+	if now.Sub(a.sent) >= wantGap && a.wanting != e.scheduler.HasWaiting(now, a.id) {
 		e.beatOne(a)
 	}
 }
@@ -157,7 +157,7 @@
 	a.sent = steady.Now()
 	f := link.BatchOut(b)
 	f.Ack, f.TokenMs = a.ack, a.token
-	want := e.scheduler.Want(a.id)
+	want := e.scheduler.Want(a.sent, a.id)
 	a.wanting = want.Demand.CPU > 0
 	if a.wanting {
 		f.Want, f.SlackMs = link.DemandOut(want.Demand), want.Urgency.Sub(a.sent).Milliseconds()
--- a/dispatch/jobs/cost_test.go
+++ b/dispatch/jobs/cost_test.go
@@ -62,9 +62,9 @@
 }
 
 func BenchmarkWantInOverload(b *testing.B) {
-	s, _ := overloaded(b)
+	s, now := overloaded(b)
 	for b.Loop() {
-		s.Want(s.fleet[0].agent)
+		s.Want(now, s.fleet[0].agent)
 	}
 }
 
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -69,8 +69,8 @@
 	v.entries = r.Entries
 	v.reported = true
 	v.ack(r.Ack)
-	if s.usual[v.state.Service] == 0 {
-		s.learnUsual()
+	if s.paces[v.state.Service].usual == 0 {
+		s.learnPaces()
 	}
 	s.dispatchTo(now, v)
 }
@@ -253,7 +253,7 @@
 func (s *Scheduler) Tick(now time.Time) {
 	s.settleLost(now)
 	s.moveStragglers(now)
-	s.learnUsual()
+	s.learnPaces()
 	s.review(now)
 	s.dispatch(now)
 }
--- a/dispatch/jobs/fit.go
+++ b/dispatch/jobs/fit.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// longTask is the run time from which a fast backend server matters more than an idle one: the
-	// fixed part of the objective covers the difference for shorter ones.
-	longTask = 250 * time.Millisecond
+	// safety is how much longer than expected a task may take on a backend server that counts as one on
+	// which it meets its objective: declared run times are off by about two fifths.
+	safety = 1.4
 	// crowding is the cost of a full backend server against an empty one, as a share of the run time.
 	crowding = 0.15
 )
@@ -42,18 +42,32 @@
 func (s *Scheduler) fastEnough(now time.Time, j *job, t *task, v *server) bool {
 	slow := v.slowness()
 	distance := s.distance(j.Steps[t.step], v)
-	usual := s.usual[j.Queue.Service]
-	if slow*distance < slowPace*usual {
-		return true
+	paces := s.paces[j.Queue.Service]
+	if slow*distance < slowPace*paces.usual {
+		return j.late || s.endsInTime(now, j, t, v, 1) || !s.endsInTimeAt(now, j, t, paces.fast, 1)
 	}
-	end := now.Add(time.Duration(float64(j.expected(t)) * slow * distance))
 	switch {
-	case !end.After(j.objective):
+	case s.endsInTime(now, j, t, v, 1):
 		return true
 	case s.tooSlow(v):
 		return len(v.runs) == 0 && now.Sub(v.lastOrder) > probeEvery<<min(v.probes, maxProbeDoublings)
 	}
-	return j.late && !end.After(j.useful())
+	return j.late && !s.end(now, j, t, slow*distance).After(j.useful())
+}
+
+// end is when the task is expected to end if it starts now at the given pace.
+func (s *Scheduler) end(now time.Time, j *job, t *task, pace float64) time.Time {
+	return now.Add(time.Duration(float64(j.expected(t)) * pace))
+}
+
+// endsInTime tells whether the task is expected to meet the objective on the backend server even if it takes
+// the given factor longer.
+func (s *Scheduler) endsInTime(now time.Time, j *job, t *task, v *server, factor float64) bool {
+	return s.endsInTimeAt(now, j, t, v.slowness()*s.distance(j.Steps[t.step], v), factor)
+}
+
+func (s *Scheduler) endsInTimeAt(now time.Time, j *job, t *task, pace, factor float64) bool {
+	return !s.end(now, j, t, pace*factor).After(j.objective)
 }
 
 const (
@@ -67,18 +81,24 @@
 	maxProbeDoublings = 3
 )
 
-// learnUsual computes the median pace of the backend servers of each service.
-func (s *Scheduler) learnUsual() {
+// servicePaces are paces of the backend servers of one service that take work.
+type servicePaces struct {
+	// usual is the median, fast the pace that a quarter of them has at least.
+	usual, fast float64
+}
+
+// learnPaces computes the paces of each service.
+func (s *Scheduler) learnPaces() {
 	paces := map[string][]float64{}
 	for _, v := range s.fleet {
 		if v.takes(s.out) {
 			paces[v.state.Service] = append(paces[v.state.Service], v.slowness())
 		}
 	}
-	clear(s.usual)
+	clear(s.paces)
 	for service, list := range paces {
 		sort.Float64s(list)
-		s.usual[service] = list[len(list)/2]
+		s.paces[service] = servicePaces{usual: list[len(list)/2], fast: list[len(list)/4]}
 	}
 }
 
@@ -92,7 +112,7 @@
 
 // tooSlow tells whether the backend server is far slower than is usual for its service.
 func (s *Scheduler) tooSlow(v *server) bool {
-	return v.slowness() >= slowPace*s.usual[v.state.Service]
+	return v.slowness() >= slowPace*s.paces[v.state.Service].usual
 }
 
 func (s *Scheduler) ofStep(j *job, step int, v *server) int {
@@ -105,19 +125,18 @@
 	return n
 }
 
-// cost is the expected run time in seconds, and a share of it for a crowded backend server. Short
-// tasks count at the speed at which all backend servers meet the objective, so that the fast ones
-// stay free for long tasks.
-func (s *Scheduler) cost(j *job, t *task, v *server) float64 {
-	expected := j.expected(t)
+// cost is the expected run time in seconds, and a share of it for a crowded backend server. All backend servers
+// on which the task meets its objective with a margin count alike, so that the fast ones stay free for tasks
+// that need them.
+func (s *Scheduler) cost(now time.Time, j *job, t *task, v *server) float64 {
 	slow := v.slowness() * s.distance(j.Steps[t.step], v)
 	weight := crowding
-	if expected < longTask && slow < j.Queue.Stretch {
-		slow = 1
+	if s.endsInTime(now, j, t, v, safety) {
+		slow = 0
 		weight = 1
 	}
-	seconds := expected.Seconds() * slow
-	return seconds + seconds*weight*v.use()
+	seconds := j.expected(t).Seconds()
+	return seconds*slow + seconds*weight*v.use()
 }
 
 // distance is how many times longer a task of the step runs on the backend server than near its data.
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -212,7 +212,7 @@
 		if !s.eligible(now, j, t, v) {
 			continue
 		}
-		cost := s.cost(j, t, v)
+		cost := s.cost(now, j, t, v)
 		if best == nil || cost < lowest || cost == lowest && v.agent < best.agent {
 			best, lowest = v, cost
 		}
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -8,7 +8,9 @@
 )
 
 // HasWaiting tells whether tasks wait for a place at the agent's backend server.
-func (s *Scheduler) HasWaiting(agent string) bool { return s.Want(agent).Demand.CPU > 0 }
+func (s *Scheduler) HasWaiting(now time.Time, agent string) bool {
+	return s.Want(now, agent).Demand.CPU > 0
+}
 
 // Want is what the tasks that wait for a place at one backend server need in all, and the latest start of the
 // most urgent.
@@ -22,10 +24,10 @@
 
 // Want returns what waits for a place and could have it at the agent's backend server, from the jobs that come
 // first. Late jobs count as less urgent than all others.
-func (s *Scheduler) Want(agent string) Want {
+func (s *Scheduler) Want(now time.Time, agent string) Want {
 	var w Want
 	v := s.servers[agent]
-	if v == nil {
+	if v == nil || !v.reported {
 		return w
 	}
 	covered := 0
@@ -34,7 +36,7 @@
 			if covered == wantedJobs {
 				return w
 			}
-			demand := j.wants(&v.state)
+			demand := s.wants(now, j, v)
 			if demand.CPU <= 0 {
 				continue
 			}
@@ -52,15 +54,19 @@
 	return w
 }
 
-// wants is what the job's tasks without a place need that the backend server could run.
-func (j *job) wants(v *run.Server) run.Demand {
+// wants is what the job's tasks without a place need that would be placed on the backend server if it had
+// room.
+func (s *Scheduler) wants(now time.Time, j *job, v *server) run.Demand {
 	var sum run.Demand
-	if j.Queue.Service != v.Service {
+	if j.Queue.Service != v.state.Service {
 		return sum
 	}
 	for _, t := range j.tasks {
 		step := j.Steps[t.step]
-		if t.state == waiting && j.runnable(t) && v.HasLabel(step.Label) && step.Demand.Fits(v.Room) {
+		if t.state != waiting || !j.runnable(t) || !v.state.HasLabel(step.Label) || !step.Demand.Fits(v.state.Room) {
+			continue
+		}
+		if !t.avoid[v.state.Instance] && s.fastEnough(now, j, t, v) {
 			sum = sum.Plus(step.Demand)
 		}
 	}
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -311,13 +311,13 @@
 
 // tellWant corrects what an agent knows of the entry's waiting tasks.
 func (w *world) tellWant(m *machine, i int) {
-	if want := w.entries[i].Want(m.id); (want.Demand.CPU > 0) != w.told[told{m.id, i}] {
+	if want := w.entries[i].Want(w.now, m.id); (want.Demand.CPU > 0) != w.told[told{m.id, i}] {
 		w.sendWant(m, i)
 	}
 }
 
 func (w *world) sendWant(m *machine, i int) {
-	want := w.entries[i].Want(m.id)
+	want := w.entries[i].Want(w.now, m.id)
 	w.told[told{m.id, i}] = want.Demand.CPU > 0
 	w.frames[i]++
 	w.after(oneWay, func() { w.want(m, i, want) })
@@ -355,7 +355,7 @@
 	}
 	for _, b := range batches {
 		m := w.byID[b.Agent]
-		want := w.entries[i].Want(m.id)
+		want := w.entries[i].Want(w.now, m.id)
 		w.told[told{m.id, i}] = want.Demand.CPU > 0
 		w.frames[i]++
 		w.after(oneWay, func() {
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -30,11 +30,11 @@
 	leaving   bool
 	promised  map[string]*promises // by service
 	expected  expectation
-	opening   int                // agents to which links are being opened
-	partial   bool               // there are agents without a link that are not being opened
-	unfit     bool               // a job was refused because it fits on no known backend server
-	usual     map[string]float64 // median pace by service
-	single    [1]*server         // argument of dispatchTo, kept to save an allocation
+	opening   int                     // agents to which links are being opened
+	partial   bool                    // there are agents without a link that are not being opened
+	unfit     bool                    // a job was refused because it fits on no known backend server
+	paces     map[string]servicePaces // by service
+	single    [1]*server              // argument of dispatchTo, kept to save an allocation
 }
 
 // expectation is the number of agents that are about to connect after the entry's own start.
@@ -53,7 +53,7 @@
 		speeds:    estimate.New[string](),
 		groups:    map[string]*health.Group{},
 		suspended: map[string]*health.Server{},
-		usual:     map[string]float64{},
+		paces:     map[string]servicePaces{},
 		dirty:     map[string]*server{},
 		promised:  map[string]*promises{},
 	}
@@ -262,6 +262,7 @@
 func (s *Scheduler) finish(j *job, o Outcome) {
 	o.Job = j.ID
 	o.Started = j.started
+	o.Aim = j.aim()
 	if o.Code != 0 {
 		o.Effect = result.NotRun
 		if j.mayHaveRun() {
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -44,6 +44,8 @@
 	Code    result.Code
 	Effect  result.Effect
 	Started time.Time
+	// Aim is the job's latency objective; 0 if it was not taken in.
+	Aim time.Duration
 	// RetryAfter is when a rejected job would find room.
 	RetryAfter time.Duration
 	// Free and Room are the processor room that a rejection rests on, in thousandths of a core.
