Show second by second what became of jobs, and log each second's counts

Cause: under load most lines about single jobs are left out, so logs did not tell what became of callers in an overload. Unreadable lines are counted and named.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -44,6 +44,7 @@
 	ServerSuspended   ID = 670
 	EntryLeft         ID = 671
 	ProcessorShort    ID = 672
+	EntrySecond       ID = 673
 )
 
 var runTexts = map[ID]string{
@@ -86,4 +87,5 @@
 	ServerSuspended:       "backend server was suspended because it failed too many tasks",
 	EntryLeft:             "entry rejects further jobs because it stops",
 	ProcessorShort:        "entry is short of processor time, or no longer is",
+	EntrySecond:           "what became of jobs within one second",
 }
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -52,6 +52,7 @@
 	ticks     lag.Meter // delays of the tick
 	answers   lag.Meter // delays of agents' answers beyond the shortest of each
 	ended     *history
+	second    second
 	changed   chan struct{} // the set of partners has changed
 	ready     bool          // as last told to the load balancer
 }
@@ -72,6 +73,7 @@
 		partners:  partner.New(o.ID, o.Domain),
 		waiters:   map[string][]chan jobs.Outcome{},
 		ended:     newHistory(),
+		second:    newSecond(steady.Now()),
 		changed:   make(chan struct{}, 1),
 		ticks:     lag.Meter{Over: ticksOver},
 		answers:   lag.Meter{Over: answersOver},
@@ -126,6 +128,7 @@
 	e.stepPartners(now)
 	e.flush()
 	e.beat(now)
+	e.closeSecond(now)
 }
 
 // resume drops all jobs after a pause: their callers may have sent them again elsewhere, and what
--- a/daemon/runentry/notes.go
+++ b/daemon/runentry/notes.go
@@ -1,9 +1,12 @@
 package runentry
 
 import (
+	"time"
+
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/steady"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/result"
 )
 
 // logNotes logs what the scheduler has decided since the last call.
@@ -28,6 +31,9 @@
 		e.Log.Sample(event.RunMoved, f)
 	case jobs.Returned:
 		e.counters.returned(n.End, n.Reason)
+		if n.Reason == result.StartTooLate {
+			e.second.unanswered++
+		}
 		f["attempt"], f["kind"], f["code"] = n.Attempt, n.End.String(), uint32(n.Reason)
 		e.Log.Sample(event.TaskReturned, f)
 	case jobs.Lost:
@@ -42,6 +48,7 @@
 func (e *Entry) report(j jobs.Job, o jobs.Outcome) {
 	took := steady.Now().Sub(j.Arrived)
 	e.counters.jobEnded(j.Queue.Name, o.Code, took)
+	e.countEnd(o, took)
 	f := event.Fields{"job": j.ID, "queue": j.Queue.Name, "code": uint32(o.Code), "took_ms": took.Milliseconds()}
 	if !o.Started.IsZero() {
 		f["started_ms"] = o.Started.Sub(j.Arrived).Milliseconds()
@@ -61,6 +68,12 @@
 	e.Log.Sample(event.JobEnded, f)
 }
 
+func (e *Entry) countEnd(o jobs.Outcome, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.second.count(o, took)
+}
+
 func tasks(j jobs.Job) int {
 	n := 0
 	for _, s := range j.Steps {
--- a/daemon/runentry/submit.go
+++ b/daemon/runentry/submit.go
@@ -44,6 +44,7 @@
 func (e *Entry) admit(j jobs.Job, done chan jobs.Outcome) (jobs.Outcome, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.second.offered++
 	if here, _ := e.scheduler.Has(j.ID); !here {
 		if e.short() {
 			return jobs.Outcome{Job: j.ID, Code: result.Overloaded, Effect: result.NotRun, RetryAfter: shortRetry}, false
@@ -75,6 +76,7 @@
 	e.scheduler.Abandon(j.ID)
 	e.flush()
 	e.counters.abandoned.Inc()
+	e.second.abandoned++
 	e.Log.Info(event.JobAbandoned, event.Fields{"job": j.ID, "queue": j.Queue.Name, "after_ms": steady.Now().Sub(j.Arrived).Milliseconds()})
 	return jobs.Outcome{Job: j.ID}
 }
--- /dev/null
+++ b/daemon/tool/timelinepage.go
@@ -0,0 +1,125 @@
+package tool
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"image/color"
+	"os"
+
+	gonum "gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"poplargw.example/daemon/timeline"
+)
+
+// Sizes of a plot of the timeline.
+const (
+	timelineWidth  = 24 * vg.Centimeter
+	timelineHeight = 6 * vg.Centimeter
+)
+
+//go:embed timeline.html
+var timelineTemplate string
+
+// timelinePage escapes all text but the plots, which are made here. The page has no script and loads nothing.
+var timelinePage = template.Must(template.New("timeline").Parse(timelineTemplate))
+
+// curve is one line of a plot.
+type curve struct {
+	name  string
+	color color.Color
+	value func(*timeline.Row) float64
+}
+
+var (
+	colorOffered = color.RGBA{0x66, 0x66, 0x66, 0xff}
+	colorServed  = color.RGBA{0x2a, 0x7f, 0x3f, 0xff}
+	colorLate    = color.RGBA{0xd0, 0x8a, 0x10, 0xff}
+	colorOther   = color.RGBA{0xb0, 0x24, 0x24, 0xff}
+)
+
+var jobCurves = []curve{
+	{"offered", colorOffered, func(s *timeline.Row) float64 { return float64(s.Offered) }},
+	{"served", colorServed, func(s *timeline.Row) float64 { return float64(s.Served) }},
+	{"late", colorLate, func(s *timeline.Row) float64 { return float64(s.Late) }},
+	{"turned away or failed", colorOther, func(s *timeline.Row) float64 { return float64(s.Answers()) }},
+}
+
+var roomCurves = []curve{
+	{"free share of the room", colorServed, func(s *timeline.Row) float64 { return s.FreeShare }},
+}
+
+var fleetCurves = []curve{
+	{"backend servers", colorServed, func(s *timeline.Row) float64 { return float64(s.Servers) }},
+	{"entries", colorOffered, func(s *timeline.Row) float64 { return float64(s.Entries) }},
+	{"orders without an answer", colorOther, func(s *timeline.Row) float64 { return float64(s.Unanswered) }},
+}
+
+// timelineDocument is the data of the page.
+type timelineDocument struct {
+	*timeline.Timeline
+	Plots []template.HTML
+}
+
+func writeTimelinePage(name string, t *timeline.Timeline) error {
+	doc := timelineDocument{Timeline: t}
+	for _, p := range []struct {
+		title  string
+		curves []curve
+	}{{"Jobs a second", jobCurves}, {"Free room", roomCurves}, {"Backend servers and entries", fleetCurves}} {
+		svg, err := drawPlot(p.title, p.curves, t)
+		if err != nil {
+			return fmt.Errorf("plot %q: %w", p.title, err)
+		}
+		doc.Plots = append(doc.Plots, svg)
+	}
+	var page bytes.Buffer
+	if err := timelinePage.Execute(&page, doc); err != nil {
+		return fmt.Errorf("page: %w", err)
+	}
+	return os.WriteFile(name, page.Bytes(), 0o644)
+}
+
+// drawPlot returns an SVG image with the curves over the seconds since the first one.
+func drawPlot(title string, curves []curve, t *timeline.Timeline) (template.HTML, error) {
+	p := gonum.New()
+	p.Title.Text = title
+	p.X.Label.Text = "seconds"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	for _, c := range curves {
+		points := make(plotter.XYs, len(t.Seconds))
+		for i := range t.Seconds {
+			s := &t.Seconds[i]
+			points[i].X = s.At.Sub(t.Seconds[0].At).Seconds()
+			points[i].Y = c.value(s)
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		line.Color = c.color
+		p.Add(line)
+		p.Legend.Add(c.name, line)
+	}
+	canvas := vgsvg.New(timelineWidth, timelineHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	// The XML declaration and the document type before the element have no place within a page.
+	svg := out.Bytes()
+	if i := bytes.Index(svg, []byte("<svg")); i > 0 {
+		svg = svg[i:]
+	}
+	return template.HTML(svg), nil
+}
--- a/daemon/tool/tool.go
+++ b/daemon/tool/tool.go
@@ -44,7 +44,7 @@
 func Commands() []*cli.Command {
 	return []*cli.Command{
 		configCommand(), planCommand(), applyCommand(), domainCommand(), serverCommand(), statusCommand(),
-		submitCommand(), outcomeCommand(), cancelCommand(), burnCommand(), certCommand(),
+		submitCommand(), outcomeCommand(), cancelCommand(), burnCommand(), timelineCommand(), certCommand(),
 	}
 }
 
--- a/daemon/tool/tool_test.go
+++ b/daemon/tool/tool_test.go
@@ -236,6 +236,30 @@
 	}
 }
 
+// Guards against a log that ends the command because of one bad line, and against a page that takes text from
+// logs as markup or needs a network.
+func TestTimelineReadsLogs(t *testing.T) {
+	dir := t.TempDir()
+	log, page := filepath.Join(dir, "front-1.log"), filepath.Join(dir, "timeline.html")
+	lines := `{"fields":{"event":669,"agent":"<b>a7</b>"},"timestamp":"2026-04-05T23:58:19Z","message":"x"}
+no event
+{"fields":{"event":673,"offered":9,"served":5,"late":1,"ended":"2003:4","servers":11,"free_cpu":1,"room_cpu":4},"timestamp":"2026-04-05T23:58:20Z","message":"x"}
+`
+	if err := os.WriteFile(log, []byte(lines), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	wantRun(t, ExitOK, "2003:4", "timeline", "--html", page, log)
+	wantRun(t, ExitOK, "front-1:2: no event", "timeline", log)
+	wantRun(t, ExitOK, `"served":5`, "timeline", "--output", "json", log)
+	wantRun(t, ExitUsage, "no log file", "timeline")
+	wantRun(t, ExitUsage, "no such file", "timeline", filepath.Join(dir, "missing"))
+	wantRun(t, ExitUsage, "--from", "timeline", "--from", "noon", log)
+	b, err := os.ReadFile(page)
+	if err != nil || !strings.Contains(string(b), "<svg") || strings.Contains(string(b), "<b>a7") || strings.Contains(string(b), "<script") {
+		t.Fatalf("%v, got %.2000s", err, b)
+	}
+}
+
 // Guards against a command, a flag or an exit code that the document lacks.
 func TestDocumentMatchesCode(t *testing.T) {
 	b, err := os.ReadFile("../../docs/tool.md")
