--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -73,8 +73,9 @@
 	return sum
 }
 
-// lateUrgency puts late jobs behind those of other entries that can still meet their objective.
-const lateUrgency = 10 * time.Second
+// lateUrgency puts late jobs behind those of other entries that can still meet their objective, also behind
+// those that have not begun.
+const lateUrgency = 4 * startedBonus
 
 // enqueue puts a job with waiting tasks into the queue. A job that has begun comes first, so that
 // none waits long for its last task.
@@ -94,7 +95,8 @@
 
 // keyOf is the job's place in the queue: its latest start, moved by its priority.
 func (s *Scheduler) keyOf(j *job) time.Time {
-	key := j.objective.Add(-j.work).Add(time.Duration(j.Queue.Priority) * priorityStep)
+	later := priorityShare * float64(j.Queue.Priority) * float64(j.aim())
+	key := j.objective.Add(-j.work).Add(time.Duration(later))
 	if !j.started.IsZero() {
 		key = key.Add(-startedBonus)
 	}
@@ -102,10 +104,11 @@
 }
 
 const (
-	// priorityStep is how much later than its latest start a job counts for each priority number.
-	priorityStep = 50 * time.Millisecond
-	// startedBonus puts a job that has begun before jobs that have not.
-	startedBonus = time.Second
+	// priorityShare is how much later than its latest start a job counts for each priority number, as a
+	// part of its objective.
+	priorityShare = 0.13
+	// startedBonus puts a job that has begun before all jobs that have not.
+	startedBonus = 24 * time.Hour
 )
 
 func (s *Scheduler) list(j *job) *[]*job {
