Finish what has begun, admit more of a burst, and tell late jobs sooner

A lot-plan, whose objective is 1.5 s, was rejected for a backlog of 60 ms; jobs that had begun and became late waited behind all new ones until they were given up; late jobs that had not begun were held for room that new jobs, which come before them, took. Change: a begun job keeps its place until its answer is of no use any more. A late job's wait is reckoned with what the work admitted in the last half second leaves of the pace. A job may wait 0.45 of its slack, 0.12 less for each priority number (0.3 and 0.1 before).

--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -12,15 +12,17 @@
 	minShare = 0.2
 	// slackShare is the part of a job's slack, its objective less its run time, that it may spend
 	// waiting. The rest covers run times that are longer than declared.
-	slackShare = 0.3
+	slackShare = 0.45
 	// slackStep is how much less of its slack a job may wait for each priority number, so that under
 	// load less urgent jobs are rejected first.
-	slackStep = 0.1
+	slackStep = 0.12
 	// leastShare is the part that a job of any priority may spend.
 	leastShare = 0.05
 	// shortfall is the part of the expected run time below which a job cannot end in time: declared
 	// times are off by about two fifths.
 	shortfall = 0.6
+	// leastLeft is the least part of the pace that late jobs are taken to get.
+	leastLeft = 0.05
 	// reviewEvery is the time between two looks whether late jobs can still be served.
 	reviewEvery = 100 * time.Millisecond
 )
@@ -74,6 +76,28 @@
 	return time.Duration(backlog / pace * float64(time.Second))
 }
 
+// waitBehind is how long a late job waits at what new jobs, which all come before it, leave of the pace.
+func (s *Scheduler) waitBehind(now time.Time, j *job) time.Duration {
+	wait := s.wait(now, j, s.onTime, s.late)
+	in := s.intakes[j.Queue.Service]
+	pace := s.pace(now, j.Queue.Service, j.pool())
+	if in == nil || pace <= 0 {
+		return wait
+	}
+	left := max(leastLeft, 1-in.rate(now)/pace)
+	return time.Duration(float64(wait) / left)
+}
+
+// admitted notes the work of a job that was taken in.
+func (s *Scheduler) admitted(now time.Time, j *job) {
+	in := s.intakes[j.Queue.Service]
+	if in == nil {
+		in = &intake{}
+		s.intakes[j.Queue.Service] = in
+	}
+	in.add(now, j.demand())
+}
+
 // backlog is the processor time, in thousandths of a core times seconds, that the jobs before j need of the
 // backend servers which j may use.
 func (s *Scheduler) backlog(j *job, lists [][]*job) float64 {
@@ -176,7 +200,7 @@
 		switch {
 		case !now.Before(j.limit()), s.hopeless(now, j):
 			s.finish(j, s.rejection(now, j))
-		case j.queued && !j.late && now.Add(j.work).After(j.objective):
+		case j.queued && !j.late && s.isLate(now, j):
 			s.dequeue(j)
 			s.enqueue(now, j)
 			j.reviewed = time.Time{}
@@ -186,7 +210,7 @@
 
 func (s *Scheduler) rejection(now time.Time, j *job) Outcome {
 	if !j.mayHaveRun() {
-		return s.turnAway(now, j, s.wait(now, j, s.onTime, s.late))
+		return s.turnAway(now, j, s.waitBehind(now, j))
 	}
 	return Outcome{Code: result.DeadlineExceeded}
 }
@@ -206,5 +230,5 @@
 		return false
 	}
 	j.reviewed = now
-	return now.Add(s.wait(now, j, s.onTime, s.late) + j.work).After(j.useful())
+	return now.Add(s.waitBehind(now, j) + j.work).After(j.useful())
 }
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -85,7 +85,7 @@
 	}
 	j.queued = true
 	j.key = s.keyOf(j)
-	j.late = now.Add(j.work).After(j.objective)
+	j.late = s.isLate(now, j)
 	list := s.list(j)
 	i := sort.Search(len(*list), func(i int) bool { return (*list)[i].key.After(j.key) })
 	*list = append(*list, nil)
@@ -93,6 +93,14 @@
 	(*list)[i] = j
 }
 
+// isLate tells whether the job comes behind those that can still meet their objective.
+func (s *Scheduler) isLate(now time.Time, j *job) bool {
+	if !j.started.IsZero() {
+		return now.Add(j.work).After(j.useful())
+	}
+	return now.Add(j.work).After(j.objective)
+}
+
 // keyOf is the job's place in the queue: its latest start, moved by its priority.
 func (s *Scheduler) keyOf(j *job) time.Time {
 	later := priorityShare * float64(j.Queue.Priority) * float64(j.aim())
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -726,3 +726,25 @@
 	w.run(7 * time.Second)
 	w.judge("entry lost", 0.9)
 }
+
+// Guards against jobs that have begun and are given up, because jobs that can still be on time keep coming
+// before their last tasks: docs/platform.md states that a burst fails none of which something has run. Before,
+// four in a thousand ended so in bursts of 1.8 and 3.6 times the room.
+func TestReplayBegunJobsAreFinishedInABurst(t *testing.T) {
+	for load, span := range map[float64]time.Duration{1.8: 6 * time.Second, 3.6: time.Second} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			w := newWorld(t, seed, 3, speedsOne)
+			w.traffic(0.6, 2*time.Second)
+			w.run(2 * time.Second)
+			w.from, w.until = w.now, w.now.Add(span)
+			w.traffic(load, span)
+			w.run(span)
+			w.traffic(0.6, 3*time.Second)
+			w.run(6 * time.Second)
+			t.Logf("load %.1f, seed %d: %s", load, seed, w.tally)
+			if w.tally.failed > 0 {
+				t.Errorf("load %.1f, seed %d: %d jobs that had begun failed", load, seed, w.tally.failed)
+			}
+		}
+	}
+}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -28,6 +28,7 @@
 	notes     []Note
 	dirty     map[string]*server
 	leaving   bool
+	intakes   map[string]*intake   // by service
 	promised  map[string]*promises // by service
 	expected  expectation
 	opening   int                     // agents to which links are being opened
@@ -55,6 +56,7 @@
 		suspended: map[string]*health.Server{},
 		paces:     map[string]servicePaces{},
 		dirty:     map[string]*server{},
+		intakes:   map[string]*intake{},
 		promised:  map[string]*promises{},
 	}
 }
@@ -170,6 +172,7 @@
 	if wait, ok := s.admissible(now, j); !ok {
 		return s.turnAway(now, j, wait), false
 	}
+	s.admitted(now, j)
 	s.arrivals++
 	j.number = s.arrivals
 	s.jobs[j.ID] = j
