Split admission, pace and review of waiting jobs

admit.go held three duties. Pace and backlog are in pace.go, the review of waiting jobs in review.go, the check whether a job can start at once in startnow.go; the shape that a job waits for was looked up in two places. No decision is changed.

--- a/dispatch/jobs/comeback.go
+++ b/dispatch/jobs/comeback.go
@@ -64,7 +64,7 @@
 	}
 	p.advance(now)
 	share := max(leastReturn, 1-returnStep*float64(j.Queue.Priority))
-	room := returnShare * share * s.pace(now, j.Queue.Service, j.pool()) * promiseSlot.Seconds()
+	room := returnShare * share * s.pace(now, j.Queue.Service, j.waitsFor().pool()) * promiseSlot.Seconds()
 	seconds, ok := p.give(int((wait+promiseSlot-1)/promiseSlot), j.demand(), room)
 	if !ok {
 		o.Code = result.Overloaded
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -50,16 +50,6 @@
 	return n
 }
 
-// waitsFor is the shape of the first step of which tasks wait for a place.
-func (j *job) waitsFor() shape {
-	for _, t := range j.tasks {
-		if t.state == waiting && j.runnable(t) {
-			return j.steps[t.step].shape
-		}
-	}
-	return shape{}
-}
-
 func (s *Scheduler) dispatchAmong(now time.Time, servers []*server) {
 	s.placeList(now, s.onTime, servers)
 	s.placeList(now, s.late, servers)
@@ -161,49 +151,6 @@
 	return false
 }
 
-// startsNow tells whether all tasks that the new job may start have room at this moment. Then no job that
-// waits could use that room: it would have it already.
-func (s *Scheduler) startsNow(now time.Time, j *job) bool {
-	need := make([]int, len(j.Steps))
-	for _, t := range j.tasks {
-		if j.runnable(t) {
-			need[t.step]++
-		}
-	}
-	first := map[int]*task{}
-	for _, t := range j.tasks {
-		if first[t.step] == nil {
-			first[t.step] = t
-		}
-	}
-	for step, n := range need {
-		if n > 0 && s.places(now, j, first[step], n) < n {
-			return false
-		}
-	}
-	return true
-}
-
-// places is the number of tasks like t that have room now, up to most.
-func (s *Scheduler) places(now time.Time, j *job, t *task, most int) int {
-	n := 0
-	step := j.Steps[t.step]
-	for _, v := range s.fleet {
-		if n >= most {
-			break
-		}
-		if !s.eligible(now, j, t, v) {
-			continue
-		}
-		fit := step.Demand.Times(v.room())
-		if step.MaxPerServer > 0 {
-			fit = min(fit, step.MaxPerServer)
-		}
-		n += min(fit, v.health.Limit(now)-len(v.runs))
-	}
-	return n
-}
-
 // pick chooses the backend server with the lowest cost among those that have room, or none.
 func (s *Scheduler) pick(now time.Time, j *job, t *task, servers []*server) *server {
 	var best *server
--- a/dispatch/jobs/shape.go
+++ b/dispatch/jobs/shape.go
@@ -37,12 +37,12 @@
 // has tells whether a backend server with the given state is in the pool.
 func (p pool) has(v *run.Server) bool { return v.HasLabel(p.label) && (!p.gpu || v.Room.GPU > 0) }
 
-// pool is the set of backend servers that the job's tasks without a place wait for.
-func (j *job) pool() pool {
+// waitsFor is the shape of the first step of which tasks wait for a place.
+func (j *job) waitsFor() shape {
 	for _, t := range j.tasks {
 		if t.state == waiting && j.runnable(t) {
-			return j.steps[t.step].shape.pool()
+			return j.steps[t.step].shape
 		}
 	}
-	return pool{}
+	return shape{}
 }
