--- a/dispatch/jobs/startnow.go
+++ b/dispatch/jobs/startnow.go
@@ -5,20 +5,13 @@
 // startsNow tells whether all tasks that the new job may start have room at this moment. Then no job that
 // waits could use that room: it would have it already.
 func (s *Scheduler) startsNow(now time.Time, j *job) bool {
-	need := make([]int, len(j.Steps))
-	for _, t := range j.tasks {
-		if j.runnable(t) {
-			need[t.step]++
-		}
-	}
-	first := map[int]*task{}
-	for _, t := range j.tasks {
-		if first[t.step] == nil {
-			first[t.step] = t
+	for i, t := range j.tasks {
+		sameStep := i > 0 && j.tasks[i-1].step == t.step
+		if sameStep || !j.runnable(t) {
+			continue
 		}
-	}
-	for step, n := range need {
-		if n > 0 && s.places(now, j, first[step], n) < n {
+		count := j.Steps[t.step].Count
+		if s.places(now, j, t, count) < count {
 			return false
 		}
 	}
