Write and read counts by code in one place, and sum a job's demand once

The text of counts by result code was written by the entry and again by the timeline, which also read it; result.Counts serves both. The sums over all tasks and over waiting ones were two loops. No behaviour is changed.

--- a/daemon/runentry/second.go
+++ b/daemon/runentry/second.go
@@ -1,10 +1,6 @@
 package runentry
 
 import (
-	"fmt"
-	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"poplargw.example/daemon/event"
@@ -20,10 +16,10 @@
 	offered, served, late, abandoned int
 	// unanswered are orders that expired without an answer of the backend server.
 	unanswered int
-	ended      map[result.Code]int // by code, without those that were served
+	ended      result.Counts // without those that were served
 }
 
-func newSecond(now time.Time) second { return second{began: now, ended: map[result.Code]int{}} }
+func newSecond(now time.Time) second { return second{began: now, ended: result.Counts{}} }
 
 // empty tells whether nothing happened.
 func (s *second) empty() bool {
@@ -42,15 +38,6 @@
 	}
 }
 
-// codes is the text of the counts by code, as in "2003:12 3002:1".
-func (s *second) codes() string {
-	var parts []string
-	for _, code := range slices.Sorted(maps.Keys(s.ended)) {
-		parts = append(parts, fmt.Sprintf("%d:%d", code, s.ended[code]))
-	}
-	return strings.Join(parts, " ")
-}
-
 // closeSecond logs the counts of a second that has passed, and begins the next. The caller holds the lock.
 func (e *Entry) closeSecond(now time.Time) {
 	if now.Sub(e.second.began) < time.Second {
@@ -60,7 +47,7 @@
 		waiting, runs := e.scheduler.Tasks()
 		free, room := e.scheduler.Room()
 		e.Log.Info(event.EntrySecond, event.Fields{
-			"offered": e.second.offered, "served": e.second.served, "late": e.second.late, "ended": e.second.codes(),
+			"offered": e.second.offered, "served": e.second.served, "late": e.second.late, "ended": e.second.ended.String(),
 			"abandoned": e.second.abandoned, "unanswered": e.second.unanswered, "waiting": waiting, "runs": runs,
 			"free_cpu": free, "room_cpu": room, "servers": e.scheduler.Servers(),
 		})
--- a/daemon/timeline/read.go
+++ b/daemon/timeline/read.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
 	"time"
 
 	"poplargw.example/daemon/event"
@@ -197,7 +196,7 @@
 	if err := json.Unmarshal(l.Fields, &f); err != nil {
 		return fmt.Errorf("event %d: %w", event.EntrySecond, err)
 	}
-	codes, err := parseCodes(f.Ended)
+	codes, err := result.ParseCounts(f.Ended)
 	if err != nil {
 		return err
 	}
@@ -217,17 +216,3 @@
 	s.addRoom(f.FreeCPU, f.RoomCPU)
 	return nil
 }
-
-func parseCodes(text string) (map[result.Code]int, error) {
-	codes := map[result.Code]int{}
-	for _, part := range strings.Fields(text) {
-		code, n, ok := strings.Cut(part, ":")
-		number, err := strconv.ParseUint(code, 10, 32)
-		count, errCount := strconv.Atoi(n)
-		if !ok || err != nil || errCount != nil {
-			return nil, fmt.Errorf("counts by code %q cannot be read", text)
-		}
-		codes[result.Code(number)] += count
-	}
-	return codes, nil
-}
--- a/daemon/timeline/timeline.go
+++ b/daemon/timeline/timeline.go
@@ -21,7 +21,7 @@
 	Served  int `json:"served"`
 	Late    int `json:"late"`
 	// Ended are the other answers by result code.
-	Ended map[result.Code]int `json:"ended"`
+	Ended result.Counts `json:"ended"`
 	// Abandoned are jobs whose callers left, Unanswered orders without an answer of the backend server.
 	Abandoned  int `json:"abandoned"`
 	Unanswered int `json:"unanswered"`
@@ -104,7 +104,7 @@
 	key := at.Unix()
 	s := r.seconds[key]
 	if s == nil {
-		s = &Second{At: time.Unix(key, 0).UTC(), Ended: map[result.Code]int{}, entries: map[string]bool{}}
+		s = &Second{At: time.Unix(key, 0).UTC(), Ended: result.Counts{}, entries: map[string]bool{}}
 		r.seconds[key] = s
 	}
 	return s
@@ -193,20 +193,6 @@
 	return &part
 }
 
-// Codes is the text of the answers by code, as in "2003:12 3002:1".
-func (s *Second) Codes() string {
-	codes := make([]result.Code, 0, len(s.Ended))
-	for c := range s.Ended {
-		codes = append(codes, c)
-	}
-	slices.Sort(codes)
-	var parts []string
-	for _, c := range codes {
-		parts = append(parts, fmt.Sprintf("%d:%d", c, s.Ended[c]))
-	}
-	return strings.Join(parts, " ")
-}
-
 // maxShown bounds the processes that a text names.
 const maxShown = 3
 
--- a/daemon/timeline/timeline_test.go
+++ b/daemon/timeline/timeline_test.go
@@ -40,7 +40,7 @@
 			s = &out.Seconds[i]
 		}
 	}
-	if s == nil || s.At.Second() != 18 || s.Served != 30 || s.Offered != 44 || s.Codes() != "2003:6 3002:1" || s.Entries != 2 || s.Servers != 11 {
+	if s == nil || s.At.Second() != 18 || s.Served != 30 || s.Offered != 44 || s.Ended.String() != "2003:6 3002:1" || s.Entries != 2 || s.Servers != 11 {
 		t.Fatalf("second %+v", s)
 	}
 	if s.FreeShare != 0.25 || s.Unanswered != 4 || s.Answers() != 7 {
--- a/daemon/tool/timeline.go
+++ b/daemon/tool/timeline.go
@@ -86,7 +86,7 @@
 func printTimeline(w io.Writer, t *timeline.Timeline) {
 	row(w, "TIME", "OFFERED", "SERVED", "LATE", "ENDED BY CODE", "ABANDONED", "UNANSWERED", "WAITING", "FREE", "SERVERS", "ENTRIES")
 	for _, s := range t.Seconds {
-		row(w, s.At.Format("15:04:05"), fmt.Sprint(s.Offered), fmt.Sprint(s.Served), fmt.Sprint(s.Late), s.Codes(), fmt.Sprint(s.Abandoned),
+		row(w, s.At.Format("15:04:05"), fmt.Sprint(s.Offered), fmt.Sprint(s.Served), fmt.Sprint(s.Late), s.Ended.String(), fmt.Sprint(s.Abandoned),
 			fmt.Sprint(s.Unanswered), fmt.Sprint(s.Waiting), fmt.Sprintf("%.3f", s.FreeShare), fmt.Sprint(s.Servers), fmt.Sprint(s.Entries))
 		for _, g := range s.Changes {
 			row(w, "  "+g.String())
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -97,7 +97,7 @@
 // aim is the job's latency objective.
 func (j *job) aim() time.Duration { return j.objective.Sub(j.Arrived) }
 
-// useful is until when an answer is of use to a caller whose job has not begun.
+// useful is until when an answer is of use to its caller.
 func (j *job) useful() time.Time {
 	end := j.Arrived.Add(usefulFactor * j.aim())
 	if !j.Deadline.IsZero() && j.Deadline.Before(end) {
@@ -182,20 +182,17 @@
 }
 
 // demand is the processor time, in thousandths of a core times seconds, that all its tasks need.
-func (j *job) demand() float64 {
-	sum := 0.0
-	for _, t := range j.tasks {
-		sum += float64(j.Steps[t.step].Demand.CPU) * j.expected(t).Seconds()
-	}
-	return sum
-}
+func (j *job) demand() float64 { return j.demandOf(func(*task) bool { return true }) }
 
-// waitingDemand is the processor time, in thousandths of a core times seconds, that the job's tasks
-// without a place need.
+// waitingDemand is the same for the tasks without a place.
 func (j *job) waitingDemand() float64 {
+	return j.demandOf(func(t *task) bool { return t.state == waiting })
+}
+
+func (j *job) demandOf(counts func(*task) bool) float64 {
 	sum := 0.0
 	for _, t := range j.tasks {
-		if t.state == waiting {
+		if counts(t) {
 			sum += float64(j.Steps[t.step].Demand.CPU) * j.expected(t).Seconds()
 		}
 	}
