Recognize a task that was not started by a typed error detail

Cause: the agent took "late" anywhere in the text of a FAILED_PRECONDITION error as "not run". A backend server whose task failed with "template not found" got code 4012 (not run), and the task could start a second time.

Change: Run's error carries a TaskNotStarted with a reason. Without that detail, or with a reason that is unspecified or unknown, the task counts as run. A backend server of before that sends only the text counts as run as well, which repeats nothing. No other decision in api, dispatch, daemon, store or platform reads an error text.

Before: TestClassifyError fails for "template not found" (4012, not run). After: it passes.

--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -27,9 +26,6 @@
 	idleTimeout = 4 * time.Second
 	// resultOverheadBytes is the allowance for the encoding of the largest result.
 	resultOverheadBytes = 1 << 10
-	// lateMarker occurs in the message of the FAILED_PRECONDITION error with which a
-	// backend server refuses a task that arrives after its latest start time.
-	lateMarker = "late"
 )
 
 // backend is the client of one instance of a backend server.
@@ -98,7 +94,7 @@
 	answered := connect.IsWireError(err)
 	code := connect.CodeOf(err)
 	switch {
-	case answered && code == connect.CodeFailedPrecondition && strings.Contains(err.Error(), lateMarker):
+	case answered && startedTooLate(err):
 		return failedOutcome(result.StartTooLate, result.NotRun, "the backend server received the task too late")
 	case !answered && !connected:
 		return failedOutcome(result.UnknownServer, result.NotRun, "no connection to the backend server: "+err.Error())
@@ -115,6 +111,26 @@
 	return failedOutcome(result.ServerLost, result.Unknown, "the connection to the backend server was lost: "+err.Error())
 }
 
+// startedTooLate reports whether the backend server states in a TaskNotStarted detail that it has not
+// started the task because its latest start had passed. The text of the error is not considered: it
+// may be that of the task itself.
+func startedTooLate(err error) bool {
+	var failure *connect.Error
+	if !errors.As(err, &failure) || failure.Code() != connect.CodeFailedPrecondition {
+		return false
+	}
+	for _, d := range failure.Details() {
+		value, err := d.Value()
+		if err != nil {
+			continue // The detail is of a type that this build does not know.
+		}
+		if m, ok := value.(*apiv1.TaskNotStarted); ok && m.GetReason() == apiv1.NotStartedReason_NOT_STARTED_REASON_TOO_LATE {
+			return true
+		}
+	}
+	return false
+}
+
 // failedOutcome returns the outcome of a task that failed with the given code and effect.
 func failedOutcome(c result.Code, e result.Effect, message string) fence.Outcome {
 	return fence.Outcome{Failure: &result.Failure{Code: c, Effect: e, Message: message}}
--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -41,6 +41,18 @@
 	return b.run(context.Background(), &apiv1.RunRequest{StartBeforeUnixMs: time.Now().Add(time.Minute).UnixMilli()}, limit).Failure
 }
 
+// notStarted returns the error of a backend server that has not started a task for the given reason.
+func notStarted(t *testing.T, reason apiv1.NotStartedReason) error {
+	t.Helper()
+	detail, err := connect.NewErrorDetail(&apiv1.TaskNotStarted{Reason: reason})
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := connect.NewError(connect.CodeFailedPrecondition, errors.New("not started"))
+	out.AddDetail(detail)
+	return out
+}
+
 // TestClassifyError guards against a wrong effect: "not run" for a task that may have
 // started, or the reverse.
 func TestClassifyError(t *testing.T) {
@@ -56,7 +68,9 @@
 		code   result.Code
 		effect result.Effect
 	}{
-		{"late", answer(connect.NewError(connect.CodeFailedPrecondition, errors.New("late: too old"))), waitTimeout, result.StartTooLate, result.NotRun},
+		{"late", answer(notStarted(t, apiv1.NotStartedReason_NOT_STARTED_REASON_TOO_LATE)), waitTimeout, result.StartTooLate, result.NotRun},
+		{"no reason", answer(notStarted(t, apiv1.NotStartedReason_NOT_STARTED_REASON_UNSPECIFIED)), waitTimeout, result.TaskFailed, result.Run},
+		{"text with \"late\"", answer(connect.NewError(connect.CodeFailedPrecondition, errors.New("template not found"))), waitTimeout, result.TaskFailed, result.Run},
 		{"precondition of the task itself", answer(connect.NewError(connect.CodeFailedPrecondition, errors.New("no mould"))), waitTimeout, result.TaskFailed, result.Run},
 		{"error", answer(connect.NewError(connect.CodeInternal, errors.New("broken"))), waitTimeout, result.TaskFailed, result.Run},
 		{"unavailable as an answer", answer(connect.NewError(connect.CodeUnavailable, errors.New("broken"))), waitTimeout, result.TaskFailed, result.Run},
--- a/daemon/sample/sample.go
+++ b/daemon/sample/sample.go
@@ -218,29 +218,40 @@
 }
 
 // acquireSlot waits for a free slot until the latest start time of the task. If none becomes
-// free in time, it returns an error with the code CodeFailedPrecondition.
+// free in time, it returns the error of newTooLateError.
 func (s *Server) acquireSlot(ctx context.Context, m *apiv1.RunRequest) error {
-	errTooLate := connect.NewError(connect.CodeFailedPrecondition, errors.New("late: the latest start time has passed"))
 	left := time.Until(time.UnixMilli(m.GetStartBeforeUnixMs()))
 	if left <= 0 {
-		return errTooLate
+		return newTooLateError()
 	}
 	t := time.NewTimer(left)
 	defer t.Stop()
 	select {
 	case s.slots <- struct{}{}:
 	case <-t.C:
-		return errTooLate
+		return newTooLateError()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	if time.Now().UnixMilli() > m.GetStartBeforeUnixMs() {
 		<-s.slots
-		return errTooLate
+		return newTooLateError()
 	}
 	return nil
 }
 
+// newTooLateError returns the error for a task that was not started because its latest start had
+// passed. If its detail cannot be encoded, the agent counts the task as run.
+func newTooLateError() *connect.Error {
+	err := connect.NewError(connect.CodeFailedPrecondition, errors.New("the latest start time has passed"))
+	detail, encodeErr := connect.NewErrorDetail(&apiv1.TaskNotStarted{Reason: apiv1.NotStartedReason_NOT_STARTED_REASON_TOO_LATE})
+	if encodeErr != nil {
+		return connect.NewError(connect.CodeInternal, encodeErr)
+	}
+	err.AddDetail(detail)
+	return err
+}
+
 // doWork simulates the work of a task: it sleeps, unless a fault makes it fail, hang or return at once.
 func (s *Server) doWork(ctx context.Context, w Work) error {
 	switch {
