Give an agent's claim its own copy of what the home loop knows

Cause: claimFromAgent read lost and reported of an agent in its own goroutine while the home loop wrote them. The race detector stopped TestSuccessorResumesStartedTasks about once in 60 runs.

Change: the home loop makes an agentClaim with all that the goroutine needs. knownAgent has one owner.

After: go test -race -count=300 of that test beside four busy processes passed.

--- a/daemon/entry/claim.go
+++ b/daemon/entry/claim.go
@@ -58,7 +58,7 @@
 		return
 	}
 	for _, id := range h.rec.Ask(now, h.directory.ids()) {
-		go h.claimFromAgent(h.claim.ctx, h.rec.Round(), h.rec.Table(), h.directory.agents[id], h.rec.GiveUpAt())
+		go h.claimFromAgent(h.claim.ctx, h.newAgentClaim(h.directory.agents[id]))
 	}
 	if !h.rec.Settle(now) {
 		return
@@ -134,23 +134,40 @@
 // holds reports whether this entry holds the submission.
 func (h *home) holds(k submission.Key) bool { return h.held[k] != nil }
 
+// agentClaim is what claimFromAgent needs to know, as of the start of the claim. It has no reference to
+// the knownAgent, which only the home loop may use.
+type agentClaim struct {
+	round   uint64
+	table   *peerv1.EntryTable
+	session *agentSession
+	giveUp  time.Time
+	// wasSilent tells that the agent had reported and was already lost before the claim.
+	wasSilent bool
+}
+
+// newAgentClaim returns the claim of the present round from an agent. Only the home loop may call it.
+func (h *home) newAgentClaim(a *knownAgent) agentClaim {
+	return agentClaim{
+		round: h.rec.Round(), table: h.rec.Table(), session: a.session, giveUp: h.rec.GiveUpAt(), wasSilent: a.lost && a.reported,
+	}
+}
+
 // claimFromAgent repeats the claim until the agent answers, is replaced by another
-// incarnation, or the time giveUp has passed. An agent that had reported and was already
-// lost before the claim is asked only once.
-func (h *home) claimFromAgent(ctx context.Context, round uint64, t *peerv1.EntryTable, a *knownAgent, giveUp time.Time) {
-	wasSilent := a.lost && a.reported
+// incarnation, or the time giveUp has passed. An agent that was silent before the claim is
+// asked only once.
+func (h *home) claimFromAgent(ctx context.Context, c agentClaim) {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		answer, err := h.claimAgentOnce(ctx, t, a.session.address)
+		answer, err := h.claimAgentOnce(ctx, c.table, c.session.address)
 		if err == nil {
-			answer.round, answer.agent = round, a.session.agent
+			answer.round, answer.agent = c.round, c.session.agent
 			_ = h.post(ctx, *answer)
 			return
 		}
-		h.e.peers.onCallError(a.session.address, sent, err)
-		if wasSilent || time.Now().After(giveUp) || a.session.isReplaced() {
-			h.e.opts.Log.Warn(event.AgentNotClaimed, event.Fields{"agent": a.session.agent, "error": err.Error()})
-			_ = h.post(ctx, agentUnreachableMsg{round: round, agent: a.session.agent})
+		h.e.peers.onCallError(c.session.address, sent, err)
+		if c.wasSilent || time.Now().After(c.giveUp) || c.session.isReplaced() {
+			h.e.opts.Log.Warn(event.AgentNotClaimed, event.Fields{"agent": c.session.agent, "error": err.Error()})
+			_ = h.post(ctx, agentUnreachableMsg{round: c.round, agent: c.session.agent})
 			return
 		}
 		sleep(ctx, claimRetryDelay)
