Let a stopping agent wait until the ends of its runs are confirmed

Cause: Drain returned as soon as no run was left, and the process then closed its links. Frames with the ends of runs that were still queued were lost. The entry counted these runs as lost with the agent, and their caller got 504 at the deadline: TestAgentStopWaitsForRuns failed once with that status.

Ruled out: a second run (two starts, as expected, in the recorded failure).

Change: an agent has drained when no run is left and each entry that it still hears has confirmed the newest frame with events. Entries confirm frames at least every 120 ms; a silent entry is not waited for.

--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -149,8 +149,8 @@
 // drainPollInterval is how often Drain checks whether all runs have ended.
 const drainPollInterval = 20 * time.Millisecond
 
-// Drain refuses new orders and waits until all runs have ended. It returns the context's error if ctx ends
-// first.
+// Drain refuses new orders and waits until all runs have ended and their entries have received that. It
+// returns the context's error if ctx ends first.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.table.Drain()
@@ -158,7 +158,7 @@
 	a.mu.Unlock()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for a.runCount() > 0 {
+	for !a.drained(boottime.Now()) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -175,6 +175,23 @@
 	return a.table.Len()
 }
 
+// drained reports whether no run is left and every entry that is still active has confirmed the events of
+// its runs. Frames that are only queued are lost when the process exits, and an entry that does not learn
+// of the end of a run counts the run as lost.
+func (a *Agent) drained(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.table.Len() > 0 {
+		return false
+	}
+	for _, s := range a.sessions {
+		if s.hasUnconfirmedEvents(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // deliver sends events to the entries that own the runs. An entry without a link claims its runs when it
 // reconnects. The caller must hold a.mu.
 func (a *Agent) deliver(events []runtable.Event) {
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -20,11 +20,14 @@
 	conn  *link.Conn
 	seq   uint64 // number of the newest frame to the entry
 	// lastSeq is the number of the newest frame from the entry; the next frame to it acknowledges it.
-	lastSeq      uint64
-	lastSent     time.Time          // time of the newest frame to the entry
-	lastReceived time.Time          // time of the newest frame from the entry
-	claims       []*peerv1.RunClaim // claims of the entry that have no response yet
-	sentServer   run.Server         // as last sent to the entry
+	lastSeq uint64
+	// eventSeq is the number of the newest frame to the entry with events, confirmedSeq that of the newest
+	// frame that the entry has confirmed.
+	eventSeq, confirmedSeq uint64
+	lastSent               time.Time          // time of the newest frame to the entry
+	lastReceived           time.Time          // time of the newest frame from the entry
+	claims                 []*peerv1.RunClaim // claims of the entry that have no response yet
+	sentServer             run.Server         // as last sent to the entry
 }
 
 // minResponseInterval is the time after a frame to the entry during which a frame with orders gets no
@@ -86,6 +89,12 @@
 // every 120 ms.
 const entryTimeout = 500 * time.Millisecond
 
+// hasUnconfirmedEvents reports whether the entry is active and has not confirmed all events of its runs.
+// The caller must hold Agent.mu.
+func (s *session) hasUnconfirmedEvents(now time.Time) bool {
+	return s.confirmedSeq < s.eventSeq && now.Sub(s.lastReceived) <= entryTimeout
+}
+
 // activeEntries returns the number of entries that share the backend server. It counts recent frames, not
 // open connections: a connection may stay open long after its entry has lost power. The caller must hold
 // a.mu.
@@ -112,6 +121,7 @@
 	token := a.startedAt.Add(time.Duration(f.GetTokenMs()) * time.Millisecond)
 	s.lastSeq = f.GetSeq()
 	s.lastReceived = now
+	s.confirmedSeq = max(s.confirmedSeq, f.GetAck())
 	a.table.Request(now, s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandFromProto(f.GetWant()))
 	a.table.Confirmed(s.entry, token)
 	if out := f.GetOut(); out != nil {
@@ -195,6 +205,7 @@
 	}
 	for _, e := range events {
 		f.Events = append(f.Events, link.EventToProto(e))
+		s.eventSeq = s.seq
 	}
 	for _, p := range a.table.Progress(now, s.entry) {
 		f.Progress = append(f.Progress, &peerv1.RunProgress{Ref: link.RefToProto(p.Ref), Percent: uint32(p.Percent), AgeMs: uint32(p.Age.Milliseconds())})
