Make the test of an unreachable agent wait for its conditions

Cause: the second job of TestUnreachableAgentLeavesOldIDsUnknown was submitted after a fixed 1.5 s. If agent y had reported to entry b before it was cut off, it counts as lost only after 3 s, and the job may be placed on it: 3005, as recorded. If it had not, it got no tasks at all and the test guarded less.

Change: the test waits until y has reported to b, then until y is lost and new IDs are known. It is stricter: y could get the start in every run.

--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -152,12 +152,18 @@
 	tb.limits.ClockSkew = 500 * time.Millisecond
 	unreachable := newAgent("y")
 	_, b, twoMembers := tb.startPair(newAgent("x"), unreachable)
+	// An agent that b knows only from a gets no tasks, so the test would guard against nothing.
+	eventually(t, "y reports to b", func() bool { return b.claimState(t, "y").agentReported })
 	tb.net.disconnect("y")
 	tb.net.disconnect("a")
 	r := newRequest(twoMembers, "a", 0, 1)
 	tb.clusters["b"].Adopt(nil, tableOf(3, "b"))
 	wantFailure(t, <-b.receiveAsync(r), result.OutcomeUnknown, result.Unknown)
-	time.Sleep(1500 * time.Millisecond)
+	// Placed on y before y counts as lost, a task has an unknown outcome: the entry cannot know whether y got it.
+	eventually(t, "new IDs are known and y is lost", func() bool {
+		s := b.claimState(t, "y")
+		return s.agentLost && time.Now().Add(-time.Millisecond).After(s.unknownUntil) // IDs hold whole milliseconds
+	})
 	wantResults(t, <-b.receiveAsync(newRequest(twoMembers, "a", 0, 1)), 1)
 	if unreachable.totalStarts() != 0 {
 		t.Fatal("the unreachable agent got a start")
--- a/daemon/entry/fakes_test.go
+++ b/daemon/entry/fakes_test.go
@@ -399,6 +399,36 @@
 	}
 }
 
+// claimState is what the home loop of an entry knows of its claim and of one agent.
+type claimState struct {
+	unknownUntil time.Time
+	// agentLost and agentReported are those of the agent, false if the entry does not know it.
+	agentLost, agentReported bool
+}
+
+// claimStateMsg asks the home loop for the claimState with the named agent.
+type claimStateMsg struct {
+	agent string
+	out   chan<- claimState
+}
+
+func (m claimStateMsg) apply(h *home, _ time.Time) {
+	a := h.directory.agents[m.agent]
+	m.out <- claimState{
+		unknownUntil: h.rec.UnknownUntil(), agentLost: a != nil && a.lost, agentReported: a != nil && a.reported,
+	}
+}
+
+// claimState returns the state of the entry's claim and of the named agent.
+func (e *Entry) claimState(t *testing.T, agent string) claimState {
+	t.Helper()
+	out := make(chan claimState, 1)
+	if err := e.home.post(context.Background(), claimStateMsg{agent: agent, out: out}); err != nil {
+		t.Fatal(err)
+	}
+	return <-out
+}
+
 // newRequest returns a request with the given number of tasks. Its home in the table is the
 // given entry, and its submission ID has the given age.
 func newRequest(t *peerv1.EntryTable, home string, age time.Duration, tasks int) *poplargwv1.SubmitJobRequest {
