Close the test's store gate before the write that loses its reply

Cause: in TestRetryResolvesUnknownOutcome the gate closed after the write. A watch that the write woke could pass its check in between and deliver the new record, so that the change was accepted.

Shown: with a pause between write and close (scratch copy) the test fails as recorded, "got APPLY_STATE_ACCEPTED version 1 (), want APPLY_STATE_UNKNOWN version 1".

Change: the gate closes first; the write still takes effect. With the same pause the test passes.

--- a/daemon/cluster/harness_test.go
+++ b/daemon/cluster/harness_test.go
@@ -96,7 +96,7 @@
 	store.Store
 	mu     sync.Mutex
 	closed bool
-	// closeAfterWrite closes the gate after the next write has taken effect, so that its reply is lost.
+	// closeAfterWrite closes the gate with the next write, which takes effect: its reply is lost.
 	closeAfterWrite bool
 	// afterWrite runs after the next write has taken effect and before its reply.
 	afterWrite func()
@@ -140,12 +140,13 @@
 
 func (g *storeGate) CompareAndSwap(ctx context.Context, key string, value []byte, revision uint64) (store.Item, error) {
 	return g.call(func() (store.Item, error) {
+		// The gate closes before the write, so that a watch in progress cannot return the written record.
+		g.setClosed(g.check() != nil || g.closeAfterWrite)
 		item, err := g.Store.CompareAndSwap(ctx, key, value, revision)
 		if f := g.afterWrite; f != nil {
 			g.afterWrite = nil
 			f()
 		}
-		g.setClosed(g.check() != nil || g.closeAfterWrite)
 		return item, err
 	})
 }
