Share the measured speed of a backend server between entries

Cause: each entry learned the speed of each server by itself, 13 times 74 here.

Change: an entry tells the agent the slowdown that its own runs have shown, from the first run on. The agent tells each entry the median of the others. An entry uses that until it has three runs of its own, then the mean of both, and only its own if they differ by more than half. Two fields in the frames of the link; a build without them counts as not knowing the speed.

--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"math"
+
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/result"
@@ -77,6 +79,12 @@
 	return v
 }
 
+// SlowdownToProto converts a slowdown to thousandths; 0 means that it is unknown.
+func SlowdownToProto(slowdown float64) uint32 { return uint32(math.Round(slowdown * 1000)) }
+
+// SlowdownFromProto converts thousandths to a slowdown; 0 means that it is unknown.
+func SlowdownFromProto(permille uint32) float64 { return float64(permille) / 1000 }
+
 // BatchToProto converts an entry's orders, stops and claims for one agent to a frame. The caller sets the
 // other fields of the frame.
 func BatchToProto(b jobs.Batch) *peerv1.EntryFrame {
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -42,6 +42,7 @@
 	mu               sync.Mutex
 	table            *runtable.Table
 	sessions         map[string]*session // by entry, as ID/incarnation
+	speeds           *runtable.Speeds    // by entry, as in sessions
 	specs            map[run.Ref]startSpec
 	stops            map[run.Ref]time.Time // when the latest stop of a run was sent
 	backendReachable bool
@@ -62,6 +63,7 @@
 		startedAt: now,
 		table:     runtable.New(now, o.Limits),
 		sessions:  map[string]*session{},
+		speeds:    runtable.NewSpeeds(),
 		specs:     map[run.Ref]startSpec{},
 		stops:     map[run.Ref]time.Time{},
 
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -70,6 +70,7 @@
 	if a.sessions[s.entry] == s {
 		delete(a.sessions, s.entry)
 		a.table.DropRequest(s.entry)
+		a.speeds.Set(s.entry, 0)
 	}
 	a.Log.Info(event.LinkLost, event.Fields{"entry": s.entry, "reason": err.Error()})
 }
@@ -124,6 +125,7 @@
 	s.confirmedSeq = max(s.confirmedSeq, f.GetAck())
 	a.table.Request(now, s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandFromProto(f.GetWant()))
 	a.table.Confirmed(s.entry, token)
+	a.speeds.Set(s.entry, link.SlowdownFromProto(f.GetSlowdownPermille()))
 	if out := f.GetOut(); out != nil {
 		a.table.SetDomainsOut(out.GetRevision(), out.GetDomains())
 	}
@@ -195,6 +197,7 @@
 	f := &peerv1.AgentFrame{
 		Seq: s.seq, Ack: s.lastSeq, ClockMs: uint64(now.Sub(a.startedAt).Milliseconds()),
 		Free: link.DemandToProto(a.table.FreeFor(now, s.entry)), Entries: uint32(a.activeEntries(now)),
+		SlowdownPermille: link.SlowdownToProto(a.speeds.Others(s.entry)),
 	}
 	if server := a.table.Server(now); s.seq == 1 || !server.Equal(&s.sentServer) {
 		f.Server = link.ServerToProto(server)
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -203,6 +203,9 @@
 // Learned reports whether the server has enough run times of its own for an estimate.
 func (e *ServerEstimate) Learned() bool { return e.count >= minSamples }
 
+// Median returns the median of the server's own run times, or 0 without any.
+func (e *ServerEstimate) Median() time.Duration { return e.median }
+
 // Expected returns the expected run time. With at least minSamples own run times it is the server's
 // own median, averaged with the kind's scaled median if the two are close. Before that it is the
 // median of the kind over all servers, scaled by the server's speed with other kinds and weighted
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -42,8 +42,8 @@
 	{"price", 100, 2, 200 * time.Millisecond, 1},
 }
 
-// taskCPU is the CPU demand of every task, in millicores.
-const taskCPU = 3100
+// baseTaskCPU is the CPU demand of every task in baseConfig, in millicores.
+const baseTaskCPU = 3100
 
 // defaultOfferHold is how long an agent reserves offered capacity for one entry.
 const defaultOfferHold = 12 * time.Millisecond
@@ -64,6 +64,8 @@
 	service       string
 	// offers divides the free capacity among the entries.
 	offers *runtable.Offers
+	// speeds passes on the slowdowns that the entries measure.
+	speeds *runtable.Speeds
 }
 
 // ownerOf returns the name of an entry in offers.
@@ -195,11 +197,12 @@
 	// services. Both are assigned to the machines in turn.
 	cpuCapacities []int64
 	services      []string
+	taskCPU       int64 // CPU demand of every task, in millicores
 }
 
 // baseConfig is the configuration of both sites: three kinds, one service, backend servers with 32 and
 // 48 cores.
-var baseConfig = simConfig{kinds: requestKinds, latency: 60 * time.Millisecond, cpuCapacities: []int64{32000, 32000, 48000}, services: []string{"svc"}, oneWay: oneWay, offerHold: defaultOfferHold}
+var baseConfig = simConfig{kinds: requestKinds, latency: 60 * time.Millisecond, cpuCapacities: []int64{32000, 32000, 48000}, services: []string{"svc"}, taskCPU: baseTaskCPU, oneWay: oneWay, offerHold: defaultOfferHold}
 
 // newSimulation returns a simulation with baseConfig.
 func newSimulation(t *testing.T, seed uint64, entries int, slowdowns []float64) *simulation {
@@ -234,7 +237,7 @@
 		i := len(sim.machines)
 		m := &machine{
 			id: fmt.Sprintf("m%02d", i), cpuCapacity: sim.cpuCapacities[i%len(sim.cpuCapacities)], service: sim.services[i%len(sim.services)], slowdown: slowdowns[i%len(slowdowns)], runs: map[run.Ref]*simRun{},
-			ackedSeqs: make([]uint64, entries), offers: runtable.NewOffers(sim.offerHold), domain: domainName(i % domains),
+			ackedSeqs: make([]uint64, entries), offers: runtable.NewOffers(sim.offerHold), speeds: runtable.NewSpeeds(), domain: domainName(i % domains),
 		}
 		sim.machines = append(sim.machines, m)
 		sim.byID[m.id] = m
@@ -325,7 +328,7 @@
 func (sim *simulation) sendReport(m *machine, i int, events []run.Event) {
 	s := sim.entries[i]
 	sim.frames[i]++
-	report := Report{Server: m.server(), Free: m.freeFor(i, sim.now), Ack: m.ackedSeqs[i], Entries: len(m.linkedEntries)}
+	report := Report{Server: m.server(), Free: m.freeFor(i, sim.now), Ack: m.ackedSeqs[i], Entries: len(m.linkedEntries), Slowdown: m.speeds.Others(ownerOf(i))}
 	type seen struct {
 		ref       run.Ref
 		percent   int
@@ -366,7 +369,11 @@
 	want := sim.entries[i].WaitingDemand(sim.now, m.id)
 	sim.demandSent[linkKey{m.id, i}] = want.Demand.CPU > 0
 	sim.frames[i]++
-	sim.after(sim.oneWay, func() { sim.receiveDemand(m, i, want) })
+	slowdown := sim.entries[i].MeasuredSlowdown(m.id)
+	sim.after(sim.oneWay, func() {
+		m.speeds.Set(ownerOf(i), slowdown)
+		sim.receiveDemand(m, i, want)
+	})
 }
 
 // receiveDemand handles the arrival of an entry's demand at the machine.
@@ -404,8 +411,10 @@
 		m := sim.byID[b.Agent]
 		want := sim.entries[i].WaitingDemand(sim.now, m.id)
 		sim.demandSent[linkKey{m.id, i}] = want.Demand.CPU > 0
+		slowdown := sim.entries[i].MeasuredSlowdown(m.id)
 		sim.frames[i]++
 		sim.after(sim.oneWay, func() {
+			m.speeds.Set(ownerOf(i), slowdown)
 			m.offers.Request(sim.now, ownerOf(i), want.Urgency, want.Demand)
 			sim.receiveBatch(m, i, b)
 		})
@@ -487,7 +496,7 @@
 func (sim *simulation) scheduleArrivals(load float64, d time.Duration) {
 	perJob, total := 0.0, 0.0
 	for _, k := range sim.kinds {
-		perJob += k.share * float64(k.width) * k.work.Seconds() * taskCPU
+		perJob += k.share * float64(k.width) * k.work.Seconds() * float64(sim.taskCPU)
 		total += k.share
 	}
 	capacity := 0.0
@@ -567,7 +576,7 @@
 	o, ok := sim.entries[i].Submit(sim.now, Job{
 		ID: id, Arrived: sim.now,
 		Queue: route.Queue{Name: k.name, Service: sim.pickService(), Attempts: 3, Stretch: 1.6, Latency: sim.latency, Priority: k.priority},
-		Steps: []Step{{Count: k.width, Demand: run.Demand{CPU: taskCPU, MemoryMB: 64}, Estimate: time.Duration(estimate * float64(time.Second))}},
+		Steps: []Step{{Count: k.width, Demand: run.Demand{CPU: sim.taskCPU, MemoryMB: 64}, Estimate: time.Duration(estimate * float64(time.Second))}},
 	})
 	if !ok {
 		o.Job = id
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -26,6 +26,7 @@
 	unacked       []*attempt
 	health        *health.Server
 	speedEstimate *estimate.ServerEstimate
+	toldSlowdown  float64 // slowdown that other entries have measured; 0 if unknown
 	// lagFactor is how many times slower than its speed estimate the backend server runs at present.
 	lagFactor  float64
 	batch      Batch     // content of the next frame
@@ -63,9 +64,34 @@
 // slowdown returns the expected run time of a task on the backend server, divided by its estimate.
 func (v *server) slowdown() float64 { return v.normalSlowdown() * v.lagFactor }
 
-// normalSlowdown returns the slowdown without the present lag.
+// maxSlowdownDifference is the ratio between its own and the other entries' slowdown above which an entry trusts its
+// own: the speed of the server may have changed.
+const maxSlowdownDifference = 1.5
+
+// normalSlowdown returns the slowdown without the present lag. It is what this entry has measured, averaged with what
+// others have; one of the two, if there is only one; and otherwise that of a typical server.
 func (v *server) normalSlowdown() float64 {
-	return float64(v.speedEstimate.Expected(referenceRunTime)) / float64(referenceRunTime)
+	own := float64(v.speedEstimate.Expected(referenceRunTime)) / float64(referenceRunTime)
+	told := v.toldSlowdown
+	switch {
+	case told <= 0:
+		return own
+	case !v.speedEstimate.Learned():
+		return told
+	case own > maxSlowdownDifference*told, told > maxSlowdownDifference*own:
+		return own
+	}
+	return (own + told) / 2
+}
+
+// MeasuredSlowdown returns the slowdown of the agent's backend server that this entry has measured itself, or 0
+// without any run. A single run counts, since the agent takes the median over the entries.
+func (s *Scheduler) MeasuredSlowdown(agent string) float64 {
+	v := s.servers[agent]
+	if v == nil || v.speedEstimate == nil {
+		return 0
+	}
+	return float64(v.speedEstimate.Median()) / float64(referenceRunTime)
 }
 
 // acceptsTasks reports whether the backend server may get orders at all.
--- a/dispatch/jobs/speed_test.go
+++ b/dispatch/jobs/speed_test.go
@@ -7,6 +7,26 @@
 	"poplargw.example/dispatch/run"
 )
 
+// reportSlowdown connects an agent whose backend server the other entries have measured.
+func (h *harness) reportSlowdown(agent string, slowdown float64) {
+	h.AgentConnected(h.now, agent)
+	s := serverOf(agent, 10_000)
+	h.Report(h.now, agent, Report{Server: s, Free: s.Capacity, Slowdown: slowdown})
+	h.take()
+}
+
+// TestReportedSlowdownDecidesPlacement guards against an entry that places a task on a slow backend server
+// because it has not run anything there itself, although other entries have.
+func TestReportedSlowdownDecidesPlacement(t *testing.T) {
+	h := newHarness(t, 0, 0)
+	h.reportSlowdown("a0", 1.7)
+	h.reportSlowdown("a1", 0.7)
+	h.submit("j0", 1, 3000, 900*time.Millisecond)
+	if len(h.orders["a1"]) != 1 {
+		t.Errorf("orders %v, want one on the fast server", h.orders)
+	}
+}
+
 // TestSlowdownIsMeasuredAgainstOtherTasks guards against a server whose speed is taken for worse than it is
 // because the tasks that run there declare too little: both servers here take twice the declared time for the
 // first tasks of a job, and one takes 1.5 times as long as the other.
@@ -21,7 +41,7 @@
 		h.report("a0", 10_000)
 		h.report("a1", 10_000)
 	}
-	fast, slow := h.servers["a0"].normalSlowdown(), h.servers["a1"].normalSlowdown()
+	fast, slow := h.MeasuredSlowdown("a0"), h.MeasuredSlowdown("a1")
 	if ratio := slow / fast; ratio < 1.4 || ratio > 2.4 || slow > 2 {
 		t.Errorf("slowdowns %.2f and %.2f", fast, slow)
 	}
