--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -94,6 +94,9 @@
 	return float64(v.speedEstimate.Median()) / float64(referenceRunTime)
 }
 
+// speedKnown reports whether this entry or another one has measured the speed of the backend server.
+func (v *server) speedKnown() bool { return v.toldSlowdown > 0 || v.speedEstimate.Learned() }
+
 // acceptsTasks reports whether the backend server may get orders at all.
 func (v *server) acceptsTasks(out map[string]bool) bool {
 	return v.linked && v.reported && v.state.State == run.Ready && !out[v.state.Domain]
--- a/dispatch/jobs/shiftedwork_test.go
+++ b/dispatch/jobs/shiftedwork_test.go
@@ -51,3 +51,27 @@
 		sim.checkServed("cold start", 0.99)
 	}
 }
+
+// TestReplayShiftedBursts checks that in bursts of the shifted work at least 0.9 of what the capacity allows is served
+// within the objective, as docs/platform.md states for bursts: all kinds at 1.3 of the capacity, and four
+// times the kind with the longest tasks. It guards against tasks of a ninth of a server and jobs of several of them that
+// find no place although capacity is free.
+func TestReplayShiftedBursts(t *testing.T) {
+	skipWithRaceDetector(t)
+	longKind := shiftedConfig
+	longKind.kinds = append([]requestKind(nil), shiftedConfig.kinds...)
+	longKind.kinds[1].share *= 4
+	cases := map[string]struct {
+		config simConfig
+		load   float64
+	}{"all kinds": {shiftedConfig, 1.3}, "four times the long kind": {longKind, 1.0}}
+	for name, c := range cases {
+		sim := newSimulationOf(t, 1, 13, siteOneSlowdowns, c.config).withFleet(74)
+		sim.scheduleArrivals(0.5, time.Second)
+		sim.run(time.Second)
+		sim.measureFrom, sim.measureUntil = sim.now, sim.now.Add(3*time.Second)
+		sim.scheduleArrivals(c.load, 3*time.Second)
+		sim.run(8 * time.Second)
+		sim.checkServed(name, 0.9/max(1, c.load))
+	}
+}
