Compare runs only where that tells more than the declared time

Cause: on servers of unknown speed a run was compared with a single other run, as if that server were of normal speed, and two servers that share all jobs each followed the other's last estimate. With two servers 2.4 times apart TestLongTasksGoToFastServers found both at about two, and no long task on the fast one.

Change: a run is compared with those on servers of known speed; else with three runs or more on other servers; else with what it declares. Once the speed of its server is known, it counts among them itself, with a quarter.

TestLongTasksGoToFastServers fails before and passes.

--- a/dispatch/jobs/speed.go
+++ b/dispatch/jobs/speed.go
@@ -68,26 +68,58 @@
 		s.observeAgainstOthers(now, a, len(state.completed)-1)
 	}
 	if len(state.completed) == step.Count && step.Count > 1 {
-		s.declaredErrorOf(a.job.Queue.Service).add(float64(meanWork(state.completed)) / float64(step.Estimate))
+		s.declaredErrorOf(a.job.Queue.Service).add(meanWork(state.completed) / float64(step.Estimate))
 	}
 }
 
-// observeAgainstOthers compares the completed run with the given index with those of its step on other servers.
+// ownWeight is the weight of a run among the runs that it is compared with, once the speed of its server is
+// known. Without it, two servers that share all jobs would each follow the other one's last estimate, and both
+// would swing between two values.
+const ownWeight = 0.25
+
+// minUnknownOthers is the number of runs on other servers of unknown speed with which a run is compared if there is
+// none on a server of known speed: the mean of fewer says less than the declared run time.
+const minUnknownOthers = 3
+
+// observeAgainstOthers compares the completed run with the given index with those of its step on other servers, and with
+// what its step declares if these are too few.
 func (s *Scheduler) observeAgainstOthers(now time.Time, a *attempt, index int) {
 	completed := a.job.steps[a.task.step].completed
-	var others []completedRun
+	r := completed[index]
+	var known, unknown comparison
 	for _, o := range completed {
-		if o.instance != completed[index].instance {
-			others = append(others, o)
+		switch {
+		case o.instance == r.instance:
+		case o.server.speedKnown():
+			known.add(o.work(), 1)
+		default:
+			unknown.add(o.work(), 1)
 		}
 	}
-	if len(others) == 0 {
+	switch {
+	case known.weight > 0:
+	case unknown.weight >= minUnknownOthers:
+		known = unknown
+	default:
+		r.observe(now, a.job.Steps[a.task.step].Estimate)
 		return
 	}
-	work := float64(meanWork(others)) / s.declaredErrorOf(a.job.Queue.Service).typical()
-	completed[index].observe(now, time.Duration(work))
+	if r.server.speedKnown() {
+		known.add(r.work(), ownWeight)
+	}
+	r.observe(now, time.Duration(known.mean()/s.declaredErrorOf(a.job.Queue.Service).typical()))
 }
 
+// comparison is a weighted mean of run times at normal speed.
+type comparison struct{ sum, weight float64 }
+
+func (c *comparison) add(work, weight float64) {
+	c.sum += work * weight
+	c.weight += weight
+}
+
+func (c *comparison) mean() float64 { return c.sum / c.weight }
+
 // observe adds the run to the speed estimate of its server, unless another process of the server has replaced it.
 // work is the expected run time at normal speed.
 func (r completedRun) observe(now time.Time, work time.Duration) {
@@ -98,13 +130,16 @@
 	r.server.lagFactor = max(1, r.server.lagFactor*lagDecay)
 }
 
-// meanWork returns the mean run time at normal speed of the runs, of which there must be one at least.
-func meanWork(runs []completedRun) time.Duration {
+// work returns the run time at normal speed, in nanoseconds.
+func (r completedRun) work() float64 { return float64(r.took) / r.server.normalSlowdown() }
+
+// meanWork returns the mean run time at normal speed of the runs, in nanoseconds. There must be one at least.
+func meanWork(runs []completedRun) float64 {
 	sum := 0.0
 	for _, r := range runs {
-		sum += float64(r.took) / r.server.normalSlowdown()
+		sum += r.work()
 	}
-	return time.Duration(sum / float64(len(runs)))
+	return sum / float64(len(runs))
 }
 
 // declaredErrorOf returns the errors of the declared run times of a service.
