Raise a job's estimate on a server of unknown speed by what speed does not explain

Cause: since progress on a server of unknown speed raised no estimate at all. A job that declares a tenth of its run times was given up at four times its declared objective if it came before any speed was known: TestJobWithUnderestimatedStepsCompletes fails, code 3002.

Change: there the progress counts as on a server that is slowThreshold times slower than a typical one, which is as much as healthy servers differ.

All tests of dispatch/jobs but the known red one pass.

--- a/dispatch/jobs/attempt.go
+++ b/dispatch/jobs/attempt.go
@@ -31,6 +31,15 @@
 // slowdown returns the expected run time of the task on its server, divided by its estimate.
 func (a *attempt) slowdown() float64 { return a.server.slowdown() * a.localityFactor }
 
+// largestSlowdown returns the largest slowdown that the task is likely to have on its server. On one of unknown
+// speed, slow progress may be due to the server and does not show that the task is longer than declared.
+func (a *attempt) largestSlowdown() float64 {
+	if a.server.speedKnown() {
+		return a.slowdown()
+	}
+	return a.slowdown() * slowThreshold
+}
+
 // orderedBefore orders runs by the time of their order, and by task name if the times are equal.
 func (a *attempt) orderedBefore(o *attempt) bool {
 	if !a.orderedAt.Equal(o.orderedAt) {
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -150,8 +150,8 @@
 	for _, a := range runs {
 		if remaining, known := a.remaining(now); known {
 			expected := float64(a.job.expectedRunTime(a.task)) * a.slowdown() / v.lagFactor
-			if remaining < stalledRemaining && v.speedKnown() {
-				a.job.raiseEstimate(a.task.step, time.Duration(float64(now.Sub(a.startedAt)+remaining)/a.slowdown()))
+			if remaining < stalledRemaining {
+				a.job.raiseEstimate(a.task.step, time.Duration(float64(now.Sub(a.startedAt)+remaining)/a.largestSlowdown()))
 			}
 			ratios = append(ratios, float64(now.Sub(a.startedAt)+remaining)/max(expected, 1))
 		}
