--- a/lab/testbed/network.go
+++ b/lab/testbed/network.go
@@ -43,15 +43,19 @@
 	prefix string
 }
 
-// networkCount is the number of networks that this process has made.
-var networkCount atomic.Int32
+// prefixCount is the number of ranges of addresses that this process has used.
+var prefixCount atomic.Int32
+
+// LoopbackPrefix returns the first three bytes, with the dot after them, of a range of loopback addresses. The
+// range depends on the ID of this process and the number of ranges it has used, so that several test
+// processes, each with several ranges, can run at the same time.
+func LoopbackPrefix() string {
+	return fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, 1+int(prefixCount.Add(1))%250)
+}
 
-// NewNetwork chooses a range of addresses and writes certificates for them into the directory. The
-// range depends on the ID of this process and the number of networks it has made, so that several
-// test processes, each with several networks, can run at the same time.
+// NewNetwork chooses a range of addresses and writes certificates for them into the directory.
 func NewNetwork(dir, binaries string) (*Network, error) {
-	n := &Network{Dir: dir, Binaries: binaries,
-		prefix: fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, 1+int(networkCount.Add(1))%250)}
+	n := &Network{Dir: dir, Binaries: binaries, prefix: LoopbackPrefix()}
 	var ips []net.IP
 	for h := range hostCount {
 		ips = append(ips, net.ParseIP(n.IP(h)))
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -35,6 +35,12 @@
 	zoneA, zoneB = "left", "right"
 )
 
+// The last bytes of the addresses of the first entry and the first agent, after which the others follow.
+const (
+	firstEntryHost = 10
+	firstAgentHost = 50
+)
+
 // deployment is a running deployment: a stand-in store, entries, and agents with their backend servers.
 type deployment struct {
 	t          *testing.T
@@ -45,6 +51,7 @@
 	entries    []*node
 	agents     []*agentNode
 	version    int               // newest configuration version
+	ipPrefix   string            // first three bytes of the processes' addresses, with the dot after them
 	linkAddrs  map[string]string // address of the forwarder in front of an agent, by the agent's address
 }
 
@@ -78,7 +85,10 @@
 // newDeployment starts a store, agents with their backend servers and entries, and publishes the first
 // configuration. The processes are killed when the test ends.
 func newDeployment(t *testing.T, binary string, entries, agents int) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), binary: binary, store: standin.NewStore(), linkAddrs: map[string]string{}}
+	d := &deployment{
+		t: t, dir: t.TempDir(), binary: binary, store: standin.NewStore(), linkAddrs: map[string]string{},
+		ipPrefix: testbed.LoopbackPrefix(),
+	}
 	d.storeLinks = d.forward(d.serve(d.store))
 	d.publishConfig()
 	for i := range agents {
@@ -159,7 +169,7 @@
 
 // addEntry adds entry i and starts it.
 func (d *deployment) addEntry(i int) {
-	ip := fmt.Sprintf("127.0.2.%d", i+1)
+	ip := fmt.Sprint(d.ipPrefix, firstEntryHost+i)
 	n := &node{name: fmt.Sprintf("front-%d", i), role: "entry", frontAddr: freeAddr(d.t, ip), readyAddr: freeAddr(d.t, ip)}
 	n.file = d.writeSettings(n.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [1, 2]\n[listen]\nfront = %q\nready = %q", zoneA, ip, n.frontAddr, n.readyAddr))
 	d.entries = append(d.entries, n)
@@ -169,7 +179,7 @@
 // addAgent adds agent i with its backend server, which sends a heartbeat every 200 ms. It does not start the
 // process of the agent.
 func (d *deployment) addAgent(i int) {
-	ip := fmt.Sprintf("127.0.3.%d", i+1)
+	ip := fmt.Sprint(d.ipPrefix, firstAgentHost+i)
 	a := &agentNode{
 		node:    &node{name: fmt.Sprintf("side-%d", i), role: "agent"},
 		backend: standin.NewBackend(fmt.Sprintf("i-%d", i)), controlAddr: freeAddr(d.t, ip), zone: []string{zoneA, zoneB}[i%2], state: "ready",
