--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -70,7 +70,7 @@
 	v.state = r.Server
 	v.free = r.Free
 	v.entries = r.Entries
-	v.toldSlowdown = r.Slowdown
+	v.othersSlowdown = r.OthersSlowdown
 	v.reported = true
 	v.acknowledge(r.Ack)
 	if s.slowdowns[v.state.Service].median == 0 {
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -328,7 +328,7 @@
 func (sim *simulation) sendReport(m *machine, i int, events []run.Event) {
 	s := sim.entries[i]
 	sim.frames[i]++
-	report := Report{Server: m.server(), Free: m.freeFor(i, sim.now), Ack: m.ackedSeqs[i], Entries: len(m.linkedEntries), Slowdown: m.speeds.Others(ownerOf(i))}
+	report := Report{Server: m.server(), Free: m.freeFor(i, sim.now), Ack: m.ackedSeqs[i], Entries: len(m.linkedEntries), OthersSlowdown: m.speeds.Others(ownerOf(i))}
 	type seen struct {
 		ref       run.Ref
 		percent   int
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -23,10 +23,10 @@
 	seq         uint64    // number of the newest frame sent to the agent
 	runs        map[run.Ref]*attempt
 	// unacked are the orders that the agent's newest report does not account for yet.
-	unacked       []*attempt
-	health        *health.Server
-	speedEstimate *estimate.ServerEstimate
-	toldSlowdown  float64 // slowdown that other entries have measured; 0 if unknown
+	unacked        []*attempt
+	health         *health.Server
+	speedEstimate  *estimate.ServerEstimate
+	othersSlowdown float64 // slowdown that other entries have measured; 0 if unknown
 	// lagFactor is how many times slower than its speed estimate the backend server runs at present.
 	lagFactor  float64
 	batch      Batch     // content of the next frame
@@ -64,28 +64,28 @@
 // slowdown returns the expected run time of a task on the backend server, divided by its estimate.
 func (v *server) slowdown() float64 { return v.normalSlowdown() * v.lagFactor }
 
-// maxSlowdownDifference is the ratio between its own and the other entries' slowdown above which an entry trusts its
-// own: the speed of the server may have changed.
+// maxSlowdownDifference is the ratio between its own and the other entries' slowdown above which an entry uses
+// its own alone: the speed of the server may have changed.
 const maxSlowdownDifference = 1.5
 
-// normalSlowdown returns the slowdown without the present lag. It is what this entry has measured, averaged with what
-// others have; one of the two, if there is only one; and otherwise that of a typical server.
+// normalSlowdown returns the slowdown without the present lag: the mean of what this entry and others have
+// measured, one of the two if there is only one, and that of a typical server if there is none.
 func (v *server) normalSlowdown() float64 {
 	own := float64(v.speedEstimate.Expected(referenceRunTime)) / float64(referenceRunTime)
-	told := v.toldSlowdown
+	others := v.othersSlowdown
 	switch {
-	case told <= 0:
+	case others <= 0:
 		return own
 	case !v.speedEstimate.Learned():
-		return told
-	case own > maxSlowdownDifference*told, told > maxSlowdownDifference*own:
+		return others
+	case own > maxSlowdownDifference*others, others > maxSlowdownDifference*own:
 		return own
 	}
-	return (own + told) / 2
+	return (own + others) / 2
 }
 
 // MeasuredSlowdown returns the slowdown of the agent's backend server that this entry has measured itself, or 0
-// without any run. A single run counts, since the agent takes the median over the entries.
+// without any run. One run is enough, since the agent takes the median over the entries.
 func (s *Scheduler) MeasuredSlowdown(agent string) float64 {
 	v := s.servers[agent]
 	if v == nil || v.speedEstimate == nil {
@@ -95,7 +95,7 @@
 }
 
 // speedKnown reports whether this entry or another one has measured the speed of the backend server.
-func (v *server) speedKnown() bool { return v.toldSlowdown > 0 || v.speedEstimate.Learned() }
+func (v *server) speedKnown() bool { return v.othersSlowdown > 0 || v.speedEstimate.Learned() }
 
 // acceptsTasks reports whether the backend server may get orders at all.
 func (v *server) acceptsTasks(out map[string]bool) bool {
--- a/dispatch/jobs/speed.go
+++ b/dispatch/jobs/speed.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// The speed of a backend server is learned from the tasks of one step that ran on different servers: they have
-// the same size. Declared run times are off by about 40%, and not at random: a slow server gets mostly tasks whose
-// declared run time is so short that they seem to meet their objective there. Compared with what they
-// declared, servers 1.7 times slower than declared seemed three times slower, and stood idle in bursts.
+// The speed of a backend server is learned from the tasks of one step that ran on different servers, because
+// they have the same size. Declared run times are off by about 40%, and not at random: a slow server gets mostly
+// tasks whose declared run time is so short that they seem to meet their objective there. Measured by declared
+// run times, servers with a slowdown of 1.7 seemed to have one of 3, and stood idle in bursts.
 
 // completedRun is a completed run of a task of a step.
 type completedRun struct {
@@ -23,8 +23,8 @@
 const declaredErrorWindow = 33
 
 // declaredError holds, for the newest steps of one service, how many times longer than declared their tasks
-// were at normal speed. It keeps the speeds of all servers from drifting together, since tasks of one step only tell
-// them relative to each other.
+// were at normal speed. It keeps the speeds of all servers from drifting together: tasks of one step tell them
+// only relative to each other.
 type declaredError struct {
 	ratios [declaredErrorWindow]float64
 	count  int
@@ -48,8 +48,8 @@
 	return d.median
 }
 
-// observeSpeeds updates the speed of the servers from a run that has just been completed. The first run of a step is
-// observed together with the second one. A step with one task tells the speed only by its declared run time.
+// observeSpeeds updates the speed of the servers from a run that has just been completed. The first run of a
+// step is observed together with the second one. A single task is compared with its declared run time.
 func (s *Scheduler) observeSpeeds(now time.Time, a *attempt, took time.Duration) {
 	step := a.job.Steps[a.task.step]
 	if step.Estimate <= 0 {
@@ -72,56 +72,64 @@
 	}
 }
 
-// ownWeight is the weight of a run among the runs that it is compared with, once the speed of its server is
-// known. Without it, two servers that share all jobs would each follow the other one's last estimate, and both
-// would swing between two values.
-const ownWeight = 0.25
-
-// minUnknownOthers is the number of runs on other servers of unknown speed with which a run is compared if there is
-// none on a server of known speed: the mean of fewer says less than the declared run time.
-const minUnknownOthers = 3
+const (
+	// ownWeight is the weight of a run among the runs that it is compared with, once the speed of its server
+	// is known. Without it, two servers that share all jobs would each follow the other one's last estimate,
+	// and both would swing between two values.
+	ownWeight = 0.25
+	// minUnknownOthers is the number of runs on other servers of unknown speed with which a run is compared if
+	// there is none on a server of known speed: the mean of fewer says less than the declared run time.
+	minUnknownOthers = 3
+)
 
-// observeAgainstOthers compares the completed run with the given index with those of its step on other servers, and with
-// what its step declares if these are too few.
+// observeAgainstOthers compares the completed run with the given index with those of its step on other
+// servers, and with what its step declares if these are too few.
 func (s *Scheduler) observeAgainstOthers(now time.Time, a *attempt, index int) {
 	completed := a.job.steps[a.task.step].completed
 	r := completed[index]
-	var known, unknown comparison
-	for _, o := range completed {
-		switch {
-		case o.instance == r.instance:
-		case o.server.speedKnown():
-			known.add(o.work(), 1)
-		default:
-			unknown.add(o.work(), 1)
-		}
-	}
-	switch {
-	case known.weight > 0:
-	case unknown.weight >= minUnknownOthers:
-		known = unknown
-	default:
+	reference := workOnOthers(completed, r.instance)
+	if reference.weight == 0 {
 		r.observe(now, a.job.Steps[a.task.step].Estimate)
 		return
 	}
 	if r.server.speedKnown() {
-		known.add(r.work(), ownWeight)
+		reference.add(r.work(), ownWeight)
+	}
+	r.observe(now, time.Duration(reference.value()/s.declaredErrorOf(a.job.Queue.Service).typical()))
+}
+
+// workOnOthers returns the mean work of the runs on servers other than the given instance whose speed is known.
+// If there are none, it returns that of those of unknown speed, or an empty mean if these are too few.
+func workOnOthers(runs []completedRun, instance string) mean {
+	var known, unknown mean
+	for _, r := range runs {
+		switch {
+		case r.instance == instance:
+		case r.server.speedKnown():
+			known.add(r.work(), 1)
+		default:
+			unknown.add(r.work(), 1)
+		}
+	}
+	if known.weight == 0 && unknown.weight >= minUnknownOthers {
+		return unknown
 	}
-	r.observe(now, time.Duration(known.mean()/s.declaredErrorOf(a.job.Queue.Service).typical()))
+	return known
 }
 
-// comparison is a weighted mean of run times at normal speed.
-type comparison struct{ sum, weight float64 }
+// mean is a weighted mean; it is empty while weight is 0.
+type mean struct{ sum, weight float64 }
 
-func (c *comparison) add(work, weight float64) {
-	c.sum += work * weight
-	c.weight += weight
+func (m *mean) add(x, weight float64) {
+	m.sum += x * weight
+	m.weight += weight
 }
 
-func (c *comparison) mean() float64 { return c.sum / c.weight }
+// value returns the mean, which must not be empty.
+func (m *mean) value() float64 { return m.sum / m.weight }
 
-// observe adds the run to the speed estimate of its server, unless another process of the server has replaced it.
-// work is the expected run time at normal speed.
+// observe adds the run to the speed estimate of its server, unless another process of the server has replaced
+// the one that ran it. work is the expected run time at normal speed.
 func (r completedRun) observe(now time.Time, work time.Duration) {
 	if r.server.state.Instance != r.instance || r.server.speedEstimate == nil || work <= 0 {
 		return
@@ -133,13 +141,13 @@
 // work returns the run time at normal speed, in nanoseconds.
 func (r completedRun) work() float64 { return float64(r.took) / r.server.normalSlowdown() }
 
-// meanWork returns the mean run time at normal speed of the runs, in nanoseconds. There must be one at least.
+// meanWork returns the mean work of the runs, of which there must be one at least.
 func meanWork(runs []completedRun) float64 {
-	sum := 0.0
+	var m mean
 	for _, r := range runs {
-		sum += r.work()
+		m.add(r.work(), 1)
 	}
-	return sum / float64(len(runs))
+	return m.value()
 }
 
 // declaredErrorOf returns the errors of the declared run times of a service.
--- a/dispatch/jobs/speed_test.go
+++ b/dispatch/jobs/speed_test.go
@@ -11,7 +11,7 @@
 func (h *harness) reportSlowdown(agent string, slowdown float64) {
 	h.AgentConnected(h.now, agent)
 	s := serverOf(agent, 10_000)
-	h.Report(h.now, agent, Report{Server: s, Free: s.Capacity, Slowdown: slowdown})
+	h.Report(h.now, agent, Report{Server: s, Free: s.Capacity, OthersSlowdown: slowdown})
 	h.take()
 }
 
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -128,8 +128,8 @@
 	Ack    uint64
 	// Entries is the number of entries that share the backend server; 0 if unknown.
 	Entries int
-	// Slowdown is the median of the slowdowns that other entries have measured there; 0 if there is none.
-	Slowdown float64
+	// OthersSlowdown is the median of the slowdowns that other entries have measured there; 0 if there is none.
+	OthersSlowdown float64
 }
 
 // Limits configures the scheduler.
