Report crashes of a backend server and the runs that it had to all entries

Callers saw one task after the other lose its backend server, and no log named the runs that a crashed server had in common. An agent lives on when its backend server dies and knows what ran there, but it only reported, 0.4 s later, that each run was lost.

An agent now records a crash with all runs that the server had, their kind of request and their age. It does so at once when connections are refused, else when the lease has passed or a new incarnation shows. The runs stay in the table until their end is certain: what refuses connections may be something in between. Each entry gets the report once on each link, and for 30 s after the crash also on new links, so that it reaches the entry to which a caller goes next. The fields are new and optional: entries and agents of earlier versions ignore them.

--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/dispatch/jobs"
@@ -79,6 +80,24 @@
 	return v
 }
 
+// CrashToProto converts a crash of a backend server, the given time ago, to its protobuf message.
+func CrashToProto(c run.Crash, ago time.Duration) *peerv1.ServerCrash {
+	m := &peerv1.ServerCrash{Server: c.Instance, AgeMs: uint32(ago.Milliseconds())}
+	for _, s := range c.Suspects {
+		m.Suspects = append(m.Suspects, &peerv1.CrashSuspect{Task: s.Task, Kind: s.Kind, AgeMs: uint32(s.Age.Milliseconds())})
+	}
+	return m
+}
+
+// CrashFromProto converts a protobuf message to a crash of a backend server and the time since then.
+func CrashFromProto(m *peerv1.ServerCrash) (c run.Crash, ago time.Duration) {
+	c.Instance = m.GetServer()
+	for _, s := range m.GetSuspects() {
+		c.Suspects = append(c.Suspects, run.Suspect{Task: s.GetTask(), Kind: s.GetKind(), Age: time.Duration(s.GetAgeMs()) * time.Millisecond})
+	}
+	return c, time.Duration(m.GetAgeMs()) * time.Millisecond
+}
+
 // SlowdownToProto converts a slowdown to thousandths; 0 means that it is unknown.
 func SlowdownToProto(slowdown float64) uint32 { return uint32(math.Round(slowdown * 1000)) }
 
@@ -92,7 +111,7 @@
 	for _, o := range b.Orders {
 		f.Orders = append(f.Orders, &peerv1.RunOrder{
 			Ref: RefToProto(o.Ref), Demand: DemandToProto(o.Demand), Spec: o.Spec, Checkpoint: o.Checkpoint,
-			Server: o.Instance, MaxPerServer: uint32(o.MaxPerServer), Label: o.Label,
+			Server: o.Instance, MaxPerServer: uint32(o.MaxPerServer), Label: o.Label, Kind: o.Kind,
 		})
 	}
 	for _, r := range b.Stops {
--- a/daemon/runagent/poll.go
+++ b/daemon/runagent/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"poplargw.example/daemon/boottime"
@@ -158,6 +159,9 @@
 	a.table.RenewalDone(c.request.LeaseMS, !errors.Is(c.err, ErrNotSent))
 	if c.err != nil {
 		p.countFailure(c)
+		if errors.Is(c.err, syscall.ECONNREFUSED) && a.table.ServerGone(boottime.Now()) {
+			a.sendStateToAll()
+		}
 		return
 	}
 	p.consecutiveFailures = 0
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -28,6 +28,7 @@
 	lastReceived           time.Time          // time of the newest frame from the entry
 	claims                 []*peerv1.RunClaim // claims of the entry that have no response yet
 	sentServer             run.Server         // as last sent to the entry
+	sentCrash              uint64             // number of the newest crash sent to the entry
 }
 
 // minResponseInterval is the time after a frame to the entry during which a frame with orders gets no
@@ -155,7 +156,7 @@
 	ref := link.RefFromProto(o.GetRef())
 	code := a.table.Order(now, runtable.Order{
 		Ref: ref, Owner: s.entry, Demand: link.DemandFromProto(o.GetDemand()), Instance: o.GetServer(), Token: token,
-		MaxPerServer: int(o.GetMaxPerServer()), Label: o.GetLabel(),
+		MaxPerServer: int(o.GetMaxPerServer()), Label: o.GetLabel(), Kind: o.GetKind(),
 	})
 	if code != 0 {
 		a.counters.countRefusedOrder(code)
@@ -213,5 +214,9 @@
 	for _, p := range a.table.Progress(now, s.entry) {
 		f.Progress = append(f.Progress, &peerv1.RunProgress{Ref: link.RefToProto(p.Ref), Percent: uint32(p.Percent), AgeMs: uint32(p.Age.Milliseconds())})
 	}
+	for _, c := range a.table.Crashes(now, s.sentCrash) {
+		f.Crashes = append(f.Crashes, link.CrashToProto(c.Crash, now.Sub(c.At)))
+		s.sentCrash = c.Number
+	}
 	s.conn.Send(f)
 }
--- a/dispatch/jobs/attempt.go
+++ b/dispatch/jobs/attempt.go
@@ -73,7 +73,7 @@
 	b := s.batch(v)
 	b.Orders = append(b.Orders, Order{
 		Ref: a.ref, Demand: a.demand, Spec: j.Spec, Checkpoint: t.checkpoint,
-		Instance: v.state.Instance, MaxPerServer: step.MaxPerServer, Label: step.Label,
+		Kind: j.Queue.Name, Instance: v.state.Instance, MaxPerServer: step.MaxPerServer, Label: step.Label,
 	})
 }
 
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -101,6 +101,7 @@
 	Instance     string // process of the backend server that the order is meant for
 	MaxPerServer int    // as in Step
 	Label        string // as in Step
+	Kind         string // kind of request: the name of the queue
 }
 
 // Claim asks an agent for the state of a run after a new link was opened.
--- /dev/null
+++ b/dispatch/runtable/crash_test.go
@@ -0,0 +1,88 @@
+package runtable
+
+import (
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/run"
+)
+
+// wantCrash checks that the table reports one crash of testServer with a single run of the given age.
+func wantCrash(t *testing.T, f *fixture, task string, age time.Duration) {
+	t.Helper()
+	crashes := f.Crashes(f.now, 0)
+	if len(crashes) != 1 || crashes[0].Instance != testServer.Instance || len(crashes[0].Suspects) != 1 {
+		t.Fatalf("crashes %+v, want one of %s with one run", crashes, testServer.Instance)
+	}
+	if s := crashes[0].Suspects[0]; s.Task != task || s.Kind != "kind" || s.Age != age {
+		t.Errorf("suspect %+v, want task %s of kind \"kind\", %s old", s, task, age)
+	}
+}
+
+// startRun orders a run that the backend server starts at once.
+func (f *fixture) startRun(task string) run.Ref {
+	f.t.Helper()
+	r := ref(task, 1)
+	if code := f.Order(f.now, Order{Ref: r, Owner: "e1", Kind: "kind", Demand: run.Demand{CPU: 100}, Instance: testServer.Instance, Token: f.now}); code != 0 {
+		f.t.Fatalf("order refused with code %d", code)
+	}
+	f.Accepted(f.now, time.Millisecond, r, f.clock())
+	return r
+}
+
+// Guards against learning of a crash only when the lease has passed: refused connections show it at once, and the
+// runs stay until their end is certain.
+func TestRefusedConnectionReportsCrashOnce(t *testing.T) {
+	f := newFixture(t)
+	f.startRun("j.0.0.0")
+	f.advance(10 * time.Millisecond)
+	if !f.ServerGone(f.now) || f.ServerGone(f.now) {
+		t.Error("the crash was not reported exactly once")
+	}
+	wantCrash(t, f, "j.0.0.0", 10*time.Millisecond)
+	if f.Len() != 1 {
+		t.Error("the run was ended")
+	}
+	f.Announce(f.now, testServer, testIncarnation+1)
+	if n := len(f.Crashes(f.now, 0)); n != 1 {
+		t.Errorf("%d crashes after the return of the backend server, want 1", n)
+	}
+}
+
+// Guards against an unnoticed crash of a backend server that becomes silent.
+func TestExpiredLeaseReportsCrash(t *testing.T) {
+	f := newFixture(t)
+	f.startRun("j.0.0.0")
+	f.advance(20 * time.Millisecond)
+	f.snapshot([]RunningRun{{Ref: ref("j.0.0.0", 1)}}, nil)
+	f.advance(2 * time.Second)
+	if events := f.ExpireLease(f.now); len(events) != 1 {
+		t.Fatalf("events %+v, want the end of the run", events)
+	}
+	wantCrash(t, f, "j.0.0.0", 20*time.Millisecond)
+}
+
+// Guards against an unnoticed crash of a backend server that is back before its lease has passed.
+func TestNewIncarnationReportsCrash(t *testing.T) {
+	f := newFixture(t)
+	f.startRun("j.0.0.0")
+	f.advance(20 * time.Millisecond)
+	f.snapshot([]RunningRun{{Ref: ref("j.0.0.0", 1)}}, nil)
+	f.advance(50 * time.Millisecond)
+	f.Announce(f.now, testServer, testIncarnation+1)
+	wantCrash(t, f, "j.0.0.0", 20*time.Millisecond)
+}
+
+// Guards against suspecting the runs of a backend server that has shut down gracefully, and those of one that had
+// none.
+func TestGracefulEndIsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	if f.ServerGone(f.now) {
+		t.Error("a backend server without runs was reported as crashed")
+	}
+	f.startRun("j.0.0.0")
+	f.ServerLeft(f.now)
+	if f.ServerGone(f.now) || len(f.Crashes(f.now, 0)) > 0 {
+		t.Error("a backend server that has left was reported as crashed")
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -22,6 +22,8 @@
 	MaxPerServer int
 	// Label must be carried by the backend server; empty accepts any.
 	Label string
+	// Kind is the kind of request that the job belongs to; empty if not known.
+	Kind string
 }
 
 // FreeFor returns the free capacity that is not reserved for other entries.
@@ -53,7 +55,7 @@
 	}
 	t.offers.Use(o.Owner, o.Demand)
 	expiry := t.clock.at(now) + t.orderTimeout().Milliseconds()
-	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, visibleByMS: expiry, firstSeen: now}
+	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, kind: o.Kind, visibleByMS: expiry, firstSeen: now}
 	t.latestLease = max(t.latestLease, expiry)
 	return 0
 }
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -68,6 +68,7 @@
 	ref      run.Ref
 	owner    string
 	demand   run.Demand
+	kind     string // kind of request; empty if not known
 	phase    phase
 	accepted bool
 	// visibleByMS is a time on the backend server's clock, in milliseconds: that of the run's
@@ -118,6 +119,10 @@
 	startedAt       time.Time
 	claimsReady     bool          // the runs are known well enough to answer claims
 	answerTime      time.Duration // moving estimate of the time to answer an order
+	crashes         []Crash       // within crashRetention, by number
+	lastCrash       uint64        // number of the newest crash
+	// crashedIncarnation is the incarnation of the newest crash.
+	crashedIncarnation int64
 }
 
 // New returns the table of an agent that has just started. It accepts no orders until the backend
@@ -202,6 +207,9 @@
 		return nil
 	}
 	first := t.incarnation == 0
+	if !first {
+		t.recordCrash(t.clock.readAt)
+	}
 	t.incarnation = incarnation
 	if first {
 		return nil
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -78,6 +78,7 @@
 		return nil
 	}
 	t.hasSnapshot = false
+	t.recordCrash(t.clock.readAt)
 	return t.endAllRuns(now)
 }
 
