Give up a task under which backend servers have crashed

Cause: dispatch/jobs counted failures, but nothing counted crashes. The class is retries without new information.

Each entry now counts the crashes that a task's runs were in, from the reports of the agents and so across entries, restarts and answers that were lost. A task is given up after two crashes if it has most of the blame for them, which a run has the more the younger it was, or alone on the server; and after three in any case. Its job ends with the new code 3009, ServerCrashes, effect "run", and is shown as failed. A job that is submitted again at another entry gets the same answer at once. Where an agent of an earlier version reports only that runs were lost, these count, up to three.

The tests, with the count switched off: 10 backend servers crashed under the task, want 2; the resubmitted job was admitted; 10 starts beside agents of an earlier version, want at most 3. With it they pass.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -45,6 +45,9 @@
 	EntryLeft                ID = 671
 	ProcessorShort           ID = 672
 	EntrySecondCounts        ID = 673
+	ServerCrashed            ID = 674
+	KindConfined             ID = 675
+	KindReleased             ID = 676
 )
 
 var runTexts = map[ID]string{
@@ -88,4 +91,7 @@
 	EntryLeft:                "entry rejects further jobs because it stops",
 	ProcessorShort:           "shortage of processor time at the entry began or ended",
 	EntrySecondCounts:        "job counts of one second",
+	ServerCrashed:            "backend server crashed while it had runs",
+	KindConfined:             "kind of request is confined to some backend servers because it crashes them",
+	KindReleased:             "confined kind of request may use all backend servers again",
 }
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -41,6 +41,14 @@
 		e.Log.Warn(event.AgentLost, f)
 	case jobs.Suspended:
 		e.Log.Warn(event.ServerSuspended, f)
+	case jobs.Crashed:
+		f["runs"] = d.Suspects
+		e.Log.Warn(event.ServerCrashed, f)
+	case jobs.Confined:
+		f["queue"] = d.Queue
+		e.Log.Warn(event.KindConfined, f)
+	case jobs.Released:
+		e.Log.Info(event.KindReleased, event.Fields{"queue": d.Queue})
 	}
 }
 
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -139,6 +139,11 @@
 		age := time.Duration(p.GetAgeMs()) * time.Millisecond
 		e.scheduler.Progress(now, a.id, link.RefFromProto(p.GetRef()), int(p.GetPercent()), age)
 	}
+	// Crashes come before the ends of the runs that they took with them.
+	for _, c := range f.GetCrashes() {
+		crash, ago := link.CrashFromProto(c)
+		e.scheduler.ServerCrashed(now, a.id, crash, ago)
+	}
 	for _, v := range f.GetEvents() {
 		e.scheduler.Event(now, a.id, link.EventFromProto(v))
 	}
--- a/dispatch/jobs/attempt.go
+++ b/dispatch/jobs/attempt.go
@@ -12,6 +12,7 @@
 	job       *job
 	task      *task
 	server    *server
+	instance  string // process of the backend server
 	demand    run.Demand
 	seq       uint64 // number of the frame that carried the order
 	orderedAt time.Time
@@ -53,7 +54,7 @@
 func (s *Scheduler) orderRun(now time.Time, j *job, t *task, v *server) {
 	step := j.Steps[t.step]
 	a := &attempt{
-		ref: s.newRunRef(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, orderedAt: now, startedAt: now,
+		ref: s.newRunRef(now, t), job: j, task: t, server: v, instance: v.state.Instance, demand: step.Demand, seq: v.seq + 1, orderedAt: now, startedAt: now,
 		localityFactor: s.localityFactor(step, v),
 	}
 	t.state = taskPlaced
--- /dev/null
+++ b/dispatch/jobs/crashes.go
@@ -0,0 +1,161 @@
+package jobs
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+const (
+	// maxTaskCrashes is the number of backend servers that may crash under a task before its job fails.
+	maxTaskCrashes = 3
+	// minBlamedCrashes is that number for a task that most likely caused the crashes: the sum of its shares
+	// of the blame is at least certainBlame.
+	minBlamedCrashes = 2
+	certainBlame     = 1.0
+	// blameHalfLife is the age of a run at which its share of the blame for a crash is half that of a run
+	// that has just started: a task that crashes its backend server does so soon after its start.
+	blameHalfLife = 25 * time.Millisecond
+	// crashMemory is how long crashes are remembered. Callers wait for a few seconds.
+	crashMemory = time.Minute
+	// maxCrashedTasks bounds the number of tasks whose crashes are remembered.
+	maxCrashedTasks = 20_000
+)
+
+// taskCrashes records the crashes of backend servers that had a run of a task.
+type taskCrashes struct {
+	count int
+	// blame is the sum over the crashes of the task's share of the blame: 1 if its job alone ran there.
+	blame  float64
+	newest time.Time
+}
+
+// exhausted reports whether the task must not start again.
+func (c *taskCrashes) exhausted() bool {
+	return c.count >= maxTaskCrashes || c.count >= minBlamedCrashes && c.blame >= certainBlame
+}
+
+// crashLog remembers the crashes of backend servers and the tasks that ran there.
+type crashLog struct {
+	tasks     map[string]*taskCrashes
+	instances map[string]time.Time // processes that have crashed, and when that was reported
+	sweptAt   time.Time
+}
+
+func newCrashLog() *crashLog {
+	return &crashLog{tasks: map[string]*taskCrashes{}, instances: map[string]time.Time{}}
+}
+
+// addInstance records that a process of a backend server has crashed. It returns false if that is known.
+func (l *crashLog) addInstance(now time.Time, instance string) bool {
+	if _, known := l.instances[instance]; known {
+		return false
+	}
+	l.instances[instance] = now
+	return true
+}
+
+// addTask records that a backend server crashed while it had a run of the task.
+func (l *crashLog) addTask(now time.Time, name string, blame float64) *taskCrashes {
+	c := l.tasks[name]
+	if c == nil {
+		if len(l.tasks) >= maxCrashedTasks {
+			return &taskCrashes{}
+		}
+		c = &taskCrashes{}
+		l.tasks[name] = c
+	}
+	c.count++
+	c.blame += blame
+	c.newest = now
+	return c
+}
+
+// sweepPeriod is the time between two searches for crashes to forget.
+const sweepPeriod = time.Second
+
+// sweep forgets what is older than crashMemory.
+func (l *crashLog) sweep(now time.Time) {
+	if now.Sub(l.sweptAt) < sweepPeriod {
+		return
+	}
+	l.sweptAt = now
+	for name, c := range l.tasks {
+		if now.Sub(c.newest) > crashMemory {
+			delete(l.tasks, name)
+		}
+	}
+	for instance, at := range l.instances {
+		if now.Sub(at) > crashMemory {
+			delete(l.instances, instance)
+		}
+	}
+}
+
+// blameShares returns the share of each suspect in the blame for a crash. The shares add up to 1, except
+// that each run of a job that was alone on the backend server has all of it.
+func blameShares(suspects []run.Suspect) []float64 {
+	shares := make([]float64, len(suspects))
+	sum := 0.0
+	single := true
+	for i, s := range suspects {
+		shares[i] = math.Exp2(-float64(s.Age) / float64(blameHalfLife))
+		sum += shares[i]
+		single = single && jobOf(s.Task) == jobOf(suspects[0].Task)
+	}
+	for i := range shares {
+		if single {
+			shares[i] = 1
+		} else if sum > 0 {
+			shares[i] /= sum
+		}
+	}
+	return shares
+}
+
+// jobOf returns the ID of the job that a task belongs to.
+func jobOf(taskName string) string {
+	id, _, _ := strings.Cut(taskName, ".")
+	return id
+}
+
+// ServerCrashed records that the agent's backend server crashed the given time ago. Jobs whose tasks have
+// crashed too many backend servers fail at once. Reports of a crash that is known are ignored.
+func (s *Scheduler) ServerCrashed(now time.Time, agent string, c run.Crash, ago time.Duration) {
+	at := now.Add(-ago)
+	if !s.crashes.addInstance(at, c.Instance) {
+		return
+	}
+	shares := blameShares(c.Suspects)
+	s.recordDecision(Decision{Kind: Crashed, Agent: agent, Suspects: len(c.Suspects)})
+	for i, suspect := range c.Suspects {
+		s.crashes.addTask(at, suspect.Task, shares[i])
+	}
+	for _, suspect := range c.Suspects {
+		if j := s.jobs[jobOf(suspect.Task)]; j != nil && s.exhausted(j) {
+			s.finish(j, Outcome{Code: result.ServerCrashes})
+		}
+	}
+}
+
+// exhausted reports whether a task of the job must not start again because backend servers crashed under it.
+func (s *Scheduler) exhausted(j *job) bool {
+	for _, t := range j.tasks {
+		if c := s.crashes.tasks[t.name]; c != nil && t.state != taskDone && c.exhausted() {
+			return true
+		}
+	}
+	return false
+}
+
+// countUnreportedCrash counts a run that was lost with its backend server although its agent has reported no
+// crash of that process: agents of earlier versions send no such reports.
+func (s *Scheduler) countUnreportedCrash(now time.Time, a *attempt, reason result.Code) {
+	if _, reported := s.crashes.instances[a.instance]; reported || reason != result.ServerLost {
+		return
+	}
+	s.crashes.addTask(now, a.task.name, 0)
+}
--- /dev/null
+++ b/dispatch/jobs/crashes_test.go
@@ -0,0 +1,130 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+// crashServer reports a crash of the agent's backend server, ends its runs after the time of the lease, and brings
+// a new process of the server back. Runs that are not named in young are half a second old at the crash.
+func (h *harness) crashServer(agent string, young ...string) {
+	h.t.Helper()
+	list := append([]Order(nil), h.orders[agent]...)
+	crash := run.Crash{Instance: list[0].Instance}
+	h.crashes[agent]++
+	down := serverOf(agent, 0)
+	down.State = run.Absent
+	h.Report(h.now, agent, Report{Server: down, Ack: h.seqs[agent]})
+	for _, o := range list {
+		age := 500 * time.Millisecond
+		for _, name := range young {
+			if o.Ref.Task == name {
+				age = 10 * time.Millisecond
+			}
+		}
+		crash.Suspects = append(crash.Suspects, run.Suspect{Task: o.Ref.Task, Kind: o.Kind, Age: age})
+	}
+	h.ServerCrashed(h.now, agent, crash, 0)
+	h.take()
+	for _, o := range list {
+		h.endRun(agent, o.Ref, run.Stopped, result.ServerLost)
+	}
+	h.report(agent, 10_000)
+	h.advance(20 * time.Millisecond)
+}
+
+// agentOf returns the agent that has a run of the task, or "".
+func (h *harness) agentOf(task string) string {
+	for agent, list := range h.orders {
+		for _, o := range list {
+			if o.Ref.Task == task {
+				return agent
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against a task that crashes one backend server after the other.
+func TestTaskUnderWhichServersCrashIsGivenUp(t *testing.T) {
+	h := newHarness(t, 5, 10_000)
+	h.submit("deadly", 1, 3000, 60*time.Millisecond)
+	task, crashes := "deadly.0.0.0", 0
+	for h.agentOf(task) != "" && crashes < 10 {
+		crashes++
+		h.crashServer(h.agentOf(task), task)
+	}
+	if crashes != minBlamedCrashes {
+		t.Errorf("%d backend servers crashed under the task, want %d", crashes, minBlamedCrashes)
+	}
+	if o := h.outcomes["deadly"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
+		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
+	}
+}
+
+// Guards against giving up a job because its neighbour crashes backend servers.
+func TestNeighbourOfCrashingTaskIsNotGivenUp(t *testing.T) {
+	h := newHarness(t, 1, 10_000)
+	long := testQueue
+	long.Latency = 10 * time.Second
+	h.submitTo(long, "innocent", 1, 3000, 900*time.Millisecond)
+	h.submitTo(long, "deadly", 1, 3000, 900*time.Millisecond)
+	for range minBlamedCrashes {
+		h.crashServer("a0", "deadly.0.0.0")
+	}
+	if o, ended := h.outcomes["innocent"]; ended {
+		t.Fatalf("the neighbour ended: %+v", o)
+	}
+	h.advance(20 * time.Millisecond)
+	if list := h.orders["a0"]; len(list) != 1 || list[0].Ref.Task != "innocent.0.0.0" {
+		t.Errorf("orders %+v, want one for the neighbour", list)
+	}
+}
+
+// Guards against starting a task again at another entry, to which its caller has gone, after it crashed backend
+// servers.
+func TestResubmittedCrashingJobIsGivenUpByAnotherEntry(t *testing.T) {
+	h := newHarness(t, 2, 10_000)
+	for i := range minBlamedCrashes {
+		suspects := []run.Suspect{{Task: "deadly.0.0.0", Kind: "q", Age: 10 * time.Millisecond}}
+		h.ServerCrashed(h.now, "a0", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
+	}
+	if h.submit("deadly", 1, 3000, 60*time.Millisecond) {
+		t.Fatal("the job was admitted")
+	}
+	if o := h.outcomes["deadly"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
+		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
+	}
+}
+
+// Guards against counting one crash as many when each new link of an agent reports it again.
+func TestRepeatedCrashReportCountsOnce(t *testing.T) {
+	h := newHarness(t, 2, 10_000)
+	c := run.Crash{Instance: "i-1", Suspects: []run.Suspect{{Task: "j.0.0.0", Kind: "q"}}}
+	for range 5 {
+		h.ServerCrashed(h.now, "a0", c, 0)
+	}
+	if !h.submit("j", 1, 3000, 60*time.Millisecond) {
+		t.Error("the job was refused after a single crash")
+	}
+}
+
+// Guards against unlimited starts beside agents of an earlier version, which report lost runs but no crashes.
+func TestCrashesAtAgentsOfEarlierVersionCount(t *testing.T) {
+	h := newHarness(t, 5, 10_000)
+	h.submit("deadly", 1, 3000, 60*time.Millisecond)
+	task, starts := "deadly.0.0.0", 0
+	for h.agentOf(task) != "" && starts < 10 {
+		starts++
+		agent := h.agentOf(task)
+		h.endRun(agent, h.orders[agent][0].Ref, run.Stopped, result.ServerLost)
+		h.advance(20 * time.Millisecond)
+	}
+	if starts > maxTaskCrashes {
+		t.Errorf("%d starts, want at most %d", starts, maxTaskCrashes)
+	}
+}
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -235,8 +235,13 @@
 
 // retryTask returns the task of a run that ended without success to the queue.
 func (s *Scheduler) retryTask(now time.Time, a *attempt, e run.Event) {
+	s.countUnreportedCrash(now, a, e.Reason)
 	s.recordDecision(Decision{Kind: Returned, Agent: a.server.agent, Ref: a.ref, Attempt: a.task.attempts, End: e.Kind, Reason: e.Reason})
 	markWaiting(a.task, e)
+	if s.exhausted(a.job) {
+		s.finish(a.job, Outcome{Code: result.ServerCrashes})
+		return
+	}
 	s.resetAvoidedServers(a.job, a.task)
 	s.enqueue(now, a.job)
 }
@@ -255,6 +260,7 @@
 // that cannot finish in time, and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time) {
 	s.endLostRuns(now)
+	s.crashes.sweep(now)
 	s.moveStragglers(now)
 	s.updateSlowdowns()
 	s.review(now)
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -30,6 +30,7 @@
 	leaving        bool                      // the entry stops and takes no more jobs
 	admissionRates map[string]*admissionRate // by service
 	retrySchedules map[string]*retrySchedule // by service
+	crashes        *crashLog
 	expected       expectation
 	opening        int                         // number of agents to which links are being opened
 	partial        bool                        // some agents have no link and none is being opened
@@ -61,6 +62,7 @@
 		dirty:          map[string]*server{},
 		admissionRates: map[string]*admissionRate{},
 		retrySchedules: map[string]*retrySchedule{},
+		crashes:        newCrashLog(),
 	}
 }
 
@@ -166,12 +168,16 @@
 	return j != nil, j != nil && !j.startedAt.IsZero()
 }
 
-// Submit admits a job or rejects it. If it returns false, the outcome is final and nothing has run.
+// Submit admits a job or rejects it. If it returns false, the outcome is final, and this entry has run nothing of
+// the job.
 func (s *Scheduler) Submit(now time.Time, in Job) (Outcome, bool) {
 	if code := s.refusalCode(now, in); code != 0 {
 		return Outcome{Job: in.ID, Code: code, Effect: result.NotRun, RetryAfter: defaultRetryAfter}, false
 	}
 	j := newJob(in)
+	if s.exhausted(j) {
+		return Outcome{Job: in.ID, Code: result.ServerCrashes, Effect: result.Run, LatencyObjective: j.latencyObjective()}, false
+	}
 	j.queueKey = s.queueKeyOf(j)
 	if wait, ok := s.admissible(now, j); !ok {
 		return s.rejection(now, j, wait), false
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -24,6 +24,7 @@
 	stops    map[run.Ref]int
 	claims   []Claim
 	seqs     map[string]uint64 // newest frame received, by agent
+	crashes  map[string]int    // crashes of its backend server, by agent
 }
 
 // newHarness returns a harness with agents a0, a1 and so on, whose backend servers have the given CPU
@@ -31,7 +32,7 @@
 func newHarness(t *testing.T, servers int, cpu int64) *harness {
 	h := &harness{
 		Scheduler: New(testLimits), t: t, now: time.Unix(1000, 0),
-		outcomes: map[string]Outcome{}, orders: map[string][]Order{}, stops: map[run.Ref]int{}, seqs: map[string]uint64{},
+		outcomes: map[string]Outcome{}, orders: map[string][]Order{}, stops: map[run.Ref]int{}, seqs: map[string]uint64{}, crashes: map[string]int{},
 	}
 	for i := range servers {
 		h.connect(fmt.Sprintf("a%d", i), cpu)
@@ -57,7 +58,11 @@
 	for _, o := range h.orders[agent] {
 		free = free.Sub(o.Demand)
 	}
-	h.Report(h.now, agent, Report{Server: serverOf(agent, cpu), Free: free, Ack: h.seqs[agent]})
+	server := serverOf(agent, cpu)
+	if n := h.crashes[agent]; n > 0 {
+		server.Instance = fmt.Sprintf("%s-%d", server.Instance, n)
+	}
+	h.Report(h.now, agent, Report{Server: server, Free: free, Ack: h.seqs[agent]})
 }
 
 // take records the outcomes and batches of the scheduler.
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -72,6 +72,12 @@
 	Lost
 	// Suspended: a backend server gets no more tasks because too many have failed there.
 	Suspended
+	// Crashed: a backend server has crashed with runs that may have caused it.
+	Crashed
+	// Confined: a kind of request is confined to some backend servers because it crashes them.
+	Confined
+	// Released: a confined kind may use all backend servers again.
+	Released
 )
 
 // Decision describes a decision and the facts that it was based on.
@@ -90,6 +96,10 @@
 	Age time.Duration
 	// Free is the available CPU capacity of the backend server before the order, in millicores.
 	Free int64
+	// Suspects is the number of runs that may have caused a crash.
+	Suspects int
+	// Queue is the name of the queue of a kind that is confined or released.
+	Queue string
 }
 
 // Order asks an agent to start a run.
--- a/dispatch/result/catalogue.go
+++ b/dispatch/result/catalogue.go
@@ -81,6 +81,7 @@
 	ResultGone:       {"ResultGone", hasRun, RetryWithNewID, "a task has run and its result is no longer held"},
 	OutcomeUnknown:   {"OutcomeUnknown", unknown, RetryToQuery, "no process can tell whether the submission ran"},
 	TimeLimit:        {"TimeLimit", hasRun, RetryWithNewID, "a task ran longer than the time limit of its kind"},
+	ServerCrashes:    {"ServerCrashes", hasRun, RetryNever, "backend servers crashed while they ran a task of the job, which is not started again"},
 }
 
 var agentCodes = map[Code]Info{
--- a/dispatch/result/result.go
+++ b/dispatch/result/result.go
@@ -57,6 +57,7 @@
 	ResultGone       Code = 3006
 	OutcomeUnknown   Code = 3007
 	TimeLimit        Code = 3008
+	ServerCrashes    Code = 3009
 )
 
 // Codes of the 4000 range are refusals that an agent sends to an entry. All of them mean "not run",
