Confine a kind of request that crashes backend servers to a part of them

Cause: all kinds share all servers, and new crashing jobs come faster than servers return. Giving up single tasks does not help.

While a kind crashes servers it gets a quarter of them, one job at a time from each entry, and the others keep the rest. Entries choose the same servers by a rendezvous hash. Evidence: three crashes within 3 s, or two with the same young task, and the ages of the runs in them: a likelihood ratio for each kind, which takes into account how often its tasks start. Servers that crash at the same moment count as one crash, so that a rack that loses power blames nobody. A suspect of a confined kind runs alone, so that its next crash proves its guilt, behind the jobs that are none. A kind that no server of the bulkhead can take is rejected at once, not run, with retry advice. It is released after 2 s in which it had servers and none crashed.

--- a/dispatch/jobs/admit.go
+++ b/dispatch/jobs/admit.go
@@ -24,6 +24,9 @@
 	if !j.Deadline.IsZero() && now.Add(wait+time.Duration(minRunTimeFactor*float64(j.criticalPath))).After(j.Deadline) {
 		return wait, false
 	}
+	if s.confined(j) && !s.bulkheadAvailable(j.Queue.Service) {
+		return defaultRetryAfter, false
+	}
 	if wait == 0 || s.canStartNow(now, j) {
 		return 0, true
 	}
--- a/dispatch/jobs/attempt.go
+++ b/dispatch/jobs/attempt.go
@@ -54,7 +54,7 @@
 func (s *Scheduler) orderRun(now time.Time, j *job, t *task, v *server) {
 	step := j.Steps[t.step]
 	a := &attempt{
-		ref: s.newRunRef(now, t), job: j, task: t, server: v, instance: v.state.Instance, demand: step.Demand, seq: v.seq + 1, orderedAt: now, startedAt: now,
+		ref: s.newRunRef(now, t), job: j, task: t, server: v, instance: v.state.Instance, demand: s.demandOn(j, t, v), seq: v.seq + 1, orderedAt: now, startedAt: now,
 		localityFactor: s.localityFactor(step, v),
 	}
 	t.state = taskPlaced
@@ -65,6 +65,7 @@
 		Expected: time.Duration(float64(j.expectedRunTime(t)) * a.slowdown()),
 	})
 	v.runs[a.ref] = a
+	s.bulkheads.service(j.Queue.Service).kind(j.Queue.Name).starts.add(now)
 	v.lastOrder = now
 	v.probes = s.nextProbeCount(v)
 	v.unacked = append(v.unacked, a)
--- /dev/null
+++ b/dispatch/jobs/bulkhead.go
@@ -0,0 +1,217 @@
+package jobs
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"poplargw.example/dispatch/rendezvous"
+)
+
+const (
+	// simultaneousCrashes is the time within which crashes count as one: they have a cause outside the tasks,
+	// such as a rack that lost power.
+	simultaneousCrashes = 30 * time.Millisecond
+	// stormCrashes within stormWindow make a storm, after which the kind of request that most likely causes it is
+	// confined to a part of the backend servers. Two crashes suffice if both had the same task.
+	stormCrashes  = 3
+	stormWindow   = 3 * time.Second
+	repeatCrashes = 2
+	// bulkheadShare is the share of the backend servers of a service to which kinds are confined.
+	bulkheadShare = 0.25
+	// releaseAfter is how long a confined kind must have had backend servers without another crash before it is
+	// released.
+	releaseAfter = 2 * time.Second
+	// kindMemory is how long a kind without new jobs counts as one that shares the service.
+	kindMemory = 30 * time.Second
+)
+
+// kindState is what is known of one kind of request of a service.
+type kindState struct {
+	arrived time.Time // arrival of the newest job
+	// confined is set while the kind is confined; served is for how long it has had backend servers since the
+	// newest crash.
+	confined bool
+	served   time.Duration
+	// starts is the rate at which this entry starts tasks of the kind.
+	starts startRate
+}
+
+// serviceCrashes is what is known of the crashes and kinds of request of a service.
+type serviceCrashes struct {
+	kinds  map[string]*kindState // by the name of the queue
+	recent []stormCrash          // within stormWindow
+	// active is set while some backend servers are set apart for confined kinds.
+	active bool
+}
+
+// bulkheads confines the kinds of request that crash backend servers, so that the other kinds keep the rest.
+type bulkheads struct {
+	services map[string]*serviceCrashes
+	at       time.Time // time of the newest update
+}
+
+func newBulkheads() *bulkheads { return &bulkheads{services: map[string]*serviceCrashes{}} }
+
+// service returns the state of a service.
+func (b *bulkheads) service(name string) *serviceCrashes {
+	if b.services[name] == nil {
+		b.services[name] = &serviceCrashes{kinds: map[string]*kindState{}}
+	}
+	return b.services[name]
+}
+
+// kind returns the state of a kind.
+func (c *serviceCrashes) kind(name string) *kindState {
+	if c.kinds[name] == nil {
+		c.kinds[name] = &kindState{}
+	}
+	return c.kinds[name]
+}
+
+// addCrash records a crash at the given time and returns the kind that is confined because of it, or "".
+// Reports of crashes need not come in order of time.
+func (b *bulkheads) addCrash(now time.Time, service string, crash stormCrash) string {
+	c := b.service(service)
+	for name := range crash.evidence {
+		c.kind(name).served = 0
+	}
+	c.recent = slices.DeleteFunc(c.recent, func(s stormCrash) bool { return now.Sub(s.at) > stormWindow })
+	if now.Sub(crash.at) > stormWindow {
+		return ""
+	}
+	for i := range c.recent {
+		if c.recent[i].at.Sub(crash.at).Abs() <= simultaneousCrashes {
+			c.recent[i].merge(crash)
+			return ""
+		}
+	}
+	c.recent = append(c.recent, crash)
+	name := c.culprit()
+	if name == "" || c.kind(name).confined || !c.hasOthers(now, name) {
+		return ""
+	}
+	c.kind(name).confined = true
+	return name
+}
+
+// hasOthers reports whether another kind of the service has had jobs lately and is not confined. A kind that
+// has the service to itself is not confined: there is nobody to protect from it.
+func (c *serviceCrashes) hasOthers(now time.Time, name string) bool {
+	for other, k := range c.kinds {
+		if other != name && !k.confined && now.Sub(k.arrived) <= kindMemory {
+			return true
+		}
+	}
+	return false
+}
+
+// isConfined reports whether the kind is confined.
+func (b *bulkheads) isConfined(service, name string) bool {
+	c := b.services[service]
+	if c == nil || c.kinds[name] == nil {
+		return false
+	}
+	return c.kinds[name].confined
+}
+
+// anyConfined reports whether a kind of the service is confined.
+func (b *bulkheads) anyConfined(service string) bool {
+	c := b.services[service]
+	if c == nil {
+		return false
+	}
+	for _, k := range c.kinds {
+		if k.confined {
+			return true
+		}
+	}
+	return false
+}
+
+// confined reports whether the job's kind is confined.
+func (s *Scheduler) confined(j *job) bool {
+	return s.bulkheads.isConfined(j.Queue.Service, j.Queue.Name)
+}
+
+// updateBulkheads releases kinds, and chooses the backend servers of each bulkhead.
+func (s *Scheduler) updateBulkheads(now time.Time) {
+	b := s.bulkheads
+	elapsed := now.Sub(b.at)
+	b.at = now
+	s.crashes.sweep(now)
+	for service, c := range b.services {
+		confined := b.anyConfined(service)
+		if confined || c.active {
+			s.chooseBulkhead(service, confined)
+		}
+		c.active = confined
+		if !confined {
+			continue
+		}
+		available := s.bulkheadAvailable(service)
+		for name, k := range c.kinds {
+			if k.confined && available {
+				k.served += elapsed
+			}
+			if k.confined && k.served > releaseAfter {
+				k.confined = false
+				c.recent = nil
+				s.recordDecision(Decision{Kind: Released, Queue: name})
+			}
+		}
+	}
+}
+
+// bulkheadAvailable reports whether a backend server of the service's bulkhead accepts tasks.
+func (s *Scheduler) bulkheadAvailable(service string) bool {
+	for _, v := range s.fleet {
+		if v.inBulkhead && v.state.Service == service && v.acceptsTasks(s.outOfService) {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseBulkhead marks the backend servers of the service's bulkhead, or none if it is not active. All
+// entries choose the same: those with the highest scores of a rendezvous hash. An entry that knows only a
+// part of the agents takes those whose score is above a bound instead.
+func (s *Scheduler) chooseBulkhead(service string, active bool) {
+	var members []*server
+	for _, v := range s.fleet {
+		if v.state.Service != service {
+			continue
+		}
+		v.inBulkhead = false
+		members = append(members, v)
+	}
+	if !active || len(members) < 2 {
+		return
+	}
+	score := func(v *server) uint64 { return rendezvous.Score(v.agent, []byte(service)) }
+	sort.Slice(members, func(i, j int) bool { return score(members[i]) > score(members[j]) })
+	size := max(1, int(math.Round(bulkheadShare*float64(len(members)))))
+	for i, v := range members {
+		above := float64(score(v)) >= (1-bulkheadShare)*math.MaxUint64
+		v.inBulkhead = i == 0 || s.partial && above || !s.partial && i < size
+	}
+}
+
+// bulkheadAllows reports whether the job's kind may use the backend server: a confined kind only those of
+// the bulkhead, one job at a time, and the others only the rest.
+func (s *Scheduler) bulkheadAllows(j *job, v *server) bool {
+	confined := s.confined(j)
+	if confined != v.inBulkhead {
+		return false
+	}
+	if !confined {
+		return true
+	}
+	for _, a := range v.runs {
+		if a.job != j {
+			return false
+		}
+	}
+	return true
+}
--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -131,9 +131,17 @@
 	}
 	shares := blameShares(c.Suspects)
 	s.recordDecision(Decision{Kind: Crashed, Agent: agent, Suspects: len(c.Suspects)})
+	repeated := map[string]bool{} // kinds of tasks that were young in an earlier crash too
 	for i, suspect := range c.Suspects {
+		before := s.crashes.tasks[suspect.Task]
+		if before != nil && at.Sub(before.newest) > simultaneousCrashes && suspect.Age <= youngRun {
+			repeated[suspect.Kind] = true
+		}
 		s.crashes.addTask(at, suspect.Task, shares[i])
 	}
+	if v := s.servers[agent]; v != nil {
+		s.blameKind(now, at, v, c.Suspects, repeated)
+	}
 	for _, suspect := range c.Suspects {
 		if j := s.jobs[jobOf(suspect.Task)]; j != nil && s.exhausted(j) {
 			s.finish(j, Outcome{Code: result.ServerCrashes})
@@ -141,6 +149,28 @@
 	}
 }
 
+// blameKind adds a crash of the agent's backend server to the evidence against the kinds of request, and confines
+// one if it is sufficient.
+func (s *Scheduler) blameKind(now, at time.Time, v *server, suspects []run.Suspect, repeated map[string]bool) {
+	service := v.state.Service
+	kinds := s.bulkheads.service(service).kinds
+	crash := stormCrash{at: at, repeated: len(repeated) > 0}
+	crash.evidence = evidenceOf(suspects, kinds, func(kind string) float64 {
+		if kinds[kind] == nil {
+			return 0
+		}
+		servers := s.capacity(service, pool{}).servers + s.capacity(service, pool{confined: true}).servers
+		return kinds[kind].starts.rate(now) * float64(max(1, v.entries)) / float64(max(1, servers))
+	})
+	for kind := range repeated {
+		crash.evidence[kind] += repeatEvidence
+	}
+	if name := s.bulkheads.addCrash(now, service, crash); name != "" {
+		s.recordDecision(Decision{Kind: Confined, Agent: v.agent, Queue: name})
+		s.updateBulkheads(now)
+	}
+}
+
 // exhausted reports whether a task of the job must not start again because backend servers crashed under it.
 func (s *Scheduler) exhausted(j *job) bool {
 	for _, t := range j.tasks {
@@ -159,3 +189,32 @@
 	}
 	s.crashes.addTask(now, a.task.name, 0)
 }
+
+// mustRunAlone reports whether the task may have crashed a backend server and belongs to a confined kind, or has
+// been in two crashes. Another crash then shows which task causes it.
+func (s *Scheduler) mustRunAlone(j *job, t *task) bool {
+	c := s.crashes.tasks[t.name]
+	return c != nil && (c.count >= minBlamedCrashes || s.confined(j))
+}
+
+// hasSuspects reports whether a waiting task of the job must run alone.
+func (s *Scheduler) hasSuspects(j *job) bool {
+	if len(s.crashes.tasks) == 0 {
+		return false
+	}
+	for _, t := range j.tasks {
+		if t.state == taskWaiting && s.mustRunAlone(j, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// demandOn returns what a run of the task occupies on the backend server: all of it if the task must run
+// alone.
+func (s *Scheduler) demandOn(j *job, t *task, v *server) run.Demand {
+	if s.mustRunAlone(j, t) {
+		return v.state.Capacity
+	}
+	return j.Steps[t.step].Demand
+}
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/route"
 	"poplargw.example/dispatch/run"
 )
 
@@ -128,3 +129,88 @@
 		t.Errorf("%d starts, want at most %d", starts, maxTaskCrashes)
 	}
 }
+
+// otherQueue is a second kind of request of the same service.
+var otherQueue = route.Queue{Name: "other", Service: "svc", Attempts: 2, Stretch: 1.6, Latency: 60 * time.Millisecond}
+
+// confine makes jobs of testQueue crash three backend servers, so that the queue is confined.
+func (h *harness) confine() {
+	h.submitTo(otherQueue, "bystander", 1, 100, 50*time.Millisecond)
+	for i := range stormCrashes {
+		task := fmt.Sprintf("deadly-%d.0.0.0", i)
+		suspects := []run.Suspect{{Task: task, Kind: testQueue.Name, Age: 10 * time.Millisecond}, {Task: "x.0.0.0", Kind: otherQueue.Name, Age: time.Second}}
+		h.ServerCrashed(h.now, "a0", run.Crash{Instance: task, Suspects: suspects}, 0)
+		h.advance(100 * time.Millisecond)
+	}
+}
+
+// Guards against a kind of request that takes all backend servers of a service down: it is confined to a part of
+// them, and the others use the rest.
+func TestKindThatCrashesServersIsConfined(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	h.confine()
+	h.submit("confined", 8, 3000, 50*time.Millisecond)
+	h.submitTo(otherQueue, "free", 8, 3000, 50*time.Millisecond)
+	used := map[string]map[string]bool{}
+	for agent, list := range h.orders {
+		for _, o := range list {
+			if used[o.Kind] == nil {
+				used[o.Kind] = map[string]bool{}
+			}
+			used[o.Kind][agent] = true
+		}
+	}
+	if n := len(used[testQueue.Name]); n != 2 {
+		t.Errorf("the confined kind uses %d of 8 backend servers, want 2", n)
+	}
+	for agent := range used[testQueue.Name] {
+		if used[otherQueue.Name][agent] {
+			t.Errorf("both kinds use %s", agent)
+		}
+	}
+}
+
+// Guards against confining a kind for ever: without further crashes it may use all backend servers again.
+func TestConfinedKindIsReleased(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	h.confine()
+	if !h.bulkheads.isConfined("svc", testQueue.Name) {
+		t.Fatal("the kind is not confined")
+	}
+	for range int(releaseAfter/(20*time.Millisecond)) + 2 {
+		h.advance(20 * time.Millisecond)
+	}
+	if h.bulkheads.isConfined("svc", testQueue.Name) {
+		t.Errorf("the kind is still confined %s after the newest crash", releaseAfter)
+	}
+}
+
+// Guards against blaming the tasks for a rack that loses power: its backend servers crash at the same time.
+func TestSimultaneousCrashesConfineNoKind(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	h.submitTo(otherQueue, "bystander", 1, 100, 50*time.Millisecond)
+	for i := range 6 {
+		suspects := []run.Suspect{{Task: fmt.Sprintf("j%d.0.0.0", i), Kind: testQueue.Name, Age: 10 * time.Millisecond}}
+		h.ServerCrashed(h.now, fmt.Sprintf("a%d", i), run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, 0)
+	}
+	if h.bulkheads.anyConfined("svc") {
+		t.Error("a kind is confined")
+	}
+}
+
+// Guards against holding jobs of a confined kind that no backend server can take: they are rejected at once.
+func TestConfinedKindIsRejectedAtOnceWhileItsServersAreDown(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	h.confine()
+	for _, v := range h.fleet {
+		if v.inBulkhead {
+			v.state.State = run.Absent
+		}
+	}
+	if h.submit("j", 1, 3000, 50*time.Millisecond) {
+		t.Fatal("the job was admitted")
+	}
+	if o := h.outcomes["j"]; o.Effect != result.NotRun || o.RetryAfter <= 0 {
+		t.Errorf("outcome %+v, want not run, with retry advice", o)
+	}
+}
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -243,6 +243,7 @@
 		return
 	}
 	s.resetAvoidedServers(a.job, a.task)
+	s.dequeue(a.job)
 	s.enqueue(now, a.job)
 }
 
@@ -260,7 +261,7 @@
 // that cannot finish in time, and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time) {
 	s.endLostRuns(now)
-	s.crashes.sweep(now)
+	s.updateBulkheads(now)
 	s.moveStragglers(now)
 	s.updateSlowdowns()
 	s.review(now)
--- a/dispatch/jobs/fit.go
+++ b/dispatch/jobs/fit.go
@@ -17,7 +17,7 @@
 // eligible reports whether the task may be placed on the backend server now.
 func (s *Scheduler) eligible(now time.Time, j *job, t *task, v *server) bool {
 	step := j.Steps[t.step]
-	if !s.hasCapacity(now, j, t, v) || t.avoided[v.state.Instance] {
+	if !s.bulkheadAllows(j, v) || !s.hasCapacity(now, j, t, v) || t.avoided[v.state.Instance] {
 		return false
 	}
 	if step.MaxPerServer > 0 && s.runsOfStep(j, t.step, v) >= step.MaxPerServer {
@@ -32,7 +32,7 @@
 	switch {
 	case !v.acceptsTasks(s.outOfService), v.state.Service != j.Queue.Service, now.Before(v.pausedUntil):
 		return false
-	case !step.Demand.Fits(v.available()), !v.state.HasLabel(step.Label), len(v.runs) >= v.health.Limit(now):
+	case !s.demandOn(j, t, v).Fits(v.available()), !v.state.HasLabel(step.Label), len(v.runs) >= v.health.Limit(now):
 		return false
 	}
 	return true
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -67,8 +67,8 @@
 		if t.state != taskWaiting || !j.runnable(t) || !v.state.HasLabel(step.Label) || !step.Demand.Fits(v.state.Capacity) {
 			continue
 		}
-		if !t.avoided[v.state.Instance] && s.fastEnough(now, j, t, v) {
-			sum = sum.Add(step.Demand)
+		if !t.avoided[v.state.Instance] && s.bulkheadAllows(j, v) && s.fastEnough(now, j, t, v) {
+			sum = sum.Add(s.demandOn(j, t, v))
 		}
 	}
 	return sum
@@ -95,8 +95,11 @@
 }
 
 // isLate reports whether the job belongs behind those that can still meet their objective. A job that
-// has started is late only if its result would no longer be useful.
+// has started is late only if its result would no longer be useful, or if it may have crashed a backend server.
 func (s *Scheduler) isLate(now time.Time, j *job) bool {
+	if s.hasSuspects(j) {
+		return true
+	}
 	if !j.startedAt.IsZero() {
 		return now.Add(j.criticalPath).After(j.usefulUntil())
 	}
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -54,6 +54,8 @@
 	cpuCapacity int64   // in millicores
 	slowdown    float64 // factor on the run time of tasks
 	dead        bool
+	down        bool // its backend server has crashed and is not back yet
+	crashes     int
 	failing     bool // its runs fail at their end
 	stalled     bool // its runs make no progress
 	runs        map[run.Ref]*simRun
@@ -178,8 +180,9 @@
 	// heartbeatInterval is the time between two reports of a machine without other messages.
 	heartbeatInterval time.Duration
 	// weights are the entries' shares of the callers; nil means equal shares.
-	weights []float64
-	byID    map[string]*machine
+	weights  []float64
+	byID     map[string]*machine
+	crashing *crashFault // nil if no task crashes its backend server
 	// partners are the partner sets of entries that do not have links to all machines; see
 	// largefleet_test.go.
 	partners []*partner.Set
@@ -262,6 +265,12 @@
 	v := serverOf(m.id, m.cpuCapacity)
 	v.Domain = m.domain
 	v.Service = m.service
+	if m.crashes > 0 {
+		v.Instance = fmt.Sprintf("%s-%d", v.Instance, m.crashes)
+	}
+	if m.down {
+		v.State = run.Absent
+	}
 	return v
 }
 
@@ -430,6 +439,10 @@
 	var refused []run.Event
 	for _, o := range b.Orders {
 		sim.orderCount++
+		if m.down {
+			refused = append(refused, run.Event{Ref: o.Ref, Kind: run.NotRun, Reason: result.StartTooLate})
+			continue
+		}
 		if !o.Demand.Fits(m.freeFor(i, sim.now)) {
 			sim.refusedCount++
 			refused = append(refused, run.Event{Ref: o.Ref, Kind: run.NotRun, Reason: result.NoFreeSlot})
@@ -439,6 +452,7 @@
 		r := &simRun{entry: i, cpu: o.Demand.CPU, work: sim.taskWork[o.Ref.Task], progressAt: sim.now, startedAt: sim.now}
 		m.runs[o.Ref] = r
 		sim.scheduleEnd(m, o.Ref, r)
+		sim.scheduleCrash(m, o, r)
 	}
 	for _, ref := range b.Stops {
 		sim.after(10*time.Millisecond, func() {
@@ -572,6 +586,7 @@
 		sim.taskWork[run.TaskName(id, 0, 0, t)] = time.Duration(work * float64(time.Second))
 	}
 	sim.longestTask[id], sim.arrived[id], sim.kindOfJob[id] = time.Duration(longest*float64(time.Second)), sim.now, k
+	sim.crashing.choose(sim, id, k)
 	i := sim.pickEntry()
 	o, ok := sim.entries[i].Submit(sim.now, Job{
 		ID: id, Arrived: sim.now,
--- a/dispatch/jobs/retry.go
+++ b/dispatch/jobs/retry.go
@@ -68,7 +68,7 @@
 	}
 	schedule.advance(now)
 	share := max(minRetryShare, 1-retrySharePerPriority*float64(j.Queue.Priority))
-	limit := retryShare * share * s.throughput(now, j.Queue.Service, j.waitingShape().pool()) * retrySlot.Seconds()
+	limit := retryShare * share * s.throughput(now, j.Queue.Service, s.poolOf(j)) * retrySlot.Seconds()
 	seconds, ok := schedule.reserve(int((wait+retrySlot-1)/retrySlot), j.cpuTime(), limit)
 	if !ok {
 		o.Code = result.Overloaded
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -31,6 +31,7 @@
 	admissionRates map[string]*admissionRate // by service
 	retrySchedules map[string]*retrySchedule // by service
 	crashes        *crashLog
+	bulkheads      *bulkheads
 	expected       expectation
 	opening        int                         // number of agents to which links are being opened
 	partial        bool                        // some agents have no link and none is being opened
@@ -63,6 +64,7 @@
 		admissionRates: map[string]*admissionRate{},
 		retrySchedules: map[string]*retrySchedule{},
 		crashes:        newCrashLog(),
+		bulkheads:      newBulkheads(),
 	}
 }
 
@@ -175,6 +177,7 @@
 		return Outcome{Job: in.ID, Code: code, Effect: result.NotRun, RetryAfter: defaultRetryAfter}, false
 	}
 	j := newJob(in)
+	s.bulkheads.service(in.Queue.Service).kind(in.Queue.Name).arrived = now
 	if s.exhausted(j) {
 		return Outcome{Job: in.ID, Code: result.ServerCrashes, Effect: result.Run, LatencyObjective: j.latencyObjective()}, false
 	}
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -37,6 +37,8 @@
 	unanswered int       // consecutive orders without an answer
 	// pausedUntil is when the agent gets orders again after it refused or did not answer some.
 	pausedUntil time.Time
+	// inBulkhead is set while the backend server takes only tasks of confined kinds.
+	inBulkhead bool
 }
 
 // available returns the free capacity less the demand of the orders that the agent's report does not
--- a/dispatch/jobs/shape.go
+++ b/dispatch/jobs/shape.go
@@ -1,10 +1,6 @@
 package jobs
 
-import (
-	"math/bits"
-
-	"poplargw.example/dispatch/run"
-)
+import "math/bits"
 
 // shape is a coarse description of what the tasks of a step require from a backend server: tasks of the
 // same shape wait for the same capacity. CPU, memory and GPUs are grouped into power-of-two size
@@ -29,19 +25,27 @@
 // pool identifies the backend servers of a service that a step may use, as far as admission
 // distinguishes them.
 type pool struct {
-	label string
-	gpu   bool
+	label    string
+	gpu      bool
+	confined bool // the pool is the bulkhead of the service instead of the rest
 }
 
 // pool returns the pool that tasks of the shape use.
 func (h shape) pool() pool { return pool{label: h.label, gpu: h.gpu > 0} }
 
-// wholeService reports whether the pool contains all backend servers of the service.
-func (p pool) wholeService() bool { return p == pool{} }
+// wholeService reports whether the pool contains all backend servers of the service, or of its bulkhead.
+func (p pool) wholeService() bool { return p.label == "" && !p.gpu }
+
+// contains reports whether the pool includes the backend server.
+func (p pool) contains(v *server) bool {
+	return v.inBulkhead == p.confined && v.state.HasLabel(p.label) && (!p.gpu || v.state.Capacity.GPU > 0)
+}
 
-// contains reports whether the pool includes a backend server with the given state.
-func (p pool) contains(v *run.Server) bool {
-	return v.HasLabel(p.label) && (!p.gpu || v.Capacity.GPU > 0)
+// poolOf returns the pool that the job's next waiting task uses.
+func (s *Scheduler) poolOf(j *job) pool {
+	p := j.waitingShape().pool()
+	p.confined = s.confined(j)
+	return p
 }
 
 // waitingShape returns the shape of the first runnable task that waits, or the zero shape.
--- a/dispatch/jobs/startnow.go
+++ b/dispatch/jobs/startnow.go
@@ -30,7 +30,7 @@
 		if !s.eligible(now, j, t, v) {
 			continue
 		}
-		fit := step.Demand.Count(v.available())
+		fit := s.demandOn(j, t, v).Count(v.available())
 		if step.MaxPerServer > 0 {
 			fit = min(fit, step.MaxPerServer)
 		}
--- a/dispatch/jobs/throughput.go
+++ b/dispatch/jobs/throughput.go
@@ -17,7 +17,7 @@
 	if backlog == 0 {
 		return 0
 	}
-	throughput := s.throughput(now, j.Queue.Service, j.waitingShape().pool())
+	throughput := s.throughput(now, j.Queue.Service, s.poolOf(j))
 	if throughput <= 0 && s.WarmingUp(now) {
 		return 0
 	}
@@ -32,7 +32,7 @@
 func (s *Scheduler) expectedLateWait(now time.Time, j *job) time.Duration {
 	wait := s.expectedWait(now, j, s.onTime, s.late)
 	admitted := s.admissionRates[j.Queue.Service]
-	throughput := s.throughput(now, j.Queue.Service, j.waitingShape().pool())
+	throughput := s.throughput(now, j.Queue.Service, s.poolOf(j))
 	if admitted == nil || throughput <= 0 {
 		return wait
 	}
@@ -53,7 +53,7 @@
 // backlog returns the CPU time, in millicore-seconds, that the jobs before j need on the backend
 // servers that j may use.
 func (s *Scheduler) backlog(j *job, lists [][]*job) float64 {
-	own := j.waitingShape().pool()
+	own := s.poolOf(j)
 	share := s.poolShare(j.Queue.Service, own)
 	sum := 0.0
 	for _, list := range lists {
@@ -61,7 +61,8 @@
 			if o == j || o.Queue.Service != j.Queue.Service || o.late == j.late && o.queueKey.After(j.queueKey) {
 				continue
 			}
-			switch other := o.waitingShape().pool(); {
+			switch other := s.poolOf(o); {
+			case other.confined != own.confined:
 			case other == own:
 				sum += o.waitingCPUTime()
 			case other.wholeService():
@@ -77,7 +78,7 @@
 	if p.wholeService() {
 		return 1
 	}
-	all := s.capacity(service, pool{})
+	all := s.capacity(service, pool{confined: p.confined})
 	if all.effectiveCPU <= 0 {
 		return 0
 	}
@@ -120,7 +121,7 @@
 func (s *Scheduler) capacity(service string, p pool) capacity {
 	var c capacity
 	for _, v := range s.fleet {
-		if !v.acceptsTasks(s.outOfService) || v.state.Service != service || !p.contains(&v.state) {
+		if !v.acceptsTasks(s.outOfService) || v.state.Service != service || !p.contains(v) {
 			continue
 		}
 		c.servers++
@@ -137,7 +138,7 @@
 func (s *Scheduler) ownCPU(service string, p pool) int64 {
 	var sum int64
 	for _, v := range s.fleet {
-		if v.state.Service != service || !p.contains(&v.state) {
+		if v.state.Service != service || !p.contains(v) {
 			continue
 		}
 		for _, a := range v.runs {
