runagent: save the announcement when the capacity changes

After a restart, an agent restored the capacity that its backend server had announced with its last change of instance or state. If the capacity had shrunk since, the agent started runs beyond it until the next heartbeat: only a new instance or state led to a save.

Because each heartbeat may bring another capacity and writes to the store have a price, the agent saves at most once a second. A save that is a second late is still within the time for which a shrunk capacity may be exceeded.

Before: TestChangedCapacityIsSaved/cpu: capacity {CPU:4000 MemoryMB:1000 GPU:0} is not saved; saved: [] (memory and gpu likewise), and TestSavesOfChangedCapacityAreCoalesced: capacity {CPU:6961 MemoryMB:1000 GPU:0} is not saved; saved: []

--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -118,9 +118,10 @@
 	defer a.mu.Unlock()
 	before := a.table.Server(boottime.Now())
 	a.deliver(a.table.Announce(boottime.Now(), s, incarnation))
-	if before.Instance != s.Instance || before.State != s.State {
+	if !before.Equal(&s) {
 		a.Log.Info(event.ServerStateChanged, event.Fields{
-			"instance": s.Instance, "service": s.Service, "state": int(s.State), "cpu": s.Capacity.CPU, "runs": a.table.Len(),
+			"instance": s.Instance, "service": s.Service, "state": int(s.State),
+			"cpu": s.Capacity.CPU, "memory_mb": s.Capacity.MemoryMB, "gpu": s.Capacity.GPU, "runs": a.table.Len(),
 		})
 		a.queueSave(Announcement{Server: s, Incarnation: incarnation})
 		a.sendStateToAll()
--- a/daemon/runagent/announcement.go
+++ b/daemon/runagent/announcement.go
@@ -38,6 +38,9 @@
 	// resaveInterval is the time between two saves of an unchanged announcement. The store deletes an
 	// announcement that has not been saved for some minutes.
 	resaveInterval = 3 * time.Minute
+	// minSaveInterval is the time after a save during which changes are only collected: writes to the store
+	// have a price, and the capacity may change with each announcement.
+	minSaveInterval = time.Second
 )
 
 // queueSave passes an announcement to saveLoop, in place of one that is still queued. The caller must hold
@@ -50,7 +53,8 @@
 	a.pendingSave <- n
 }
 
-// saveLoop saves each new announcement, and the latest one again every resaveInterval, until ctx ends.
+// saveLoop saves the newest announcement after each change, at most once every minSaveInterval, and again every
+// resaveInterval, until ctx ends.
 func (a *Agent) saveLoop(ctx context.Context) {
 	if a.Announcements == nil {
 		return
@@ -65,9 +69,11 @@
 		case <-ctx.Done():
 			return
 		}
-		if latest.Incarnation != 0 {
-			a.save(ctx, latest)
+		if latest.Incarnation == 0 {
+			continue
 		}
+		a.save(ctx, latest)
+		boottime.Sleep(ctx, minSaveInterval)
 	}
 }
 
