runtable: do not offer a negative amount of an overused resource

When the capacity shrank below what runs, entries' orders could exceed it: an offer made then contained the negative free amount of that resource. The capacity that is free for an entry is what is free less the offers of the others, so the negative offer was added to it, and with the end of a run within the 12 ms of the offer it exceeded what was free.

Next treats a negative rest as nothing to offer. TestShrunkCapacityRefusesOrders passed before as well.

Before: TestOverusedResourceIsNotOffered/memory: free for another entry after the end: {CPU:7000 MemoryMB:400 GPU:3} of {CPU:8000 MemoryMB:300 GPU:4}; /gpu: {CPU:7000 MemoryMB:700 GPU:2} of {CPU:8000 MemoryMB:800 GPU:1}

--- a/dispatch/runtable/offers.go
+++ b/dispatch/runtable/offers.go
@@ -96,7 +96,7 @@
 	sort.Slice(owners, func(i, j int) bool { return o.hasPriority(owners[i], owners[j]) })
 	var offered []string
 	for _, owner := range owners {
-		demand := minDemand(o.requests[owner].demand, remaining)
+		demand := minDemand(o.requests[owner].demand, clampToZero(remaining))
 		if demand.CPU <= 0 {
 			break
 		}
