runagent: test an order whose copy is refused for lack of capacity

No fault was found: awaitStart takes a refusal as final only if no other copy was sent. The test covers the case in which the first copy of an order has started without an answer and the second one is refused with "room", because the run itself uses the capacity.

--- a/daemon/runagent/calls_test.go
+++ b/daemon/runagent/calls_test.go
@@ -109,3 +109,29 @@
 		t.Errorf("%d copies sent, response %+v", sent, v)
 	}
 }
+
+// Guards against a run that is reported as not run because a copy of its order was refused for lack of the
+// capacity that the run itself uses: its task would be started a second time elsewhere.
+func TestCopyRefusedForCapacityDoesNotEndRun(t *testing.T) {
+	b := &fakeBackend{unanswered: 1, err: &Refused{Code: result.NoFreeSlot, Reason: "room"}}
+	a, ref := newAgentWithOrder(b)
+	a.startRun(t.Context(), ref)
+	if n := b.starts.Load(); n < 2 {
+		t.Fatalf("%d copies of the order sent", n)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if free := a.table.Free(); a.table.Len() != 1 || free.CPU != 7999 {
+		t.Fatalf("%d runs, %d CPU free: the capacity of the run is not counted", a.table.Len(), free.CPU)
+	}
+	now := boottime.Now()
+	events := a.table.ApplySnapshot(now, runtable.Snapshot{
+		Incarnation: 1, ClockMS: 10_000, Running: []runtable.RunningRun{{Ref: ref}},
+	})
+	if len(events) != 0 || len(a.table.Progress(now, "e")) != 1 {
+		t.Errorf("events %+v after a snapshot with the run", events)
+	}
+	if events := a.table.Rejected(now, ref, result.NoFreeSlot); len(events) != 0 {
+		t.Errorf("refusal of a copy ends the run that a snapshot shows: %+v", events)
+	}
+}
