runtable: vary capacity and all three resources in the model

The model's backend server had a fixed capacity and only CPU. Its capacity now changes between orders, demands have CPU, memory and GPUs, runs are stopped, and a second entry requests capacity. Each accepted order must leave what runs, or may still start, within the capacity of that time; the former check against the largest capacity stays.

--- a/dispatch/runtable/model_test.go
+++ b/dispatch/runtable/model_test.go
@@ -14,7 +14,7 @@
 type modelServer struct {
 	clock           int64
 	lease           int64
-	running         map[run.Ref]int64 // CPU in use by run
+	running         map[run.Ref]run.Demand // resources in use by run
 	highestEndedRun map[string]uint64
 	ended           []EndedRun
 	lastEndNumber   int64
@@ -38,14 +38,14 @@
 }
 
 // start starts the run and reports whether the order was accepted.
-func (m *modelServer) start(ref run.Ref, cpu, expiry int64) bool {
+func (m *modelServer) start(ref run.Ref, demand run.Demand, expiry int64) bool {
 	if _, ok := m.running[ref]; ok {
 		return true
 	}
 	if m.clock > expiry || ref.Run <= m.highestEndedRun[ref.Task] {
 		return false
 	}
-	m.running[ref] = cpu
+	m.running[ref] = demand
 	m.lease = max(m.lease, expiry)
 	return true
 }
@@ -66,21 +66,55 @@
 	return snap
 }
 
+// possibleUse returns the resources that are in use if every pending order that can still start does.
+func (m *modelServer) possibleUse(pending []pendingOrder) run.Demand {
+	var used run.Demand
+	for _, demand := range m.running {
+		used = used.Add(demand)
+	}
+	for _, o := range pending {
+		if m.clock <= o.expiry && o.ref.Run > m.highestEndedRun[o.ref.Task] {
+			used = used.Add(o.demand)
+		}
+	}
+	return used
+}
+
+// drawDemand draws an amount of each resource, between low and high tenths of the largest capacity.
+func drawDemand(t *rapid.T, low, high int64) run.Demand {
+	return run.Demand{
+		CPU:      rapid.Int64Range(low, high).Draw(t, "cpu") * 1000,
+		MemoryMB: rapid.Int64Range(low, high).Draw(t, "memory") * 100,
+		GPU:      rapid.Int64Range(low, high).Draw(t, "gpu"),
+	}
+}
+
 // pendingOrder is an order that the backend server has not carried out yet.
 type pendingOrder struct {
-	ref         run.Ref
-	cpu, expiry int64
+	ref    run.Ref
+	demand run.Demand
+	expiry int64
 }
 
+// largestCapacity is the largest capacity that the model's backend server has.
+var largestCapacity = run.Demand{CPU: 10_000, MemoryMB: 1000, GPU: 10}
+
 // Guards against runs that exceed the capacity, and against reporting the end of a run that still
 // runs or can still start, after any sequence of late orders, lost answers, late snapshots, pauses,
-// ends, stops and agent restarts.
+// ends, stops, changes of the capacity and agent restarts.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &modelServer{clock: 5000, running: map[run.Ref]int64{}, highestEndedRun: map[string]uint64{}}
+		m := &modelServer{clock: 5000, running: map[run.Ref]run.Demand{}, highestEndedRun: map[string]uint64{}}
 		now := start()
 		table := New(now, testLimits)
-		table.Announce(now, testServer, testIncarnation)
+		server := testServer
+		server.Capacity = largestCapacity
+		table.Announce(now, server, testIncarnation)
+		table.ApplySnapshot(now, m.snapshot(0, 0))
+		quarantine := testLimits.OrderExpiry + time.Millisecond
+		now = now.Add(quarantine)
+		m.advance(quarantine.Milliseconds())
+		table.ApplySnapshot(now, m.snapshot(0, 0))
 		var pendingOrders []pendingOrder
 		var delayedSnapshots []Snapshot
 		reportedEnded := map[run.Ref]bool{}
@@ -90,7 +124,7 @@
 				reportedEnded[e.Ref] = true
 			}
 		}
-		demands := map[run.Ref]int64{}
+		demands := map[run.Ref]run.Demand{}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
 				ms := rapid.Int64Range(1, 250).Draw(t, "ms")
@@ -99,13 +133,16 @@
 			},
 			"order": func(t *rapid.T) {
 				next++
-				o := pendingOrder{ref: ref(rapid.SampledFrom([]string{"a.0", "b.0", "c.0"}).Draw(t, "task"), next), cpu: rapid.Int64Range(1, 6).Draw(t, "cpu") * 1000}
-				code := table.Order(now, Order{Ref: o.ref, Owner: "e1", Demand: run.Demand{CPU: o.cpu}, Instance: testServer.Instance, Token: now})
+				o := pendingOrder{ref: ref(rapid.SampledFrom([]string{"a.0", "b.0", "c.0"}).Draw(t, "task"), next), demand: drawDemand(t, 1, 6)}
+				code := table.Order(now, Order{Ref: o.ref, Owner: "e1", Demand: o.demand, Instance: testServer.Instance, Token: now})
 				if code == 0 {
 					table.Confirmed("e1", now)
 					o.expiry = table.Expiry(o.ref)
-					demands[o.ref] = o.cpu
+					demands[o.ref] = o.demand
 					pendingOrders = append(pendingOrders, o)
+					if used := m.possibleUse(pendingOrders); !used.Fits(server.Capacity) {
+						t.Fatalf("an order brings the use to %+v of %+v", used, server.Capacity)
+					}
 				}
 			},
 			"carry out": func(t *rapid.T) {
@@ -115,7 +152,7 @@
 				i := rapid.IntRange(0, len(pendingOrders)-1).Draw(t, "i")
 				o := pendingOrders[i]
 				pendingOrders = append(pendingOrders[:i], pendingOrders[i+1:]...)
-				accepted := m.start(o.ref, o.cpu, o.expiry)
+				accepted := m.start(o.ref, o.demand, o.expiry)
 				answered := rapid.Bool().Draw(t, "answered")
 				switch {
 				case answered && accepted:
@@ -141,6 +178,11 @@
 				}
 				recordEnded(table.ApplySnapshot(now, snap))
 			},
+			"answered snapshot": func(t *rapid.T) {
+				lease := table.RenewLease(now)
+				table.RenewalDone(lease, true)
+				recordEnded(table.ApplySnapshot(now, m.snapshot(lease, table.LastEnd())))
+			},
 			"late snapshot": func(t *rapid.T) {
 				if len(delayedSnapshots) == 0 {
 					t.Skip()
@@ -163,31 +205,49 @@
 					}
 				}
 			},
+			"stop": func(t *rapid.T) {
+				for r := range m.running {
+					if table.Stop(r) && rapid.Bool().Draw(t, "arrives") {
+						m.finish(r, run.Stopped)
+					}
+					return
+				}
+				t.Skip()
+			},
 			"restart": func(t *rapid.T) {
 				table = New(now, testLimits)
 				delayedSnapshots = nil
-				table.Announce(now, testServer, testIncarnation)
+				table.Announce(now, server, testIncarnation)
+			},
+			"capacity": func(t *rapid.T) {
+				server.Capacity = drawDemand(t, 0, 10)
+				table.Announce(now, server, testIncarnation)
+			},
+			"request": func(t *rapid.T) {
+				owner := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "owner")
+				table.Request(now, owner, now, drawDemand(t, 0, 10))
+				table.Offer(now)
 			},
 			"claim": func(t *rapid.T) {
 				if !table.CanAnswerClaims(now) {
 					t.Skip()
 				}
 				for r := range m.running {
-					if e := table.Claim("e1", r, run.Demand{CPU: demands[r]}, now, now); e.Kind == run.Running {
+					if e := table.Claim("e1", r, demands[r], now, now); e.Kind == run.Running {
 						table.Confirmed("e1", now)
 					}
 				}
 			},
 			"": func(t *rapid.T) {
-				var used int64
-				for r, cpu := range m.running {
-					used += cpu
+				var used run.Demand
+				for r, demand := range m.running {
+					used = used.Add(demand)
 					if reportedEnded[r] {
 						t.Fatalf("%v runs after its end was reported", r)
 					}
 				}
-				if used > testServer.Capacity.CPU {
-					t.Fatalf("%d of %d CPU in use", used, testServer.Capacity.CPU)
+				if !used.Fits(largestCapacity) {
+					t.Fatalf("%+v of %+v in use", used, largestCapacity)
 				}
 			},
 		})
