--- a/dispatch/sched/candidate.go
+++ b/dispatch/sched/candidate.go
@@ -7,8 +7,8 @@
 // server that answers implausibly fast must not attract all tasks.
 const estimateFloorDivisor = 8
 
-// candidate describes a server to the picker. The second result is always true.
-func (s *Scheduler) candidate(now time.Time, v *server, q *taskQueue) (Candidate, bool) {
+// candidate describes a server to the picker.
+func (s *Scheduler) candidate(now time.Time, v *server, q *taskQueue) Candidate {
 	k := q.class.kind
 	est := v.estimates[k.name]
 	expected := est.Expected(q.job.Tasks[q.first()].Declared)
@@ -22,7 +22,7 @@
 		Placement: v.placement, Slots: v.Slots, Free: v.free, Outstanding: v.outstanding,
 		Expected: expected, OpportunityCost: v.opportunityCost(k), Contended: !s.withinServerShare(v, k.slots),
 		Local: v.agent.domain == s.opts.Domain, SameRegion: v.agent.region == s.opts.Region,
-	}, true
+	}
 }
 
 // overdueRatio returns the age of the oldest unanswered start divided by the typical run
--- a/dispatch/sched/place.go
+++ b/dispatch/sched/place.go
@@ -89,10 +89,8 @@
 		if !s.hasCapacity(now, v, q) {
 			continue
 		}
-		if c, ok := s.candidate(now, v, q); ok {
-			s.candidateServers = append(s.candidateServers, v)
-			s.candidates = append(s.candidates, c)
-		}
+		s.candidateServers = append(s.candidateServers, v)
+		s.candidates = append(s.candidates, s.candidate(now, v, q))
 	}
 	if len(s.candidateServers) == 0 {
 		return nil
