Do not renew the lease past the bound of an orphaned run

A task could run twice at once: an entry that has lost an agent starts its tasks elsewhere 809 ms after the agent's newest frame. The agent stops the runs of that entry after 300 ms, but while these stops are lost it went on renewing the lease, which holds for everything on the backend server, for the runs of other entries. Orders extend the lease as well.

The table now bounds the lease: no renewal and no order extends it beyond the time at which a run became orphaned plus one lease. The time is converted to the backend server's clock with the lower bound of its rate. Orders past the bound are refused as by a full server, and the agent reports no free capacity, so that entries keep it as a partner and do not repeat orders.

A poll that may not renew the lease waits for ends as before; the poller took a missing renewal for a missing response.

--- a/daemon/runagent/poll.go
+++ b/daemon/runagent/poll.go
@@ -130,13 +130,13 @@
 }
 
 // request returns the next poll's request. It asks the backend server to wait only if the last poll was
-// answered.
+// answered. A poll that may not renew the lease still waits, so that ends are seen without many polls.
 func (p *poller) request() PollRequest {
 	a := p.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := PollRequest{LeaseMS: a.table.RenewLease(boottime.Now()), LastEnd: a.table.LastEnd()}
-	if p.consecutiveFailures > 0 || r.LeaseMS == 0 {
+	if p.consecutiveFailures > 0 || !a.table.Responding(boottime.Now()) {
 		return r
 	}
 	r.Wait = idlePollWait
--- a/daemon/runagent/poll_test.go
+++ b/daemon/runagent/poll_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,12 +48,18 @@
 	}
 }
 
+// pollerLimits are the limits of an agent whose runs and lease outlast a test.
+var pollerLimits = runtable.Limits{
+	OrderExpiry: 150 * time.Millisecond, MinOrderExpiry: 60 * time.Millisecond, Lease: time.Second, RenewFor: time.Second,
+	OwnerSilence: time.Second, ClaimWindow: time.Second, EndRetention: 5 * time.Second, OfferHold: time.Millisecond,
+}
+
 // startPoller returns an agent whose poller runs until the test ends.
 func startPoller(t *testing.T, s *scriptedBackend) *Agent {
-	limits := runtable.Limits{
-		OrderExpiry: 150 * time.Millisecond, MinOrderExpiry: 60 * time.Millisecond, Lease: time.Second, RenewFor: time.Second,
-		OwnerSilence: time.Second, ClaimWindow: time.Second, EndRetention: 5 * time.Second, OfferHold: time.Millisecond,
-	}
+	return startPollerWithLimits(t, s, pollerLimits)
+}
+
+func startPollerWithLimits(t *testing.T, s *scriptedBackend, limits runtable.Limits) *Agent {
 	a := New(Options{Backend: s, Limits: limits, Log: event.New(&log.Logger{Handler: discard.New(), Level: log.ErrorLevel})})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -132,6 +139,33 @@
 	}
 }
 
+// Polls that may not renew the lease must wait for ends like others: without a wait, an orphaned run whose
+// stop calls are lost would make the agent poll continuously.
+func TestPollWithoutRenewalWaitsForEnds(t *testing.T) {
+	var polls, renewals atomic.Int64
+	s := &scriptedBackend{steps: []func(context.Context, PollRequest) (runtable.Snapshot, error){
+		func(ctx context.Context, r PollRequest) (runtable.Snapshot, error) {
+			polls.Add(1)
+			if r.LeaseMS > 0 {
+				renewals.Add(1)
+			}
+			snapshot, err := waitForEmptySnapshot(ctx, r)
+			snapshot.Running = []runtable.RunningRun{{Ref: run.Ref{Task: "t.0.0.0", Run: 1}}}
+			return snapshot, err
+		},
+	}}
+	limits := pollerLimits
+	limits.Lease, limits.ClaimWindow = time.Millisecond, 0
+	startPollerWithLimits(t, s, limits)
+	time.Sleep(5 * busyPollWait)
+	if n := polls.Load(); n < 2 || n > 15 {
+		t.Errorf("%d polls within %s, want about 6", n, 5*busyPollWait)
+	}
+	if n := renewals.Load(); n > 2 {
+		t.Errorf("%d polls renewed the lease of an unclaimed run", n)
+	}
+}
+
 // A late response from a previous incarnation of the backend server must be ignored: the agent would
 // mistake the current incarnation for a new one and consider its runs lost.
 func TestResponseOfFormerIncarnationIsIgnored(t *testing.T) {
--- a/dispatch/runtable/clock.go
+++ b/dispatch/runtable/clock.go
@@ -39,3 +39,12 @@
 	}
 	return c.ms + int64(minClockRate*float64(now.Sub(c.readAt).Milliseconds()))
 }
+
+// earliest returns the smallest value in milliseconds that the backend server's clock can have had, or
+// can have, at the given time. A slow clock shows less later, and has shown more before.
+func (c *serverClock) earliest(at time.Time) int64 {
+	if at.Before(c.readAt) {
+		return c.ms - c.readAt.Sub(at).Milliseconds()
+	}
+	return c.lowerBound(at)
+}
--- /dev/null
+++ b/dispatch/runtable/lease.go
@@ -0,0 +1,39 @@
+package runtable
+
+import (
+	"math"
+	"time"
+)
+
+// Responding reports whether the backend server has responded within RenewFor, so that its clock is
+// known well enough to renew the lease.
+func (t *Table) Responding(now time.Time) bool {
+	return t.clock.known && now.Sub(t.clock.readAt) <= t.limits.RenewFor
+}
+
+// leaseLimit returns the latest time, on the backend server's clock in milliseconds, to which the
+// lease may be extended. The lease holds for everything on the backend server: while stop calls are
+// lost, extending it for other runs would keep an orphaned one running past the time at which its
+// owner starts the task elsewhere.
+func (t *Table) leaseLimit() int64 {
+	limit := int64(math.MaxInt64)
+	for _, r := range t.runs {
+		limit = min(limit, t.clock.earliest(t.orphanedAt(r))+t.limits.Lease.Milliseconds())
+	}
+	return limit
+}
+
+// orphanedAt returns the time at which the run becomes orphaned unless an entry claims it or its
+// owner confirms a newer message.
+func (t *Table) orphanedAt(r *record) time.Time {
+	if r.owner == "" {
+		return r.firstSeen.Add(t.limits.ClaimWindow)
+	}
+	return t.confirmedAt[r.owner].Add(t.limits.OwnerSilence)
+}
+
+// orderWithinLease reports whether an order may be sent at now: the backend server extends its lease
+// to the order's expiry, which must not exceed the limit.
+func (t *Table) orderWithinLease(now time.Time) bool {
+	return t.clock.at(now)+t.orderTimeout().Milliseconds() <= t.leaseLimit()
+}
--- /dev/null
+++ b/dispatch/runtable/lease_test.go
@@ -0,0 +1,107 @@
+package runtable
+
+import (
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+// leasedServer is a backend server that does not carry out stops. Everything on it runs until its lease
+// ends, which polls and orders extend.
+type leasedServer struct {
+	*fixture
+	lease int64 // end of the lease on the server's clock
+}
+
+// poll renews the lease and delivers a snapshot with the given runs.
+func (s *leasedServer) poll(running ...run.Ref) {
+	lease := s.RenewLease(s.now)
+	s.lease = max(s.lease, lease)
+	s.RenewalDone(lease, true)
+	var list []RunningRun
+	for _, r := range running {
+		list = append(list, RunningRun{Ref: r})
+	}
+	s.snapshot(list, nil)
+}
+
+// startRun orders a run for the owner, and the server starts it at once.
+func (s *leasedServer) startRun(owner string, r run.Ref) result.Code {
+	code := s.Order(s.now, Order{Ref: r, Owner: owner, Demand: run.Demand{CPU: 100}, Instance: testServer.Instance, Token: s.now})
+	if code != 0 {
+		return code
+	}
+	s.lease = max(s.lease, s.Expiry(r))
+	s.Accepted(s.now, time.Millisecond, r, s.clock())
+	return 0
+}
+
+// pollStep is the time between two polls in these tests.
+const pollStep = 20 * time.Millisecond
+
+// Guards against a run of a silent entry that continues while its stop calls are lost, because the
+// agent renews the lease for another entry's run: the silent entry starts the task elsewhere.
+func TestLostStopOfOrphanedRunDoesNotOutliveLease(t *testing.T) {
+	s := &leasedServer{fixture: newFixture(t)}
+	s.startRun("e1", ref("a", 1))
+	lastConfirmed := s.clock()
+	s.Confirmed("e2", s.now)
+	s.startRun("e2", ref("b", 1))
+	for range 50 {
+		s.advance(pollStep)
+		s.Confirmed("e2", s.now)
+		s.poll(ref("a", 1), ref("b", 1))
+		s.Sweep(s.now)
+	}
+	if limit := lastConfirmed + (testLimits.OwnerSilence + testLimits.Lease).Milliseconds(); s.lease > limit {
+		t.Errorf("the lease was extended to %d ms after the owner's newest confirmation, %d ms are allowed", s.lease-lastConfirmed, limit-lastConfirmed)
+	}
+}
+
+// Guards against renewals that are refused for longer than necessary: once the end of the orphaned run
+// is seen, the other runs must not lapse.
+func TestRenewalsContinueAfterEndOfOrphanedRun(t *testing.T) {
+	s := &leasedServer{fixture: newFixture(t)}
+	s.startRun("e1", ref("a", 1))
+	s.advance(testLimits.OwnerSilence + pollStep)
+	s.Confirmed("e2", s.now)
+	s.poll(ref("a", 1))
+	s.Sweep(s.now)
+	s.snapshot(nil, []EndedRun{{Number: 1, Ref: ref("a", 1), Kind: run.Stopped}})
+	if got, want := s.RenewLease(s.now), s.clock()+testLimits.Lease.Milliseconds(); got != want {
+		t.Errorf("lease renewed to %d, want %d", got, want)
+	}
+}
+
+// Guards against orders that extend the lease of an orphaned run whose stop calls are lost, and against
+// entries that send such orders again and again because the agent reports free capacity.
+func TestOrdersDoNotExtendLeaseOfOrphanedRun(t *testing.T) {
+	s := &leasedServer{fixture: newFixture(t)}
+	s.startRun("e1", ref("a", 1))
+	lastConfirmed := s.clock()
+	accepted, refused := 0, 0
+	for i := range 40 {
+		s.advance(pollStep)
+		s.Confirmed("e2", s.now)
+		s.poll(ref("a", 1))
+		s.Sweep(s.now)
+		free := s.FreeFor(s.now, "e2")
+		switch code := s.startRun("e2", ref("b", uint64(i)+1)); {
+		case code == 0:
+			accepted++
+			s.processEnds(s.now, []EndedRun{{Number: int64(i) + 1, Ref: ref("b", uint64(i)+1), Kind: run.Done}})
+		case code == result.NoFreeSlot && free.CPU == 0:
+			refused++
+		default:
+			t.Fatalf("order refused with code %d while %d CPU are reported as free", code, free.CPU)
+		}
+	}
+	if limit := lastConfirmed + (testLimits.OwnerSilence + testLimits.Lease).Milliseconds(); s.lease > limit {
+		t.Errorf("orders extended the lease to %d ms after the owner's newest confirmation, %d ms are allowed", s.lease-lastConfirmed, limit-lastConfirmed)
+	}
+	if accepted < 20 || refused == 0 {
+		t.Errorf("%d orders accepted and %d refused", accepted, refused)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -24,8 +24,12 @@
 	Label string
 }
 
-// FreeFor returns the free capacity that is not reserved for other entries.
+// FreeFor returns the free capacity that is not reserved for other entries. There is none while the
+// lease forbids further orders: entries then place tasks elsewhere and keep the agent as a partner.
 func (t *Table) FreeFor(now time.Time, owner string) run.Demand {
+	if !t.orderWithinLease(now) {
+		return run.Demand{}
+	}
 	return t.Free().Sub(t.offers.Others(now, owner))
 }
 
@@ -39,7 +43,7 @@
 
 // Offer returns the entries to notify of newly offered capacity.
 func (t *Table) Offer(now time.Time) []string {
-	if t.Server(now).State != run.Ready || t.domainsOut[t.server.Domain] {
+	if t.Server(now).State != run.Ready || t.domainsOut[t.server.Domain] || !t.orderWithinLease(now) {
 		return nil
 	}
 	return t.offers.Next(now, t.Free())
@@ -73,7 +77,7 @@
 		return result.StaleToken
 	case t.quarantined(now):
 		return result.StaleToken
-	case !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
+	case !t.orderWithinLease(now) || !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
 		return result.NoFreeSlot
 	}
 	return 0
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -39,12 +39,16 @@
 // RenewLease returns the time, on the backend server's clock in milliseconds, to which a renewal
 // sent at now may extend the lease. It returns 0 before the clock is known, and after RenewFor
 // without an answer: otherwise the time at which all runs have certainly ended would be postponed
-// indefinitely.
+// indefinitely. It also returns 0 once leaseLimit has passed.
 func (t *Table) RenewLease(now time.Time) int64 {
-	if !t.clock.known || now.Sub(t.clock.readAt) > t.limits.RenewFor {
+	if !t.Responding(now) {
+		return 0
+	}
+	clock := t.clock.at(now)
+	end := min(clock+t.limits.Lease.Milliseconds(), t.leaseLimit())
+	if end <= clock {
 		return 0
 	}
-	end := t.clock.at(now) + t.limits.Lease.Milliseconds()
 	t.pendingRenewals = append(t.pendingRenewals, end)
 	return end
 }
@@ -181,12 +185,7 @@
 
 // orphaned reports whether the run has been unclaimed for longer than ClaimWindow, or its owner
 // silent for longer than OwnerSilence.
-func (t *Table) orphaned(now time.Time, r *record) bool {
-	if r.owner == "" {
-		return now.Sub(r.firstSeen) > t.limits.ClaimWindow
-	}
-	return now.Sub(t.confirmedAt[r.owner]) > t.limits.OwnerSilence
-}
+func (t *Table) orphaned(now time.Time, r *record) bool { return now.After(t.orphanedAt(r)) }
 
 // Claim answers an entry that asks what has become of a run which it ordered at orderedAt. The
 // entry becomes the owner of a run that is in the table.
