Do not renew the lease for a stopped run whose end stays unseen

When a job is abandoned or given up, its entry stops the runs, and the caller may submit the job again at any entry 1,300 ms later. While the stop calls were lost, the agent renewed the lease for other runs, and the old run could still be in progress when the new one started.

After a patience without a seen end the lease is now bounded as for an orphaned run. The patience follows from the sum: 1,300 ms less 300 ms in which the stop reaches the agent or the run is orphaned, 408 ms lease on a clock that is 2% slow, 50 ms stop time and 50 ms for messages, that is 492 ms. The patience counts from the first request, also of a run that was orphaned and has its owner back.

--- a/daemon/runagent/calls_test.go
+++ b/daemon/runagent/calls_test.go
@@ -42,7 +42,7 @@
 func newAgentWithOrder(b *fakeBackend) (*Agent, run.Ref) {
 	limits := runtable.Limits{
 		OrderExpiry: 150 * time.Millisecond, MinOrderExpiry: 60 * time.Millisecond, Lease: time.Second, RenewFor: time.Second,
-		OwnerSilence: time.Second, ClaimWindow: time.Second, EndRetention: 5 * time.Second, OfferHold: time.Millisecond,
+		OwnerSilence: time.Second, ClaimWindow: time.Second, StopPatience: time.Second, EndRetention: 5 * time.Second, OfferHold: time.Millisecond,
 	}
 	a := New(Options{Backend: b, Limits: limits, Log: event.New(&log.Logger{Handler: discard.New(), Level: log.ErrorLevel})})
 	capacity := run.Demand{CPU: 8000, MemoryMB: 1000}
--- a/daemon/runagent/poll_test.go
+++ b/daemon/runagent/poll_test.go
@@ -51,7 +51,7 @@
 // pollerLimits are the limits of an agent whose runs and lease outlast a test.
 var pollerLimits = runtable.Limits{
 	OrderExpiry: 150 * time.Millisecond, MinOrderExpiry: 60 * time.Millisecond, Lease: time.Second, RenewFor: time.Second,
-	OwnerSilence: time.Second, ClaimWindow: time.Second, EndRetention: 5 * time.Second, OfferHold: time.Millisecond,
+	OwnerSilence: time.Second, ClaimWindow: time.Second, StopPatience: time.Second, EndRetention: 5 * time.Second, OfferHold: time.Millisecond,
 }
 
 // startPoller returns an agent whose poller runs until the test ends.
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -138,7 +138,7 @@
 		}
 	}
 	for _, r := range f.GetStops() {
-		if ref := link.RefFromProto(r); a.table.Stop(ref) {
+		if ref := link.RefFromProto(r); a.table.Stop(now, ref) {
 			a.stopRun(ctx, ref)
 		}
 	}
--- a/dispatch/runtable/lease.go
+++ b/dispatch/runtable/lease.go
@@ -13,16 +13,28 @@
 
 // leaseLimit returns the latest time, on the backend server's clock in milliseconds, to which the
 // lease may be extended. The lease holds for everything on the backend server: while stop calls are
-// lost, extending it for other runs would keep an orphaned one running past the time at which its
-// owner starts the task elsewhere.
+// lost, extending it for other runs would keep an orphaned or stopped one running past the time at
+// which its task may start elsewhere.
 func (t *Table) leaseLimit() int64 {
 	limit := int64(math.MaxInt64)
 	for _, r := range t.runs {
-		limit = min(limit, t.clock.earliest(t.orphanedAt(r))+t.limits.Lease.Milliseconds())
+		limit = min(limit, t.clock.earliest(t.keepUntil(r))+t.limits.Lease.Milliseconds())
 	}
 	return limit
 }
 
+// keepUntil returns the time after which the lease is not renewed while the run may be in progress.
+func (t *Table) keepUntil(r *record) time.Time {
+	until := t.orphanedAt(r)
+	if !r.stopRequested {
+		return until
+	}
+	if patience := r.stoppedAt.Add(t.limits.StopPatience); patience.Before(until) {
+		return patience
+	}
+	return until
+}
+
 // orphanedAt returns the time at which the run becomes orphaned unless an entry claims it or its
 // owner confirms a newer message.
 func (t *Table) orphanedAt(r *record) time.Time {
--- a/dispatch/runtable/lease_test.go
+++ b/dispatch/runtable/lease_test.go
@@ -105,3 +105,26 @@
 		t.Errorf("%d orders accepted and %d refused", accepted, refused)
 	}
 }
+
+// Guards against a run that its owner has stopped and that continues while the stop calls are lost: the
+// caller of an abandoned job submits it again to another entry. Runs on a server that carries out the
+// stop in time must not be affected.
+func TestLostStopAskedByOwnerDoesNotOutliveLease(t *testing.T) {
+	s := &leasedServer{fixture: newFixture(t)}
+	s.startRun("e1", ref("a", 1))
+	s.startRun("e1", ref("b", 1))
+	stopped, stoppedAt := s.clock(), s.now
+	s.Stop(s.now, ref("a", 1))
+	for range 60 {
+		s.advance(pollStep)
+		s.Confirmed("e1", s.now)
+		s.Stop(s.now, ref("a", 1))
+		s.poll(ref("a", 1), ref("b", 1))
+		if s.now.Sub(stoppedAt) < testLimits.StopPatience-pollStep && s.lease != s.clock()+testLimits.Lease.Milliseconds() {
+			t.Fatalf("the lease is not renewed in full %s after the stop", s.now.Sub(stoppedAt))
+		}
+	}
+	if limit := stopped + (testLimits.StopPatience + testLimits.Lease).Milliseconds(); s.lease > limit {
+		t.Errorf("the lease was extended to %d ms after the stop, %d ms are allowed", s.lease-stopped, limit-stopped)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -194,16 +194,24 @@
 
 // Stop marks a run to be stopped and reports whether the table has the run, so that a stop call must be
 // sent to the backend server. The run keeps its capacity until a snapshot shows its end.
-func (t *Table) Stop(ref run.Ref) bool {
+func (t *Table) Stop(now time.Time, ref run.Ref) bool {
 	r := t.runs[ref]
 	if r == nil {
 		return false
 	}
-	r.phase = stopping
-	r.stopRequested = true
+	r.requestStop(now)
 	return true
 }
 
+// requestStop marks the run to be stopped. Repeated requests keep the time of the first one.
+func (r *record) requestStop(now time.Time) {
+	r.phase = stopping
+	if !r.stopRequested {
+		r.stopRequested = true
+		r.stoppedAt = now
+	}
+}
+
 // end removes a run and retains its end for an entry that asks later.
 func (t *Table) end(now time.Time, r *record, kind run.EventKind, code result.Code, checkpoint string) Event {
 	delete(t.runs, r.ref)
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -33,6 +33,9 @@
 	// ClaimWindow is how long a run that the agent found after its own restart waits for an entry
 	// to claim it.
 	ClaimWindow time.Duration
+	// StopPatience is how long after the first stop of a run the lease is renewed although the end has
+	// not been seen. The caller of a job that was stopped may submit it again to another entry.
+	StopPatience time.Duration
 	// EndRetention is how long ended runs are remembered for entries that lost their link.
 	EndRetention time.Duration
 	// OfferHold is how long free capacity is reserved for the entry that it was offered to: about
@@ -77,6 +80,7 @@
 	firstSeen     time.Time // when the run was ordered, or first seen in a snapshot
 	runningSince  time.Time // when the agent learned that the run had started
 	stopRequested bool      // stops are sent until a snapshot shows the end
+	stoppedAt     time.Time // when the first stop was requested
 	percent       int
 	checkpoint    string // newest checkpoint in a snapshot
 }
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -10,7 +10,7 @@
 
 var testLimits = Limits{
 	OrderExpiry: 150 * time.Millisecond, MinOrderExpiry: 60 * time.Millisecond, Lease: 400 * time.Millisecond, RenewFor: 200 * time.Millisecond, OwnerSilence: 300 * time.Millisecond,
-	ClaimWindow: 300 * time.Millisecond, EndRetention: 5 * time.Second, OfferHold: 12 * time.Millisecond,
+	ClaimWindow: 300 * time.Millisecond, StopPatience: 490 * time.Millisecond, EndRetention: 5 * time.Second, OfferHold: 12 * time.Millisecond,
 }
 
 const testIncarnation = 1000
@@ -69,7 +69,7 @@
 	if code := f.order(ref("b", 1), 6000); code != result.NoFreeSlot {
 		t.Errorf("order beyond the free capacity: code %d", code)
 	}
-	if !f.Stop(ref("a", 1)) {
+	if !f.Stop(f.now, ref("a", 1)) {
 		t.Error("Stop returned false for a known run")
 	}
 	if code := f.order(ref("b", 1), 6000); code != result.NoFreeSlot {
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -175,8 +175,7 @@
 	var stops []run.Ref
 	for ref, r := range t.runs {
 		if r.stopRequested || t.orphaned(now, r) {
-			r.stopRequested = true
-			r.phase = stopping
+			r.requestStop(now)
 			stops = append(stops, ref)
 		}
 	}
