--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -26,8 +26,12 @@
 	Kind string
 }
 
-// FreeFor returns the free capacity that is not reserved for other entries.
+// FreeFor returns the free capacity that is not reserved for other entries. There is none while the
+// lease forbids further orders: entries then place tasks elsewhere and keep the agent as a partner.
 func (t *Table) FreeFor(now time.Time, owner string) run.Demand {
+	if !t.orderWithinLease(now) {
+		return run.Demand{}
+	}
 	return t.Free().Sub(t.offers.Others(now, owner))
 }
 
@@ -41,7 +45,7 @@
 
 // Offer returns the entries to notify of newly offered capacity.
 func (t *Table) Offer(now time.Time) []string {
-	if t.Server(now).State != run.Ready || t.domainsOut[t.server.Domain] {
+	if t.Server(now).State != run.Ready || t.domainsOut[t.server.Domain] || !t.orderWithinLease(now) {
 		return nil
 	}
 	return t.offers.Next(now, t.Free())
@@ -75,7 +79,7 @@
 		return result.StaleToken
 	case t.quarantined(now):
 		return result.StaleToken
-	case !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
+	case !t.orderWithinLease(now) || !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
 		return result.NoFreeSlot
 	}
 	return 0
@@ -192,16 +196,24 @@
 
 // Stop marks a run to be stopped and reports whether the table has the run, so that a stop call must be
 // sent to the backend server. The run keeps its capacity until a snapshot shows its end.
-func (t *Table) Stop(ref run.Ref) bool {
+func (t *Table) Stop(now time.Time, ref run.Ref) bool {
 	r := t.runs[ref]
 	if r == nil {
 		return false
 	}
-	r.phase = stopping
-	r.stopRequested = true
+	r.requestStop(now)
 	return true
 }
 
+// requestStop marks the run to be stopped. Repeated requests keep the time of the first one.
+func (r *record) requestStop(now time.Time) {
+	r.phase = stopping
+	if !r.stopRequested {
+		r.stopRequested = true
+		r.stoppedAt = now
+	}
+}
+
 // end removes a run and retains its end for an entry that asks later.
 func (t *Table) end(now time.Time, r *record, kind run.EventKind, code result.Code, checkpoint string) Event {
 	delete(t.runs, r.ref)
