Say how the end of a run was established, and stop runs listed after their end

An agent infers the end of a run in six ways, but its log did not say which. A run that the backend server listed after its end had been inferred was ignored: nothing stopped it, its capacity counted as free, and nothing was logged.

Each end now carries its basis, shown in event 612. A listed run whose end was reported is added to the table without an owner, is stopped, and counts as using all capacity; event 617 and poplargw_agent_ended_runs_listed_total report it.

On the code before, the part of TestListedRunWithInferredEndIsStopped that compiles there failed with "runs to stop: []" and "order for the capacity of the run: code 0".

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -21,6 +21,8 @@
 	AnnouncementNotLoaded ID = 615
 	AnnouncementRestored  ID = 616
 
+	EndedRunListed ID = 617
+
 	JobEnded                 ID = 650
 	JobAbandoned             ID = 651
 	RoutesChanged            ID = 652
@@ -64,6 +66,7 @@
 	AnnouncementNotSaved:     "announcement of the backend server was not saved; saving is retried",
 	AnnouncementNotLoaded:    "saved announcement of the backend server was not loaded; loading is retried for a short time",
 	AnnouncementRestored:     "saved announcement of the backend server was loaded; it is used until the next one",
+	EndedRunListed:           "backend server listed a run that was taken for ended; if it is in progress, it is stopped",
 	JobEnded:                 "job ended",
 	JobAbandoned:             "caller disconnected before its job ended",
 	RoutesChanged:            "routes changed",
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -208,6 +208,7 @@
 		if e.Kind != run.Done {
 			a.Log.InfoLimited(event.RunEnded, event.Fields{
 				"task": e.Ref.Task, "run": e.Ref.Run, "entry": e.Owner, "kind": e.Kind.String(), "code": uint32(e.Reason),
+				"basis": e.Basis.String(),
 			})
 		}
 		byOwner[e.Owner] = append(byOwner[e.Owner], e.Event)
@@ -215,6 +216,17 @@
 	a.sendUpdates(boottime.Now(), byOwner)
 }
 
+// reportUnexpectedRuns logs and counts runs that the backend server has listed although their end had been
+// inferred. The caller must hold a.mu.
+func (a *Agent) reportUnexpectedRuns() {
+	for _, r := range a.table.TakeUnexpectedRuns() {
+		a.counters.endedRunsListed.Inc()
+		a.Log.Error(event.EndedRunListed, event.Fields{
+			"task": r.Ref.Task, "run": r.Ref.Run, "kind": r.Kind.String(), "basis": r.Basis.String(), "in_progress": r.Running,
+		})
+	}
+}
+
 // sendUpdates sends a frame to each entry in events, and to each entry with a new offer of capacity. Offers
 // are made before any frame is sent, so that no two entries are offered the same free capacity. The
 // caller must hold a.mu.
--- a/daemon/runagent/metrics.go
+++ b/daemon/runagent/metrics.go
@@ -13,6 +13,7 @@
 type counters struct {
 	set                *metrics.Set
 	orders, unanswered *metrics.Counter
+	endedRunsListed    *metrics.Counter
 }
 
 // newCounters registers the agent's metrics in set, or in a private set if it is nil.
@@ -25,6 +26,8 @@
 		set:        set,
 		orders:     set.GetOrCreateCounter("poplargw_agent_orders_total"),
 		unanswered: set.GetOrCreateCounter("poplargw_agent_orders_unanswered_total"),
+
+		endedRunsListed: set.GetOrCreateCounter("poplargw_agent_ended_runs_listed_total"),
 	}
 }
 
--- a/daemon/runagent/poll.go
+++ b/daemon/runagent/poll.go
@@ -167,6 +167,7 @@
 	}
 	settled := a.table.CanAnswerClaims(boottime.Now())
 	a.deliver(a.table.ApplySnapshot(boottime.Now(), c.snapshot))
+	a.reportUnexpectedRuns()
 	if !settled {
 		a.sendStateToAll()
 	}
--- /dev/null
+++ b/dispatch/runtable/ends_test.go
@@ -0,0 +1,49 @@
+package runtable
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+// Guards against a run that goes on unnoticed after its end was inferred wrongly: it was ignored,
+// nobody stopped it, and its capacity counted as free.
+func TestListedRunWithInferredEndIsStopped(t *testing.T) {
+	f := newFixture(t)
+	f.order(ref("a", 1), 6000)
+	f.advance(160 * time.Millisecond)
+	wantSingleEvent(t, f.snapshot(nil, nil), run.NotRun, result.StartTooLate)
+	f.advance(10 * time.Millisecond)
+	f.Confirmed("e1", f.now)
+	f.snapshot([]RunningRun{{Ref: ref("a", 1)}}, nil)
+	want := UnexpectedRun{Ref: ref("a", 1), Kind: run.NotRun, Basis: EndMissing, Running: true}
+	if got := f.TakeUnexpectedRuns(); !slices.Equal(got, []UnexpectedRun{want}) {
+		t.Errorf("unexpected runs %+v, want %+v", got, want)
+	}
+	if stops := f.Sweep(f.now); !slices.Equal(stops, []run.Ref{ref("a", 1)}) {
+		t.Errorf("runs to stop: %v", stops)
+	}
+	if code := f.order(ref("b", 1), 6000); code != result.NoFreeSlot {
+		t.Errorf("order for the capacity of the run: code %d", code)
+	}
+}
+
+// Guards against reports of unexpected runs for a picture of the backend server from before the end,
+// and for runs that lapsed while it did not answer.
+func TestEarlierPictureDoesNotContradictEnd(t *testing.T) {
+	f := newFixture(t)
+	f.order(ref("a", 1), 1000)
+	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.RenewalDone(f.RenewLease(f.now), true)
+	before := f.clock() + 100
+	f.advance(testLimits.Lease + 20*time.Millisecond)
+	wantSingleEvent(t, f.ExpireLease(f.now), run.Stopped, result.ServerLost)
+	f.ApplySnapshot(f.now, Snapshot{Incarnation: testIncarnation, ClockMS: before, Running: []RunningRun{{Ref: ref("a", 1)}}})
+	f.snapshot(nil, []EndedRun{{Number: 1, Ref: ref("a", 1), Kind: run.Stopped}})
+	if got := f.TakeUnexpectedRuns(); len(got) != 0 {
+		t.Errorf("unexpected runs %+v", got)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -185,7 +185,7 @@
 	if r == nil || r.accepted {
 		return nil
 	}
-	return []Event{t.end(now, r, run.NotRun, code, "")}
+	return []Event{t.end(now, r, ending{basis: EndRefused, kind: run.NotRun, code: code}, "")}
 }
 
 // Stop marks a run to be stopped and reports whether the table has the run, so that a stop call must be
@@ -199,11 +199,3 @@
 	r.stopRequested = true
 	return true
 }
-
-// end removes a run and retains its end for an entry that asks later.
-func (t *Table) end(now time.Time, r *record, kind run.EventKind, code result.Code, checkpoint string) Event {
-	delete(t.runs, r.ref)
-	e := run.Event{Ref: r.ref, Kind: kind, Reason: code, Checkpoint: checkpoint}
-	t.retainedEnds[r.ref] = retainedEnd{event: e, at: now}
-	return Event{Owner: r.owner, Event: e}
-}
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -44,6 +44,7 @@
 type Event struct {
 	Owner string
 	run.Event
+	Basis EndBasis
 }
 
 // Progress is the completed part of a run, in percent, and the time since the run started.
@@ -81,12 +82,6 @@
 	checkpoint    string // newest checkpoint in a snapshot
 }
 
-// retainedEnd is the last event of an ended run, kept for EndRetention.
-type retainedEnd struct {
-	event run.Event
-	at    time.Time
-}
-
 // Table is an agent's record of the runs on its backend server. Create one with New.
 type Table struct {
 	limits      Limits
@@ -100,6 +95,7 @@
 	restoredIncarnation int64
 	runs                map[run.Ref]*record
 	retainedEnds        map[run.Ref]retainedEnd
+	unexpected          []UnexpectedRun // not yet taken
 	offers              *Offers
 	confirmedAt         map[string]time.Time // send time of the newest message that each entry has confirmed
 	domainsOut          map[string]bool      // failure domains out of service
@@ -192,7 +188,7 @@
 	t.serverLeft = true
 	t.serverKnown = false
 	t.server.State = run.Absent
-	return t.endAllRuns(now)
+	return t.endAllRuns(now, ending{basis: EndServerLeft})
 }
 
 // setIncarnation records the incarnation of the backend server, which announcements and snapshots
@@ -215,14 +211,15 @@
 	t.pendingRenewals = nil
 	t.quarantineEnd = 0
 	t.clock = serverClock{}
-	return t.endAllRuns(now)
+	return t.endAllRuns(now, ending{basis: EndNewIncarnation})
 }
 
 // endAllRuns ends every run as lost with its backend server.
-func (t *Table) endAllRuns(now time.Time) []Event {
+func (t *Table) endAllRuns(now time.Time, how ending) []Event {
+	how.kind, how.code = run.Stopped, result.ServerLost
 	var events []Event
 	for _, r := range t.runs {
-		events = append(events, t.end(now, r, run.Stopped, result.ServerLost, r.checkpoint))
+		events = append(events, t.end(now, r, how, r.checkpoint))
 	}
 	return events
 }
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -78,7 +78,7 @@
 		return nil
 	}
 	t.hasSnapshot = false
-	return t.endAllRuns(now)
+	return t.endAllRuns(now, ending{basis: EndLeasePassed, clockMS: t.latestPossibleLease()})
 }
 
 // ApplySnapshot applies a snapshot that was received at now and returns the resulting events.
@@ -118,20 +118,23 @@
 		t.lastEnd = e.Number
 		r := t.runs[e.Ref]
 		if r == nil {
-			t.retainedEnds[e.Ref] = retainedEnd{event: run.Event{Ref: e.Ref, Kind: e.Kind, Checkpoint: e.Checkpoint}, at: now}
+			t.retainListedEnd(now, e)
 			continue
 		}
-		events = append(events, t.end(now, r, e.Kind, 0, e.Checkpoint))
+		events = append(events, t.end(now, r, ending{basis: EndListed, kind: e.Kind}, e.Checkpoint))
 	}
 	return events
 }
 
 // recordRunning updates a run that a snapshot lists, and adds it without an owner if the table does
-// not have it.
+// not have it. A run whose end had been inferred is stopped.
 func (t *Table) recordRunning(now time.Time, snapshot Snapshot, s RunningRun) {
 	r := t.runs[s.Ref]
 	if r == nil {
-		if _, ended := t.retainedEnds[s.Ref]; ended {
+		if e, ended := t.retainedEnds[s.Ref]; ended {
+			if t.contradicts(e, snapshot.ClockMS) {
+				t.stopUnexpected(now, e, snapshot)
+			}
 			return
 		}
 		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now}
@@ -150,11 +153,11 @@
 		if seen[ref] || snapshot.ClockMS <= r.visibleByMS+1 {
 			continue
 		}
-		kind, code := run.Stopped, result.ServerLost
+		how := ending{basis: EndMissing, kind: run.Stopped, code: result.ServerLost, clockMS: snapshot.ClockMS}
 		if !r.accepted {
-			kind, code = run.NotRun, result.StartTooLate
+			how.kind, how.code = run.NotRun, result.StartTooLate
 		}
-		events = append(events, t.end(now, r, kind, code, r.checkpoint))
+		events = append(events, t.end(now, r, how, r.checkpoint))
 	}
 	return events
 }
