Add crashing tasks, returning servers, shrinking capacity and series of signals to the soak

New faults: a backend server returns under its ID with another clock, jobs whose tasks crash their backend servers, capacity that changes with the heartbeats, calls carried out late, series of signals overlapping with changes of the configuration, and connections that are used until the process is gone. Every third seed loads the deployment beyond its capacity and includes jobs of the largest size.

The regressions keep their faults and their load.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,26 +21,53 @@
 	callTimeout = 4 * time.Second
 )
 
+// load selects the load of the callers.
+type load struct {
+	callers int
+	// largest makes one job in four as large as jobs may be: tasks that need a whole backend server, or many
+	// tasks with the longest specification.
+	largest bool
+}
+
+// ordinaryLoad uses about half of the capacity of four backend servers.
+var ordinaryLoad = load{callers: 8}
+
+// loadOfSeed returns the load of a seed: every third one exceeds the capacity and includes the largest jobs.
+func loadOfSeed(seed uint64) load {
+	if seed%3 == 0 {
+		return load{callers: 40, largest: true}
+	}
+	return ordinaryLoad
+}
+
 // callers submits jobs continuously and records the answers.
 type callers struct {
 	d      *deployment
 	client *http.Client
+	load   load
 	wg     sync.WaitGroup
 
 	mu        sync.Mutex
 	next      int
 	completed int
 	refused   map[string]bool // jobs that were refused as not run
+	failed    map[string]bool // jobs that were answered as failed
+	crashing  map[string]bool // jobs with tasks that crash their backend servers
 	// unanswered holds the jobs with an attempt that ended with neither status 200 nor a refusal, for example
 	// without an answer or with status 504, so that they may have run.
 	unanswered map[string]bool
-	violations []string // messages about unexpected job states
+	builds     map[string][]string // by job: builds of the entries to which it was submitted
+	violations []string            // messages about unexpected job states
 }
 
-// startCallers starts n callers that submit jobs until ctx ends. The seed determines their jobs and pauses.
-func startCallers(ctx context.Context, d *deployment, seed uint64, n int) *callers {
-	c := &callers{d: d, client: &http.Client{Transport: &http.Transport{}}, refused: map[string]bool{}, unanswered: map[string]bool{}}
-	for i := range n {
+// startCallers starts callers that submit jobs until ctx ends. The seed determines their jobs and pauses.
+func startCallers(ctx context.Context, d *deployment, seed uint64, l load) *callers {
+	c := &callers{
+		d: d, client: &http.Client{Transport: &http.Transport{}}, load: l,
+		refused: map[string]bool{}, failed: map[string]bool{}, crashing: map[string]bool{}, unanswered: map[string]bool{}, builds: map[string][]string{},
+	}
+	d.callers = c
+	for i := range l.callers {
 		r := rand.New(rand.NewPCG(seed, uint64(i)+100))
 		c.wg.Add(1)
 		go func() {
@@ -61,31 +89,79 @@
 	return fmt.Sprintf("%016x", c.next)
 }
 
-// submitJob submits one job to a random entry, at most three times until it is answered or refused, and
-// records the outcome.
+// submitJob submits a random job.
 func (c *callers) submitJob(r *rand.Rand) {
 	id := c.newID()
 	body := fmt.Sprintf(`{"spec":"%d","bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":60}]}`,
 		20+r.IntN(150), 1+r.IntN(3), taskCPU)
+	if c.load.largest && r.IntN(4) == 0 {
+		body = largestJob(r)
+	}
+	c.submitUntilAnswered(r, id, body)
+}
+
+// maxSpecLength is the longest specification that the platform allows, in bytes.
+const maxSpecLength = 4000
+
+// largestJob returns the body of a job of the largest size.
+func largestJob(r *rand.Rand) string {
+	count, cpu := 48, taskCPU
+	if r.IntN(2) == 0 {
+		count, cpu = 1+r.IntN(4), cpuCapacity
+	}
+	spec := demandSpec(20+r.IntN(150), cpu) + ";"
+	spec += strings.Repeat("a", maxSpecLength-len(spec))
+	return fmt.Sprintf(`{"spec":%q,"bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":60}]}`, spec, count, cpu)
+}
+
+// demandSpec returns the specification of a task with the given run time that names its CPU demand.
+func demandSpec(ms, cpu int) string { return fmt.Sprintf("%d@%d", ms, cpu) }
+
+// submitCrashingJob submits a job of one or two tasks that crash their backend servers.
+func (c *callers) submitCrashingJob(r *rand.Rand) {
+	id := c.newID()
+	c.mu.Lock()
+	c.crashing[id] = true
+	c.mu.Unlock()
+	c.submitUntilAnswered(r, id, fmt.Sprintf(`{"spec":"60x","bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":60}]}`, 1+r.IntN(2), taskCPU))
+}
+
+// submitUntilAnswered submits a job to a random entry, at most three times until it is answered or refused, and
+// records the outcome.
+func (c *callers) submitUntilAnswered(r *rand.Rand, id, body string) {
 	for range 3 {
-		status, state := c.send(pick(r, c.d.entries).frontAddr, id, body, r.IntN(12) == 0)
-		switch {
-		case status == http.StatusOK:
-			c.recordState(id, state)
-			return
-		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-			c.mu.Lock()
-			c.refused[id] = true
-			c.mu.Unlock()
+		status, state := c.send(c.client, pick(r, c.d.entries), id, body, r.IntN(12) == 0)
+		if c.record(id, status, state) {
 			return
 		}
-		c.mu.Lock()
-		c.unanswered[id] = true
-		c.mu.Unlock()
 		time.Sleep(resendDelay)
 	}
 }
 
+// submitOnce submits a new job once to an entry, records the outcome, and reports whether a response arrived.
+func (c *callers) submitOnce(client *http.Client, e *node, body string) bool {
+	id := c.newID()
+	status, state := c.send(client, e, id, body, false)
+	c.record(id, status, state)
+	return status != 0
+}
+
+// record records the outcome of an attempt and reports whether the job was answered or refused.
+func (c *callers) record(id string, status int, state string) bool {
+	if status == http.StatusOK {
+		c.recordState(id, state)
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		c.refused[id] = true
+		return true
+	}
+	c.unanswered[id] = true
+	return false
+}
+
 // recordState records the final state of an answered job.
 func (c *callers) recordState(id, state string) {
 	c.mu.Lock()
@@ -94,27 +170,36 @@
 	case "completed":
 		c.completed++
 	case "failed":
+		c.failed[id] = true
 	default:
 		c.violations = append(c.violations, fmt.Sprintf("job %s: state %q", id, state))
 	}
 }
 
-// send submits a job once and returns the HTTP status and the state of the job in the answer. Status 0
-// means that the connection broke or timed out. With abandon, the caller gives up after 50 ms.
-func (c *callers) send(addr, id, body string, abandon bool) (int, string) {
+// recordBuild records the build of the entry to which a job is submitted.
+func (c *callers) recordBuild(id string, e *node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.builds[id] = append(c.builds[id], e.buildAt(time.Now()))
+}
+
+// send submits a job once to an entry and returns the HTTP status and the state of the job in the answer. Status
+// 0 means that the connection broke or timed out. With abandon, the caller gives up after 50 ms.
+func (c *callers) send(client *http.Client, e *node, id, body string, abandon bool) (int, string) {
+	c.recordBuild(id, e)
 	limit := callTimeout
 	if abandon {
 		limit = 50 * time.Millisecond
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/jobs/"+id, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.frontAddr+"/jobs/"+id, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, ""
 	}
 	req.Host = host
 	req.Header.Set("Deadline-Ms", "1500")
-	resp, err := c.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, ""
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -5,19 +5,15 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
-	"time"
 
 	"poplargw.example/lab/testbed"
 	"poplargw.example/platform/standin"
@@ -45,48 +41,25 @@
 type deployment struct {
 	t          *testing.T
 	dir        string
-	binary     string
+	entryBuild build
+	agentBuild build
 	store      *standin.Store
 	storeLinks *testbed.Forwarder
 	entries    []*node
 	agents     []*agentNode
+	callers    *callers
+	versionMu  sync.Mutex        // guards version
 	version    int               // newest configuration version
 	ipPrefix   string            // first three bytes of the processes' addresses, with the dot after them
 	linkAddrs  map[string]string // address of the forwarder in front of an agent, by the agent's address
 }
 
-// node is an entry or agent process that is restarted whenever it exits.
-type node struct {
-	name, role, file     string
-	frontAddr, readyAddr string
-	log                  *os.File
-
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	started time.Time
-	starts  int
-	closing bool
-	done    chan struct{}
-}
-
-// agentNode is an agent with its backend server.
-type agentNode struct {
-	*node
-	backend      *standin.Backend
-	backendLinks *testbed.Forwarder // between the agent and the backend server
-	entryLinks   *testbed.Forwarder // between the entries and the agent
-	controlAddr  string
-	zone         string
-	mu           sync.Mutex // guards state and seq
-	state        string
-	seq          int
-}
-
 // newDeployment starts a store, agents with their backend servers and entries, and publishes the first
-// configuration. The processes are killed when the test ends.
-func newDeployment(t *testing.T, binary string, entries, agents int) *deployment {
+// configuration. Entries and agents run the builds that are given for them. The processes are killed when the
+// test ends.
+func newDeployment(t *testing.T, entryBuild, agentBuild build, entries, agents int) *deployment {
 	d := &deployment{
-		t: t, dir: t.TempDir(), binary: binary, store: standin.NewStore(), linkAddrs: map[string]string{},
+		t: t, dir: t.TempDir(), entryBuild: entryBuild, agentBuild: agentBuild, store: standin.NewStore(), linkAddrs: map[string]string{},
 		ipPrefix: testbed.LoopbackPrefix(),
 	}
 	d.storeLinks = d.forward(d.serve(d.store))
@@ -139,6 +112,8 @@
 // publishConfig writes the next configuration version to the store. It has the route "/jobs/", which every
 // version has, and the route of its own version.
 func (d *deployment) publishConfig() {
+	d.versionMu.Lock()
+	defer d.versionMu.Unlock()
 	d.version++
 	route := func(path string) string {
 		return fmt.Sprintf(`{"name":%q,"host":%q,"prefix":%q,"timeoutMs":1500,"sloMs":60,"service":%q,"attempts":2,"stretch":1.6}`, path, host, path, service)
@@ -147,6 +122,13 @@
 		d.version, route("/jobs/"), route(routePrefix(d.version)), service)))
 }
 
+// newestVersion returns the newest configuration version.
+func (d *deployment) newestVersion() int {
+	d.versionMu.Lock()
+	defer d.versionMu.Unlock()
+	return d.version
+}
+
 // freeAddr returns an unused TCP address on an IP.
 func freeAddr(t *testing.T, ip string) string {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
@@ -170,116 +152,12 @@
 // addEntry adds entry i and starts it.
 func (d *deployment) addEntry(i int) {
 	ip := fmt.Sprint(d.ipPrefix, firstEntryHost+i)
-	n := &node{name: fmt.Sprintf("front-%d", i), role: "entry", frontAddr: freeAddr(d.t, ip), readyAddr: freeAddr(d.t, ip)}
+	n := &node{name: fmt.Sprintf("front-%d", i), role: "entry", build: d.entryBuild, frontAddr: freeAddr(d.t, ip), readyAddr: freeAddr(d.t, ip)}
 	n.file = d.writeSettings(n.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [1, 2]\n[listen]\nfront = %q\nready = %q", zoneA, ip, n.frontAddr, n.readyAddr))
 	d.entries = append(d.entries, n)
 	d.launch(n)
 }
 
-// addAgent adds agent i with its backend server, which sends a heartbeat every 200 ms. It does not start the
-// process of the agent.
-func (d *deployment) addAgent(i int) {
-	ip := fmt.Sprint(d.ipPrefix, firstAgentHost+i)
-	a := &agentNode{
-		node:    &node{name: fmt.Sprintf("side-%d", i), role: "agent"},
-		backend: standin.NewBackend(fmt.Sprintf("i-%d", i)), controlAddr: freeAddr(d.t, ip), zone: []string{zoneA, zoneB}[i%2], state: "ready",
-	}
-	a.backendLinks = d.forward(d.serve(a.backend))
-	address := freeAddr(d.t, ip)
-	_, port, _ := net.SplitHostPort(address)
-	a.entryLinks = d.forward(address)
-	d.linkAddrs[address] = a.entryLinks.Addr()
-	a.file = d.writeSettings(a.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [%s, %s]\napp = %q\nservice = %q\n[listen]\ncontrol = %q",
-		a.zone, ip, port, port, a.backendLinks.Addr(), service, a.controlAddr))
-	d.agents = append(d.agents, a)
-	ctx, cancel := context.WithCancel(context.Background())
-	d.t.Cleanup(cancel)
-	go func() {
-		for ctx.Err() == nil {
-			a.sendHeartbeat()
-			time.Sleep(200 * time.Millisecond)
-		}
-	}()
-}
-
-// sendHeartbeat sends a heartbeat of the backend server to its agent. Errors are ignored, because the agent
-// may be down; it gets the next heartbeat.
-func (a *agentNode) sendHeartbeat() {
-	a.mu.Lock()
-	a.seq++
-	body := fmt.Sprintf(`{"service":%q,"addr":"127.0.0.1:1","zone":%q,"state":%q,"room":{"cpu":%d,"memMb":100000,"gpu":0},"seq":%d,"born":%d}`,
-		service, a.zone, a.state, cpuCapacity, a.seq, a.backend.Incarnation())
-	a.mu.Unlock()
-	resp, err := http.Post("http://"+a.controlAddr+"/-/Instances.Heartbeat/"+a.backend.ID, "application/json", strings.NewReader(body))
-	if err == nil {
-		resp.Body.Close()
-	}
-}
-
-// launch starts a process and restarts it whenever it exits, until the test ends.
-func (d *deployment) launch(n *node) {
-	var err error
-	if n.log, err = os.Create(filepath.Join(logDir(d.t), n.name+".log")); err != nil {
-		d.t.Fatal(err)
-	}
-	n.done = make(chan struct{})
-	go func() {
-		defer close(n.done)
-		for n.run(d.binary) {
-			time.Sleep(150 * time.Millisecond)
-		}
-	}()
-	d.t.Cleanup(func() { n.close(d.t) })
-}
-
-// run runs the process until it exits, and reports whether it has to be started again.
-func (n *node) run(binary string) bool {
-	cmd := exec.Command(binary, "--settings", n.file, n.role)
-	cmd.Stdout, cmd.Stderr = n.log, n.log
-	n.mu.Lock()
-	if n.closing || cmd.Start() != nil {
-		n.mu.Unlock()
-		return false
-	}
-	n.cmd, n.started = cmd, time.Now()
-	n.starts++
-	n.mu.Unlock()
-	_ = cmd.Wait() // the exit status follows from the injected fault
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.closing
-}
-
-// signal sends a signal to the process, if it has been started.
-func (n *node) signal(s syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd != nil && n.cmd.Process != nil {
-		// An error means that the process has just exited and needs no signal.
-		_ = n.cmd.Process.Signal(s)
-	}
-}
-
-// incarnation returns how often the process has been started.
-func (n *node) incarnation() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.starts
-}
-
-// close kills the process, waits for its exit and closes its log.
-func (n *node) close(t *testing.T) {
-	n.mu.Lock()
-	n.closing = true
-	n.mu.Unlock()
-	n.signal(syscall.SIGCONT)
-	n.signal(syscall.SIGKILL)
-	<-n.done
-	if err := n.log.Close(); err != nil {
-		t.Log(err)
-	}
-}
-
 // logDir returns the directory for the logs of the processes: one for this test under SOAK_LOGS if that is
 // set, so that the logs are kept, and a temporary directory otherwise.
 func logDir(t *testing.T) string {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -100,14 +100,12 @@
 	}},
 	{"links reset", func(d *deployment, r *rand.Rand) { pick(r, d.agents).entryLinks.Reset() }},
 	{"links delayed", func(d *deployment, r *rand.Rand) { delayLink(r, pick(r, d.agents).entryLinks, 150*time.Millisecond) }},
-}
-
-// setState changes the state that the heartbeats of the backend server report and sends one at once.
-func (a *agentNode) setState(state string) {
-	a.mu.Lock()
-	a.state = state
-	a.mu.Unlock()
-	a.sendHeartbeat()
+	{"server returns under its ID", (*deployment).crashServer},
+	{"crashing tasks", (*deployment).submitCrashingJobs},
+	{"capacity changes", (*deployment).changeCapacity},
+	{"calls carried out late", (*deployment).carryOutLate},
+	{"signals in series", (*deployment).signalInSeries},
+	{"connections used until the process is gone", (*deployment).useConnectionsToTheEnd},
 }
 
 // disruptLink sets a mode on the connections through a forwarder for a random time of 0.1 s to 1.5 s and then
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,13 +6,10 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"sort"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
-
-	"poplargw.example/platform/standin"
 )
 
 // regressions lists every seed that has ever failed, with the cause of the failure.
@@ -53,13 +50,14 @@
 
 // TestSoak injects random faults, one run per seed, and guards against broken guarantees: two runs of a
 // task at the same time, more tasks on a backend server than its capacity allows, a job refused as not run
-// that has run, starts in a failure domain that was taken out, a process that returns to an older
-// configuration, and entries that complete no job within recoveryLimit after the last fault.
+// that has run, a task that crashes server after server, a job that fails by crashes of other jobs' tasks, starts
+// in a failure domain that was taken out, a process that returns to an older configuration, and entries that
+// complete no job within recoveryLimit after the last fault.
 func TestSoak(t *testing.T) {
 	binaryPath := requireBinary(t)
 	seed, count := envUint(t, "SEED", 1), envUint(t, "SOAK_COUNT", 1)
 	for s := seed; s < seed+count; s++ {
-		t.Run(fmt.Sprintf("seed-%d", s), func(t *testing.T) { runSoak(t, binaryPath, s, faults, envUint(t, "SOAK_SECONDS", 12)) })
+		t.Run(fmt.Sprintf("seed-%d", s), func(t *testing.T) { runSoak(t, binaryPath, s, faults, loadOfSeed(s), envUint(t, "SOAK_SECONDS", 12)) })
 	}
 }
 
@@ -69,19 +67,20 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) {
 			t.Log(r.cause)
-			runSoak(t, binaryPath, r.seed, faults[:r.faultKinds], 12)
+			runSoak(t, binaryPath, r.seed, faults[:r.faultKinds], ordinaryLoad, 12)
 		})
 	}
 }
 
 // runSoak injects faults of the given kinds into a new deployment under load for a number of seconds, waits
 // until it has recovered, and checks the guarantees. The seed determines the faults and the load.
-func runSoak(t *testing.T, binaryPath string, seed uint64, kinds []fault, seconds uint64) {
+func runSoak(t *testing.T, binaryPath string, seed uint64, kinds []fault, l load, seconds uint64) {
 	entries, agents := int(envUint(t, "SOAK_ENTRIES", 2)), int(envUint(t, "SOAK_SIDES", 4))
-	d := newDeployment(t, binaryPath, entries, agents)
+	current := build{"current", binaryPath}
+	d := newDeployment(t, current, current, entries, agents)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	c := startCallers(ctx, d, seed, 8)
+	c := startCallers(ctx, d, seed, l)
 	d.awaitService(c, "start")
 	versions := d.watchVersions(ctx, c)
 	r := rand.New(rand.NewPCG(seed, 7))
@@ -105,7 +104,7 @@
 	deadline := time.Now().Add(recoveryLimit)
 	for _, e := range d.entries {
 		for {
-			status, state := c.send(e.frontAddr, c.newID(), fmt.Sprintf(`{"spec":"20","bestEffort":true,"steps":[{"count":1,"cpu":%d,"memMb":1,"estimateMs":20}]}`, taskCPU), false)
+			status, state := c.send(c.client, e, c.newID(), fmt.Sprintf(`{"spec":"20","bestEffort":true,"steps":[{"count":1,"cpu":%d,"memMb":1,"estimateMs":20}]}`, taskCPU), false)
 			if status == http.StatusOK && state == "completed" {
 				break
 			}
@@ -148,7 +147,7 @@
 					incarnations[e], newest[e] = n, 0
 				}
 				before := newest[e]
-				for v := 1; v <= d.version; v++ {
+				for v := 1; v <= d.newestVersion(); v++ {
 					if c.getStatus(e.frontAddr, routePrefix(v)) != http.StatusOK || e.incarnation() != incarnations[e] {
 						continue
 					}
@@ -164,40 +163,3 @@
 	}()
 	return result
 }
-
-// checkRuns checks the starts that the backend servers recorded against the guarantees and against the
-// answers that the callers received.
-func (d *deployment) checkRuns(t *testing.T, c *callers) {
-	byTask := map[string][]standin.Start{}
-	for _, a := range d.agents {
-		if most := a.backend.MaxConcurrent(); most*taskCPU > cpuCapacity {
-			t.Errorf("%s ran %d tasks at once, capacity is %d", a.name, most, cpuCapacity/taskCPU)
-		}
-		for _, v := range a.backend.Starts() {
-			byTask[v.Task] = append(byTask[v.Task], v)
-		}
-	}
-	for task, runs := range byTask {
-		job, _, _ := strings.Cut(task, ".")
-		if c.refused[job] && !c.mayHaveRun(job) {
-			t.Errorf("job %s was refused as not run, but its task %s ran", job, task)
-		}
-		sort.Slice(runs, func(a, b int) bool { return runs[a].Started.Before(runs[b].Started) })
-		for i := 1; i < len(runs); i++ {
-			if before := runs[i-1]; before.Ended.IsZero() || runs[i].Started.Before(before.Ended) {
-				t.Errorf("task %s: run %d began %s before run %d ended (%s)", task, runs[i].Run, before.Ended.Sub(runs[i].Started), before.Run, before.Outcome)
-			}
-		}
-	}
-	for _, s := range c.violations {
-		t.Error(s)
-	}
-}
-
-// mayHaveRun reports whether an attempt of the job ended with neither status 200 nor a refusal, so that the job
-// may have run although another attempt was refused.
-func (c *callers) mayHaveRun(job string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.unanswered[job]
-}
