Name in the soak's messages which starts were carried out late, and by which incarnation

Without this, a start over the capacity does not show whether an agent ordered too much or a call of the former incarnation was carried out by the next one.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -68,8 +68,8 @@
 	for i := 1; i < len(runs); i++ {
 		before, run := runs[i-1], runs[i]
 		if before.Ended.IsZero() || run.Started.Before(before.Ended) {
-			t.Errorf("task %s: run %d began on %s %s before run %d on %s ended (%s)%s", task, run.Run, run.agent.name,
-				before.Ended.Sub(run.Started), before.Run, before.agent.name, before.Outcome, c.involved(before, run))
+			t.Errorf("task %s: %s began %s before the end of %s%s", task, run.describe(), before.Ended.Sub(run.Started), before.describe(),
+				c.involved(before, run))
 		}
 	}
 }
@@ -85,8 +85,8 @@
 			}
 		}
 		if limit := a.largestCapacity(s.Started, shrinkLimit); used > limit {
-			t.Errorf("%s: the start of task %s, run %d, brought the CPU in use to %d, capacity is %d%s", a.name, s.Task, s.Run, used, limit,
-				c.involved(taskRun{s, a}))
+			run := taskRun{s, a}
+			t.Errorf("the start of task %s, %s, brought the CPU in use to %d, capacity is %d%s", s.Task, run.describe(), used, limit, c.involved(run))
 		}
 	}
 }
@@ -136,15 +136,28 @@
 			continue
 		}
 		t.Errorf("job %s was answered as failed, but none of its tasks crashes a backend server or failed %d times: %s%s", job, queueAttempts,
-			describe(runs[job]), c.involved(runs[job]...))
+			describeAll(runs[job]), c.involved(runs[job]...))
 	}
 }
 
-// describe returns the tasks, run numbers and outcomes of runs.
-func describe(runs []taskRun) string {
+// describe describes a run, its times and its outcome.
+func (r taskRun) describe() string {
+	late := ""
+	if r.Late {
+		late = "carried out late, "
+	}
+	return fmt.Sprintf("run %d on %s (incarnation %d, %sstarted %s, ended %s, outcome %q)", r.Run, r.agent.name, r.Incarnation, late,
+		r.Started.Format(timeLayout), r.Ended.Format(timeLayout), r.Outcome)
+}
+
+// timeLayout is the format of times in messages.
+const timeLayout = "15:04:05.000"
+
+// describeAll describes runs and their tasks.
+func describeAll(runs []taskRun) string {
 	var parts []string
 	for _, r := range runs {
-		parts = append(parts, fmt.Sprintf("%s run %d on %s: %s", r.Task, r.Run, r.agent.name, r.Outcome))
+		parts = append(parts, r.Task+" "+r.describe())
 	}
 	return strings.Join(parts, ", ")
 }
