--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -61,6 +62,30 @@
 	}
 }
 
+// crashKinds is the index in the list faults of the first kind that belongs to crashes, capacity and signals. The
+// kinds from there on, and those in besideCrashes, are drawn by TestSoakCrashes.
+const crashKinds = 31
+
+// besideCrashes names the kinds of faults that hide the end of a run or delay orders, so that they matter most
+// beside crashes.
+var besideCrashes = []string{"kill", "stop", "freeze", "server cut off", "server connections silent", "server starts late", "links cut", "leases expire"}
+
+// TestSoakCrashes is TestSoak with the faults that have to do with crashing tasks, returning backend servers,
+// changing capacity and series of signals, which TestSoak draws rarely.
+func TestSoakCrashes(t *testing.T) {
+	binaryPath := requireBinary(t)
+	kinds := faults[crashKinds:]
+	for _, f := range faults[:crashKinds] {
+		if slices.Contains(besideCrashes, f.name) {
+			kinds = append(slices.Clip(kinds), f)
+		}
+	}
+	seed, count := envUint(t, "SEED", 1), envUint(t, "SOAK_COUNT", 1)
+	for s := seed; s < seed+count; s++ {
+		t.Run(fmt.Sprintf("seed-%d", s), func(t *testing.T) { runSoak(t, binaryPath, s, kinds, loadOfSeed(s), envUint(t, "SOAK_SECONDS", 12)) })
+	}
+}
+
 // TestRegressions repeats the seeds that have failed and guards against the return of the causes.
 func TestRegressions(t *testing.T) {
 	binaryPath := requireBinary(t)
