Run the build in production beside the current one in a soak

make soak-upgrade builds the commit named by the new key production of deploy/system.toml and replaces its processes one by one under load and faults, and runs entries of one build with agents of the other.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := api dispatch store daemon platform lab soak
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-.PHONY: build test lint format-check generate generate-check demo prove replay capacity soak soak-many
+.PHONY: build test lint format-check generate generate-check demo prove replay capacity soak soak-many soak-upgrade
 
 build:
 	mkdir -p bin
@@ -43,6 +43,21 @@
 soak-many: build
 	SOAK_BINARY=$(CURDIR)/bin/poplargw-node SEED=$(or $(SEED),1) SOAK_COUNT=$(or $(COUNT),50) go test ./soak -count=1 -run Soak -v -timeout 60m
 
+# Builds the commit named by "production" in deploy/system.toml into bin/production. Needs no network.
+PRODUCTION := $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
+bin/production/$(PRODUCTION)/poplargw-node:
+	mkdir -p $(@D)/source
+	git archive $(PRODUCTION) | tar -x -C $(@D)/source
+	cd $(@D)/source && go build -o ../ ./platform/cmd/poplargw-node
+	rm -rf $(@D)/source
+
+# Runs the build in production beside the current one under random faults: processes are replaced one by one, and
+# entries of one build run with agents of the other. SOAK_MIX selects one of rolling, earlier-entries and
+# earlier-agents; SEED, COUNT (default 1), SOAK_SECONDS and SOAK_LOGS are as for the soak test.
+soak-upgrade: build bin/production/$(PRODUCTION)/poplargw-node
+	SOAK_BINARY=$(CURDIR)/bin/poplargw-node SOAK_PRODUCTION=$(CURDIR)/bin/production/$(PRODUCTION)/poplargw-node \
+	SEED=$(or $(SEED),1) SOAK_COUNT=$(or $(COUNT),1) go test ./soak -count=1 -run Upgrade -v -timeout 60m
+
 # Runs the demonstration on loopback addresses; see README.md.
 demo: build
 	deploy/demo/run.sh
