--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,9 @@
 	bin/capacity -kinds tcp -agents 880 -sizes 0 claim
 
 # Runs the programs of the users' platform as separate processes under random faults; see soak/.
-# SEED selects the faults (default 1), SOAK_SECONDS sets for how long they occur, and SOAK_LOGS names a
-# folder that keeps the logs of a failed run.
+# SEED selects the faults (default 1), SOAK_SECONDS sets for how long they occur, SOAK_LOGS names a folder that
+# keeps the logs of a failed run, and SOAK_FAULTS names the kinds of faults that TestSoakCrashes draws, as in
+# SOAK_FAULTS="calls carried out late,freeze".
 soak: build
 	SOAK_BINARY=$(CURDIR)/bin/poplargw-node SEED=$(or $(SEED),1) go test ./soak -count=1 -run 'Soak|Regressions' -v -timeout 20m
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,14 +71,13 @@
 var besideCrashes = []string{"kill", "stop", "freeze", "server cut off", "server connections silent", "server starts late", "links cut", "leases expire"}
 
 // TestSoakCrashes is TestSoak with the faults that have to do with crashing tasks, returning backend servers,
-// changing capacity and series of signals, which TestSoak draws rarely.
+// changing capacity and series of signals, which TestSoak draws rarely. SOAK_FAULTS selects other kinds by their
+// names, with commas between them.
 func TestSoakCrashes(t *testing.T) {
 	binaryPath := requireBinary(t)
-	kinds := faults[crashKinds:]
-	for _, f := range faults[:crashKinds] {
-		if slices.Contains(besideCrashes, f.name) {
-			kinds = append(slices.Clip(kinds), f)
-		}
+	kinds := append(slices.Clone(faults[crashKinds:]), faultsNamed(besideCrashes)...)
+	if only := os.Getenv("SOAK_FAULTS"); only != "" {
+		kinds = faultsNamed(strings.Split(only, ","))
 	}
 	seed, count := envUint(t, "SEED", 1), envUint(t, "SOAK_COUNT", 1)
 	for s := seed; s < seed+count; s++ {
@@ -86,6 +85,17 @@
 	}
 }
 
+// faultsNamed returns the kinds of faults with the given names, in the order of the list faults.
+func faultsNamed(names []string) []fault {
+	var kinds []fault
+	for _, f := range faults {
+		if slices.Contains(names, f.name) {
+			kinds = append(kinds, f)
+		}
+	}
+	return kinds
+}
+
 // TestRegressions repeats the seeds that have failed and guards against the return of the causes.
 func TestRegressions(t *testing.T) {
 	binaryPath := requireBinary(t)
