Tell entries through agents which kinds of request others confine

Cause: each entry confined a kind only on evidence that it had itself. An entry now says in its frames which kinds it confines on evidence, and an agent tells each entry what the other active ones confine. Such a kind is confined for as long as others say so and 0.5 s longer; the entry does not pass it on, so that entries cannot keep each other's report alive.

--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
@@ -29,6 +30,7 @@
 	claims                 []*peerv1.RunClaim // claims of the entry that have no response yet
 	sentServer             run.Server         // as last sent to the entry
 	sentCrash              uint64             // number of the newest crash sent to the entry
+	confined               []string           // kinds of request that the entry confines
 }
 
 // minResponseInterval is the time after a frame to the entry during which a frame with orders gets no
@@ -123,6 +125,7 @@
 	token := a.startedAt.Add(time.Duration(f.GetTokenMs()) * time.Millisecond)
 	s.lastSeq = f.GetSeq()
 	s.lastReceived = now
+	s.confined = f.GetConfined()
 	s.confirmedSeq = max(s.confirmedSeq, f.GetAck())
 	a.table.Request(now, s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandFromProto(f.GetWant()))
 	a.table.Confirmed(s.entry, token)
@@ -218,5 +221,19 @@
 		f.Crashes = append(f.Crashes, link.CrashToProto(c.Crash, now.Sub(c.At)))
 		s.sentCrash = c.Number
 	}
+	f.Confined = a.confinedByOthers(now, s)
 	s.conn.Send(f)
 }
+
+// confinedByOthers returns the kinds of request that active entries other than that of the session confine. The
+// caller must hold Agent.mu.
+func (a *Agent) confinedByOthers(now time.Time, s *session) []string {
+	var kinds []string
+	for _, o := range a.sessions {
+		if o != s && now.Sub(o.lastReceived) <= entryTimeout {
+			kinds = append(kinds, o.confined...)
+		}
+	}
+	slices.Sort(kinds)
+	return slices.Compact(kinds)
+}
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -152,7 +152,7 @@
 	}
 	e.scheduler.Report(now, a.id, jobs.Report{
 		Server: a.server, Free: link.DemandFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(f.GetEntries()),
-		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()),
+		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(),
 	})
 	e.flush()
 	// The agent reserves capacity for entries with waiting tasks, so tell it immediately when this changes.
@@ -171,6 +171,7 @@
 	f := link.BatchToProto(b)
 	f.Ack, f.TokenMs = a.lastSeq, a.tokenMS
 	f.SlowdownPermille = link.SlowdownToProto(e.scheduler.MeasuredSlowdown(a.id))
+	f.Confined = e.scheduler.ConfinedKinds(a.id)
 	want := e.scheduler.WaitingDemand(a.lastSent, a.id)
 	a.demandSent = want.Demand.CPU > 0
 	if a.demandSent {
--- a/dispatch/jobs/bulkhead.go
+++ b/dispatch/jobs/bulkhead.go
@@ -23,6 +23,9 @@
 	// releaseAfter is how long a confined kind must have had backend servers without another crash before it is
 	// released.
 	releaseAfter = 2 * time.Second
+	// othersHold is how long a kind stays confined after the newest report that another entry confines it. Agents
+	// send a frame at least every 120 ms.
+	othersHold = 500 * time.Millisecond
 	// kindMemory is how long a kind without new jobs counts as one that shares the service.
 	kindMemory = 30 * time.Second
 )
@@ -34,6 +37,9 @@
 	// newest crash.
 	confined bool
 	served   time.Duration
+	// othersUntil is the end of the time for which the kind is confined because other entries confine it.
+	othersUntil time.Time
+	byOthers    bool // that time has not passed
 	// starts is the rate at which this entry starts tasks of the kind.
 	starts startRate
 }
@@ -100,7 +106,7 @@
 // has the service to itself is not confined: there is nobody to protect from it.
 func (c *serviceCrashes) hasOthers(now time.Time, name string) bool {
 	for other, k := range c.kinds {
-		if other != name && !k.confined && now.Sub(k.arrived) <= kindMemory {
+		if other != name && !k.isConfined() && now.Sub(k.arrived) <= kindMemory {
 			return true
 		}
 	}
@@ -113,7 +119,7 @@
 	if c == nil || c.kinds[name] == nil {
 		return false
 	}
-	return c.kinds[name].confined
+	return c.kinds[name].isConfined()
 }
 
 // anyConfined reports whether a kind of the service is confined.
@@ -123,13 +129,44 @@
 		return false
 	}
 	for _, k := range c.kinds {
-		if k.confined {
+		if k.isConfined() {
 			return true
 		}
 	}
 	return false
 }
 
+func (k *kindState) isConfined() bool { return k.confined || k.byOthers }
+
+// recordOthers records that other entries confine kinds of the service. It reports whether that is news.
+func (b *bulkheads) recordOthers(now time.Time, service string, names []string) bool {
+	changed := false
+	for _, name := range names {
+		k := b.service(service).kind(name)
+		k.othersUntil = now.Add(othersHold)
+		changed = changed || !k.byOthers
+		k.byOthers = true
+	}
+	return changed
+}
+
+// ConfinedKinds returns the kinds that this entry confines on the evidence of crashes, for the service of the
+// agent's backend server.
+func (s *Scheduler) ConfinedKinds(agent string) []string {
+	v := s.servers[agent]
+	if v == nil || s.bulkheads.services[v.state.Service] == nil {
+		return nil
+	}
+	var names []string
+	for name, k := range s.bulkheads.services[v.state.Service].kinds {
+		if k.confined {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // confined reports whether the job's kind is confined.
 func (s *Scheduler) confined(j *job) bool {
 	return s.bulkheads.isConfined(j.Queue.Service, j.Queue.Name)
@@ -142,6 +179,9 @@
 	b.at = now
 	s.crashes.sweep(now)
 	for service, c := range b.services {
+		for _, k := range c.kinds {
+			k.byOthers = now.Before(k.othersUntil)
+		}
 		confined := b.anyConfined(service)
 		if confined || c.active {
 			s.chooseBulkhead(service, confined)
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// Guards against crashes by a confined kind through an entry that has just started and knows no crashes: it
+// confines what the others confine, for as long as they do.
+func TestKindConfinedByOtherEntriesIsConfined(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	report := Report{Server: serverOf("a0", 10_000), Free: serverOf("a0", 10_000).Capacity, OthersConfined: []string{testQueue.Name}}
+	h.Report(h.now, "a0", report)
+	h.submit("confined", 8, 3000, 50*time.Millisecond)
+	for agent, list := range h.orders {
+		if len(list) > 0 && !h.servers[agent].inBulkhead {
+			t.Errorf("the kind uses %s, which is not in the bulkhead", agent)
+		}
+	}
+	if kinds := h.ConfinedKinds("a0"); len(kinds) > 0 {
+		t.Errorf("the entry reports %v as confined on its own evidence", kinds)
+	}
+	h.advance(othersHold + 20*time.Millisecond)
+	if h.bulkheads.anyConfined("svc") {
+		t.Error("the kind is still confined after the other entries have released it")
+	}
+}
+
 // Guards against confining a kind for ever: without further crashes it may use all backend servers again.
 func TestConfinedKindIsReleased(t *testing.T) {
 	h := newHarness(t, 8, 10_000)
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -71,6 +71,9 @@
 	v.free = r.Free
 	v.entries = r.Entries
 	v.othersSlowdown = r.OthersSlowdown
+	if s.bulkheads.recordOthers(now, r.Server.Service, r.OthersConfined) {
+		s.updateBulkheads(now)
+	}
 	v.reported = true
 	v.acknowledge(r.Ack)
 	if s.slowdowns[v.state.Service].median == 0 {
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -141,6 +141,8 @@
 	Entries int
 	// OthersSlowdown is the median of the slowdowns that other entries have measured there; 0 if there is none.
 	OthersSlowdown float64
+	// OthersConfined are the kinds of request that other entries confine because they crash backend servers.
+	OthersConfined []string
 }
 
 // Limits configures the scheduler.
