--- a/dispatch/runtable/capacity_test.go
+++ b/dispatch/runtable/capacity_test.go
@@ -49,7 +49,7 @@
 			if code := f.orderDemand(ref("b", 1), smallDemand); code != result.NoFreeSlot {
 				t.Errorf("order at the shrunk capacity: code %d", code)
 			}
-			f.Stop(ref("a", 1))
+			f.Stop(f.now, ref("a", 1))
 			if code := f.orderDemand(ref("b", 1), smallDemand); code != result.NoFreeSlot {
 				t.Errorf("order while the stop is in progress: code %d", code)
 			}
--- a/dispatch/runtable/model_test.go
+++ b/dispatch/runtable/model_test.go
@@ -207,7 +207,7 @@
 			},
 			"stop": func(t *rapid.T) {
 				for r := range m.running {
-					if table.Stop(r) && rapid.Bool().Draw(t, "arrives") {
+					if table.Stop(now, r) && rapid.Bool().Draw(t, "arrives") {
 						m.finish(r, run.Stopped)
 					}
 					return
