--- a/dispatch/runtable/capacity_test.go
+++ b/dispatch/runtable/capacity_test.go
@@ -87,3 +87,28 @@
 		})
 	}
 }
+
+// Guards against orders of a restarted agent that exceed the capacity: an order of its previous process may
+// start after the first snapshot, and only one that was taken after the quarantine is sure to show the run.
+func TestQuarantineEndsWithSnapshotAfterIt(t *testing.T) {
+	f := &fixture{Table: New(start(), testLimits), t: t, now: start()}
+	f.Announce(f.now, testServer, testIncarnation)
+	f.snapshot(nil, nil)
+	f.advance(testLimits.OrderExpiry - time.Millisecond)
+	f.snapshot(nil, nil)
+	if got := f.NextExpiry(f.now, time.Second); got > 10*time.Millisecond {
+		t.Errorf("the next snapshot is awaited for %s", got)
+	}
+	f.advance(20 * time.Millisecond)
+	if code := f.order(ref("b", 1), 6000); code != result.StaleToken {
+		t.Errorf("order without a snapshot after the quarantine: code %d", code)
+	}
+	f.snapshot([]RunningRun{{Ref: ref("a", 1)}}, nil)
+	if code := f.order(ref("b", 1), 6000); code != result.NoFreeSlot {
+		t.Errorf("order beside a run of the previous process: code %d", code)
+	}
+	f.snapshot(nil, []EndedRun{{Number: 1, Ref: ref("a", 1), Kind: run.Done}})
+	if code := f.order(ref("b", 1), 6000); code != 0 {
+		t.Errorf("order after the end of the run: code %d", code)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -77,7 +77,7 @@
 		return result.DomainOut
 	case now.Sub(o.Token) > t.limits.OwnerSilence:
 		return result.StaleToken
-	case t.quarantined(now):
+	case t.quarantined():
 		return result.StaleToken
 	case !t.orderWithinLease(now) || !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
 		return result.NoFreeSlot
@@ -137,18 +137,26 @@
 	t.answerTime = time.Duration(answerDecay*float64(t.answerTime) + (1-answerDecay)*float64(took))
 }
 
-// NextExpiry returns the time until the first unanswered order has expired, but at most limit.
+// NextExpiry returns the time until the first unanswered order has expired, or those of an earlier
+// process have, but at most limit.
 func (t *Table) NextExpiry(now time.Time, limit time.Duration) time.Duration {
+	if t.clock.known && t.quarantined() {
+		limit = t.untilAfter(now, t.quarantineEnd, limit)
+	}
 	for _, r := range t.runs {
-		if r.accepted {
-			continue
+		if !r.accepted {
+			limit = t.untilAfter(now, r.visibleByMS, limit)
 		}
-		remaining := time.Duration(r.visibleByMS-t.clock.at(now))*time.Millisecond + expiryMargin
-		limit = min(limit, max(expiryMargin, remaining))
 	}
 	return limit
 }
 
+// untilAfter returns the time until the backend server's clock is past ms, but at most limit.
+func (t *Table) untilAfter(now time.Time, ms int64, limit time.Duration) time.Duration {
+	remaining := time.Duration(ms-t.clock.at(now))*time.Millisecond + expiryMargin
+	return min(limit, max(expiryMargin, remaining))
+}
+
 // expiryMargin is how long after an order's expiry a snapshot is sure to show whether it started.
 const expiryMargin = 3 * time.Millisecond
 
