Answer claims of unknown runs only after orders of the former process have expired

A claim of a run that the table knows, in progress or ended, is answered as before. The frames of the link do not change; the entry keeps waiting for the event of the run.

--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -172,19 +172,25 @@
 	return run.Event{}, true
 }
 
-// respondToClaims sends the entry the state of the runs that it claimed, once the table can tell. The
-// caller must hold a.mu.
+// respondToClaims sends the entry the state of those runs that it claimed of which the table can tell. The
+// others stay in s.claims. The caller must hold a.mu.
 func (s *session) respondToClaims(a *Agent, now time.Time) {
-	if len(s.claims) == 0 || !a.table.CanAnswerClaims(now) {
-		return
-	}
 	var events []run.Event
+	var waiting []*peerv1.RunClaim
 	for _, c := range s.claims {
+		ref := link.RefFromProto(c.GetRef())
+		if !a.table.CanAnswerClaim(now, ref) {
+			waiting = append(waiting, c)
+			continue
+		}
 		ordered := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
-		events = append(events, a.table.Claim(s.entry, link.RefFromProto(c.GetRef()), link.DemandFromProto(c.GetDemand()), now, ordered))
+		events = append(events, a.table.Claim(s.entry, ref, link.DemandFromProto(c.GetDemand()), now, ordered))
+	}
+	s.claims = waiting
+	if len(events) == 0 {
+		return
 	}
-	a.Log.Info(event.RunsClaimed, event.Fields{"entry": s.entry, "runs": len(events)})
-	s.claims = nil
+	a.Log.Info(event.RunsClaimed, event.Fields{"entry": s.entry, "runs": len(events), "waiting": len(waiting)})
 	s.send(a, events)
 }
 
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -217,12 +217,24 @@
 	if e := f.Claim("e1", ref("c", 1), run.Demand{CPU: 4000}, f.now, f.now); e.Kind != run.Done {
 		t.Errorf("claim of a run that is done: %v", e)
 	}
-	if e := f.Claim("e1", ref("d", 1), run.Demand{CPU: 4000}, f.now, f.now); e.Kind != run.Stopped || e.Reason != result.NoRecord {
-		t.Errorf("claim of an unknown run: %v", e)
+	if !f.CanAnswerClaim(f.now, ref("a", 1)) || !f.CanAnswerClaim(f.now, ref("c", 1)) {
+		t.Error("claims of known runs have to wait")
+	}
+	if f.CanAnswerClaim(f.now, ref("d", 1)) {
+		t.Error("the claim of an unknown run is answered while orders of the earlier agent process can start")
 	}
 	f.advance(200 * time.Millisecond)
+	if f.CanAnswerClaim(f.now, ref("d", 1)) {
+		t.Error("the claim of an unknown run is answered before a snapshot shows whether its order started")
+	}
 	f.Confirmed("e1", f.now)
 	f.snapshot([]RunningRun{{Ref: ref("a", 1)}, {Ref: ref("b", 1)}}, nil)
+	if !f.CanAnswerClaim(f.now, ref("d", 1)) {
+		t.Error("the claim of an unknown run has to wait although its order has expired")
+	}
+	if e := f.Claim("e1", ref("d", 1), run.Demand{CPU: 4000}, f.now, f.now); e.Kind != run.Stopped || e.Reason != result.NoRecord {
+		t.Errorf("claim of an unknown run: %v", e)
+	}
 	if code := f.order(ref("x", 1), 1); code != result.NoFreeSlot {
 		t.Errorf("order while the demand of a run is not known: code %d", code)
 	}
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -215,11 +215,33 @@
 	return orderedAt.Sub(t.startedAt) > orderTimeMargin && now.Sub(orderedAt) < t.limits.EndRetention-orderTimeMargin
 }
 
-// CanAnswerClaims reports whether claims can be answered. After its own start, an agent first needs
-// a snapshot, or has to wait until every lease and order of its earlier process has expired.
+// CanAnswerClaims reports whether claims of runs that the table knows can be answered. After its own
+// start, an agent first needs a snapshot, or has to wait until every lease and order of its earlier
+// process has expired.
 func (t *Table) CanAnswerClaims(now time.Time) bool {
+	return t.claimsReady || t.formerRunsOver(now)
+}
+
+// CanAnswerClaim reports whether a claim of the given run can be answered. A run that the table does
+// not know may still start from an order of an earlier process of the agent, until a snapshot is newer
+// than every such order.
+func (t *Table) CanAnswerClaim(now time.Time, ref run.Ref) bool {
+	if !t.CanAnswerClaims(now) {
+		return false
+	}
+	_, ended := t.retainedEnds[ref]
+	return t.runs[ref] != nil || ended || t.listsAllRuns() || t.formerRunsOver(now)
+}
+
+// listsAllRuns reports whether the newest snapshot is newer than every order that is unknown to the
+// table, so that the table has all runs.
+func (t *Table) listsAllRuns() bool { return !t.unknownOrders && t.clock.ms > t.quarantineEnd }
+
+// formerRunsOver reports whether every lease and order of the agent's earlier process has expired
+// since the start of this one.
+func (t *Table) formerRunsOver(now time.Time) bool {
 	expiry := time.Duration(float64(t.limits.Lease+t.limits.OrderExpiry) / minClockRate)
-	return t.claimsReady || now.Sub(t.startedAt) > expiry
+	return now.Sub(t.startedAt) > expiry
 }
 
 // Progress returns the progress of the owner's runs.
