Treat a backend server as absent after a start that could not be sent

An entry went on ordering runs from an idle backend server that had crashed and refused connections: orders were refused eleven times within 40 ms. The table stays usable while the server has no runs, because no lease can expire, so each refusal brought no new information.

Polls continue each 10 ms meanwhile.

On the code before, TestServerIsAbsentAfterUnsentStart failed with "state 1 with 0 runs after a start could not be sent".

--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -71,10 +71,24 @@
 	v := startResponse{clockMS: clockMS, took: time.Since(sentAt), err: err}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.table.CopyReturned(boottime.Now(), call.Ref, v.answered())
+	now := boottime.Now()
+	a.table.CopyReturned(now, call.Ref, v.answered())
+	if errors.Is(err, ErrNotSent) {
+		a.startNotSent(now)
+	}
 	return v
 }
 
+// startNotSent records that no connection to the backend server could be opened for a start, and tells all
+// entries if it counts as absent from now on. The caller must hold a.mu.
+func (a *Agent) startNotSent(now time.Time) {
+	before := a.table.Server(now)
+	a.table.StartNotSent(now)
+	if after := a.table.Server(now); !after.Equal(&before) {
+		a.sendStateToAll()
+	}
+}
+
 // awaitStart returns the response to an order of which one copy has been sent. It calls send to send another
 // copy at every resendAfter without a response, and immediately after a connection broke, until send returns
 // false because no copy may be sent. A response is conclusive only if it confirms the run, or if no other copy
--- a/daemon/runagent/calls_test.go
+++ b/daemon/runagent/calls_test.go
@@ -131,3 +131,17 @@
 		t.Errorf("%d copies sent after the new incarnation became known", n-sent)
 	}
 }
+
+// A backend server that refuses connections must be absent: an idle one that had crashed went on to attract
+// orders, eleven within 40 ms from one entry.
+func TestServerIsAbsentAfterUnsentStart(t *testing.T) {
+	a, ref := newAgentWithOrder(&fakeBackend{err: ErrNotSent})
+	a.startRun(t.Context(), ref)
+	if s := a.table.Server(boottime.Now()); s.State != run.Absent || a.table.Len() != 0 {
+		t.Errorf("state %d with %d runs after a start could not be sent", s.State, a.table.Len())
+	}
+	a.table.ApplySnapshot(boottime.Now(), runtable.Snapshot{Requested: boottime.Now(), Incarnation: 1, ClockMS: 1000})
+	if s := a.table.Server(boottime.Now()); s.State != run.Ready {
+		t.Errorf("state %d after a snapshot", s.State)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -188,6 +188,13 @@
 	}
 }
 
+// StartNotSent records at now that a start could not be sent. The backend server is absent until a
+// snapshot that was requested later.
+func (t *Table) StartNotSent(now time.Time) {
+	t.hasSnapshot = false
+	t.notSentAt = now
+}
+
 // Rejected records that the backend server has refused the run for good.
 func (t *Table) Rejected(now time.Time, ref run.Ref, code result.Code) []Event {
 	r := t.runs[ref]
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -117,9 +117,10 @@
 	// quarantineEnd is the time on the backend server's clock, in milliseconds, at which all orders
 	// unknown to the table have expired.
 	quarantineEnd int64
-	unknownOrders bool  // orders unknown to the table may exist
-	hasSnapshot   bool  // a snapshot of the incarnation has arrived since its lease last expired
-	lastEnd       int64 // highest number of a processed end
+	unknownOrders bool      // orders unknown to the table may exist
+	hasSnapshot   bool      // a snapshot of the incarnation has arrived since its lease last expired
+	notSentAt     time.Time // when a start could not be sent
+	lastEnd       int64     // highest number of a processed end
 	// latestLease is the latest lease end that the backend server may know.
 	latestLease     int64
 	pendingRenewals []int64       // lease ends of renewals in flight
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -468,3 +468,21 @@
 		t.Error("a restored announcement overrides a newer one")
 	}
 }
+
+// Guards against a backend server to which no start can be sent becoming usable again by a snapshot
+// that was requested before, and against refusing orders after a later one.
+func TestUnsentStartNeedsLaterSnapshot(t *testing.T) {
+	f := newFixture(t)
+	earlier := Snapshot{Requested: f.now, Incarnation: testIncarnation, ClockMS: f.clock()}
+	f.advance(time.Millisecond)
+	f.StartNotSent(f.now)
+	f.ApplySnapshot(f.now, earlier)
+	if code := f.order(ref("a", 1), 1); code != result.UnknownServer || f.Server(f.now).State != run.Absent {
+		t.Errorf("code %d, state %d after a start could not be sent", code, f.Server(f.now).State)
+	}
+	f.advance(time.Millisecond)
+	f.snapshot(nil, nil)
+	if code := f.order(ref("a", 1), 1); code != 0 {
+		t.Errorf("code %d after a later snapshot", code)
+	}
+}
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -124,7 +124,7 @@
 	}
 	events = append(events, t.endMissingRuns(now, snapshot, seen)...)
 	t.claimsReady = true
-	t.hasSnapshot = true
+	t.hasSnapshot = t.hasSnapshot || t.notSentAt.IsZero() || snapshot.Requested.After(t.notSentAt)
 	if t.unknownOrders {
 		// Renewals for a former incarnation may have granted the longest lease, because their ends are
 		// times on another clock. One that is in flight may still do so.
