Do not renew the lease for runs that a restarted agent finds until they are claimed

A restarted agent finds the runs of its former process up to a lease after that process died. An entry that had lost contact at the newest frame of the former process starts the task elsewhere after 809 ms. The sum with lost stops: 300 (former process keeps the runs) + 408 (its lease) + 300 (claim window) + 408 (lease) + 50 (stop) = 1,466 ms, and 1,078 ms with stops in time.

No bound longer than the lease of the former process holds, because the new one cannot know when the owner lost contact. The sum is that of a silent entry, 300 + 408 + 50 = 758 ms. The claim window is 100 ms: stops of unclaimed runs then end within the 150 ms in which orders expire.

The cost: runs survive a crash of the agent only if it is back within about 200 ms instead of 400 ms, and their owners have to claim them within 100 ms.

--- a/daemon/runagent/calls_test.go
+++ b/daemon/runagent/calls_test.go
@@ -49,6 +49,7 @@
 	a.table.Announce(boottime.Now(), run.Server{Instance: "i", Service: "svc", State: run.Ready, Capacity: capacity}, 1)
 	a.table.ApplySnapshot(boottime.Now(), runtable.Snapshot{Incarnation: 1, ClockMS: 1})
 	time.Sleep(limits.OrderExpiry + 10*time.Millisecond) // orders of a previous agent process have expired
+	a.table.ApplySnapshot(boottime.Now(), runtable.Snapshot{Incarnation: 1, ClockMS: 1 + limits.OrderExpiry.Milliseconds() + 10})
 	ref := run.Ref{Task: "t.0.0.0", Run: 1}
 	a.table.Confirmed("e", boottime.Now())
 	a.table.Order(boottime.Now(), runtable.Order{Ref: ref, Owner: "e", Demand: run.Demand{CPU: 1}, Instance: "i", Token: boottime.Now()})
--- a/daemon/runagent/poll.go
+++ b/daemon/runagent/poll.go
@@ -141,8 +141,9 @@
 	}
 	r.Wait = idlePollWait
 	if a.table.Len() > 0 {
-		r.Wait = a.table.NextExpiry(boottime.Now(), busyPollWait)
+		r.Wait = busyPollWait
 	}
+	r.Wait = a.table.NextExpiry(boottime.Now(), r.Wait)
 	if time.Since(p.lastLoss) < lossyPeriod {
 		r.Wait = min(r.Wait, lossyPollWait)
 	}
--- a/dispatch/runtable/lease.go
+++ b/dispatch/runtable/lease.go
@@ -14,10 +14,15 @@
 // leaseLimit returns the latest time, on the backend server's clock in milliseconds, to which the
 // lease may be extended. The lease holds for everything on the backend server: while stop calls are
 // lost, extending it for other runs would keep an orphaned or stopped one running past the time at
-// which its task may start elsewhere.
+// which its task may start elsewhere. While a run is unclaimed, the limit is 0: its owner may have been
+// silent since before the agent's restart, and only the lease that the former process granted is sure
+// to end before the owner starts the task elsewhere.
 func (t *Table) leaseLimit() int64 {
 	limit := int64(math.MaxInt64)
 	for _, r := range t.runs {
+		if r.owner == "" {
+			return 0
+		}
 		limit = min(limit, t.clock.earliest(t.keepUntil(r))+t.limits.Lease.Milliseconds())
 	}
 	return limit
--- a/dispatch/runtable/lease_test.go
+++ b/dispatch/runtable/lease_test.go
@@ -128,3 +128,38 @@
 		t.Errorf("the lease was extended to %d ms after the stop, %d ms are allowed", s.lease-stopped, limit-stopped)
 	}
 }
+
+// Guards against runs that a restarted agent finds and keeps running while stop calls are lost. Their
+// owner may have been silent since before the restart, and starts the tasks elsewhere. A run may also
+// start from an order of the former process after the first snapshot.
+func TestRestartedAgentDoesNotRenewLeaseOfUnclaimedRuns(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.Announce(s.now, testServer, testIncarnation)
+	s.poll()
+	for range 30 {
+		s.advance(pollStep)
+		if s.now.Sub(start()) < testLimits.OrderExpiry/2 {
+			s.poll()
+		} else {
+			s.poll(ref("a", 1))
+		}
+		s.Sweep(s.now)
+		if s.lease > 0 {
+			t.Fatalf("lease renewed %s after the first snapshot", s.now.Sub(start()))
+		}
+	}
+}
+
+// Guards against runs that lapse after a restart of the agent although their owner has claimed them.
+func TestRestartedAgentRenewsLeaseOfClaimedRuns(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.poll(ref("a", 1))
+	s.Confirmed("e1", s.now)
+	s.Claim("e1", ref("a", 1), run.Demand{CPU: 100}, s.now, s.now)
+	s.advance(testLimits.OrderExpiry + time.Millisecond)
+	s.Confirmed("e1", s.now)
+	s.poll(ref("a", 1))
+	if got, want := s.RenewLease(s.now), s.clock()+testLimits.Lease.Milliseconds(); got != want {
+		t.Errorf("lease renewed to %d, want %d", got, want)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -75,7 +75,7 @@
 		return result.DomainOut
 	case now.Sub(o.Token) > t.limits.OwnerSilence:
 		return result.StaleToken
-	case t.quarantined(now):
+	case t.quarantined():
 		return result.StaleToken
 	case !t.orderWithinLease(now) || !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
 		return result.NoFreeSlot
@@ -135,18 +135,28 @@
 	t.answerTime = time.Duration(answerDecay*float64(t.answerTime) + (1-answerDecay)*float64(took))
 }
 
-// NextExpiry returns the time until the first unanswered order has expired, but at most limit.
+// NextExpiry returns the time until the first unanswered order has expired, or until all orders that
+// are unknown to the table have, but at most limit.
 func (t *Table) NextExpiry(now time.Time, limit time.Duration) time.Duration {
+	if !t.unknownOrders && t.quarantined() {
+		limit = min(limit, t.timeToExpiry(now, t.quarantineEnd))
+	}
 	for _, r := range t.runs {
 		if r.accepted {
 			continue
 		}
-		remaining := time.Duration(r.visibleByMS-t.clock.at(now))*time.Millisecond + expiryMargin
-		limit = min(limit, max(expiryMargin, remaining))
+		limit = min(limit, t.timeToExpiry(now, r.visibleByMS))
 	}
 	return limit
 }
 
+// timeToExpiry returns the time until a snapshot shows whether an order with the given expiry, on the
+// backend server's clock in milliseconds, has started.
+func (t *Table) timeToExpiry(now time.Time, expiryMS int64) time.Duration {
+	remaining := time.Duration(expiryMS-t.clock.at(now))*time.Millisecond + expiryMargin
+	return max(expiryMargin, remaining)
+}
+
 // expiryMargin is how long after an order's expiry a snapshot is sure to show whether it started.
 const expiryMargin = 3 * time.Millisecond
 
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -144,7 +144,7 @@
 // refuse every order.
 func (t *Table) Server(now time.Time) run.Server {
 	s := t.server
-	if !t.usable() || t.quarantined(now) {
+	if !t.usable() || t.quarantined() {
 		s.State = run.Absent
 	}
 	return s
@@ -154,8 +154,8 @@
 func (t *Table) usable() bool { return t.serverKnown && t.hasSnapshot && !t.draining }
 
 // quarantined reports whether orders of an earlier process of the agent, or to an earlier
-// incarnation of the backend server, can still start.
-func (t *Table) quarantined(now time.Time) bool { return t.clock.at(now) <= t.quarantineEnd }
+// incarnation of the backend server, can still start or may have started unseen.
+func (t *Table) quarantined() bool { return !t.listsAllRuns() }
 
 // Drain makes the table refuse all further orders, because the agent is shutting down.
 func (t *Table) Drain() { t.draining = true }
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -39,9 +39,9 @@
 // RenewLease returns the time, on the backend server's clock in milliseconds, to which a renewal
 // sent at now may extend the lease. It returns 0 before the clock is known, and after RenewFor
 // without an answer: otherwise the time at which all runs have certainly ended would be postponed
-// indefinitely. It also returns 0 once leaseLimit has passed.
+// indefinitely. It also returns 0 once leaseLimit has passed, and until the table has all runs.
 func (t *Table) RenewLease(now time.Time) int64 {
-	if !t.Responding(now) {
+	if !t.Responding(now) || !t.listsAllRuns() {
 		return 0
 	}
 	clock := t.clock.at(now)
