Do not renew the lease for a stopped run that a restarted agent finds

A caller may submit an abandoned job again 1,300 ms after its entry requested the stop. When the agent restarted in between, the entry repeated the claim and the stop on the new link, and the new process counted the whole patience again: 300 + 492 + 408 (former process and its lease) + 492 + 408 + 50 = 2,150 ms.

--- a/dispatch/runtable/lease.go
+++ b/dispatch/runtable/lease.go
@@ -16,11 +16,12 @@
 // lost, extending it for other runs would keep an orphaned or stopped one running past the time at
 // which its task may start elsewhere. While a run is unclaimed, the limit is 0: its owner may have been
 // silent since before the agent's restart, and only the lease that the former process granted is sure
-// to end before the owner starts the task elsewhere.
+// to end before the owner starts the task elsewhere. The same holds for a found run that is to be
+// stopped: the former process may have received the stop long before.
 func (t *Table) leaseLimit() int64 {
 	limit := int64(math.MaxInt64)
 	for _, r := range t.runs {
-		if r.owner == "" {
+		if r.owner == "" || r.found && r.stopRequested {
 			return 0
 		}
 		limit = min(limit, t.clock.earliest(t.keepUntil(r))+t.limits.Lease.Milliseconds())
--- a/dispatch/runtable/lease_test.go
+++ b/dispatch/runtable/lease_test.go
@@ -163,3 +163,21 @@
 		t.Errorf("lease renewed to %d, want %d", got, want)
 	}
 }
+
+// Guards against an agent whose restart renews the patience with a run that its owner had stopped: the
+// caller submits the abandoned job again at a time that does not depend on the restart.
+func TestRestartedAgentDoesNotRenewLeaseOfStoppedRun(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.poll(ref("a", 1))
+	s.Confirmed("e1", s.now)
+	s.Claim("e1", ref("a", 1), run.Demand{CPU: 100}, s.now, s.now)
+	s.Stop(s.now, ref("a", 1))
+	for range 30 {
+		s.advance(pollStep)
+		s.Confirmed("e1", s.now)
+		s.poll(ref("a", 1))
+		if s.lease > 0 {
+			t.Fatalf("lease renewed %s after the first snapshot", s.now.Sub(start()))
+		}
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -209,17 +209,18 @@
 	if r == nil {
 		return false
 	}
-	r.requestStop(now)
+	t.requestStop(now, r)
 	return true
 }
 
 // requestStop marks the run to be stopped. Repeated requests keep the time of the first one.
-func (r *record) requestStop(now time.Time) {
+func (t *Table) requestStop(now time.Time, r *record) {
 	r.phase = stopping
-	if !r.stopRequested {
-		r.stopRequested = true
-		r.stoppedAt = now
+	if r.stopRequested {
+		return
 	}
+	r.stopRequested = true
+	r.stoppedAt = now
 }
 
 // end removes a run and retains its end for an entry that asks later.
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -81,6 +81,7 @@
 	runningSince  time.Time // when the agent learned that the run had started
 	stopRequested bool      // stops are sent until a snapshot shows the end
 	stoppedAt     time.Time // when the first stop was requested
+	found         bool      // a snapshot showed the run, which this process of the agent did not order
 	percent       int
 	checkpoint    string // newest checkpoint in a snapshot
 }
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -138,7 +138,7 @@
 		if _, ended := t.retainedEnds[s.Ref]; ended {
 			return
 		}
-		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now}
+		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now, found: true}
 		t.runs[s.Ref] = r
 	}
 	r.percent = s.Percent
@@ -175,7 +175,7 @@
 	var stops []run.Ref
 	for ref, r := range t.runs {
 		if r.stopRequested || t.orphaned(now, r) {
-			r.requestStop(now)
+			t.requestStop(now, r)
 			stops = append(stops, ref)
 		}
 	}
