Keep a stop that reaches a restarted agent before the run is known

An entry repeats the stop of a run once on each new link. If an order of the former process started the run after that, the agent answered the claim with "running", and nobody stopped the run of an abandoned job.

On the code before, TestStopIsKeptUntilOrdersOfFormerProcessHaveExpired: runs to stop: [].

--- a/dispatch/runtable/lease_test.go
+++ b/dispatch/runtable/lease_test.go
@@ -181,3 +181,20 @@
 		}
 	}
 }
+
+// Guards against a run that nobody stops because the stop reached a restarted agent before a snapshot
+// showed the run, which an order of the former process had started late.
+func TestStopIsKeptUntilOrdersOfFormerProcessHaveExpired(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.poll()
+	if s.Stop(s.now, ref("a", 1)) {
+		t.Error("an unknown run counts as known")
+	}
+	s.advance(testLimits.OrderExpiry + pollStep)
+	s.poll(ref("a", 1))
+	s.Confirmed("e1", s.now)
+	s.Claim("e1", ref("a", 1), run.Demand{CPU: 100}, s.now, s.now)
+	if stops := s.Sweep(s.now); len(stops) != 1 {
+		t.Errorf("runs to stop: %v", stops)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -203,10 +203,15 @@
 }
 
 // Stop marks a run to be stopped and reports whether the table has the run, so that a stop call must be
-// sent to the backend server. The run keeps its capacity until a snapshot shows its end.
+// sent to the backend server. The run keeps its capacity until a snapshot shows its end. A run that
+// may still start from an order of the agent's former process is stopped when a snapshot shows it: the
+// owner does not repeat the stop on the same link.
 func (t *Table) Stop(now time.Time, ref run.Ref) bool {
 	r := t.runs[ref]
 	if r == nil {
+		if !t.listsAllRuns() {
+			t.earlyStops[ref] = true
+		}
 		return false
 	}
 	t.requestStop(now, r)
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -107,6 +107,7 @@
 	retainedEnds        map[run.Ref]retainedEnd
 	offers              *Offers
 	confirmedAt         map[string]time.Time // send time of the newest message that each entry has confirmed
+	earlyStops          map[run.Ref]bool     // stops of runs that the table does not know yet
 	domainsOut          map[string]bool      // failure domains out of service
 	domainsOutRevision  uint64
 	draining            bool // the agent is shutting down
@@ -138,6 +139,7 @@
 		offers:        NewOffers(limits.OfferHold),
 		confirmedAt:   map[string]time.Time{},
 		domainsOut:    map[string]bool{},
+		earlyStops:    map[run.Ref]bool{},
 	}
 }
 
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -108,6 +108,9 @@
 		t.latestLease = max(t.latestLease, snapshot.ClockMS+t.limits.Lease.Milliseconds())
 		t.quarantineEnd = snapshot.ClockMS + t.limits.OrderExpiry.Milliseconds()
 	}
+	if t.listsAllRuns() {
+		clear(t.earlyStops)
+	}
 	return events
 }
 
@@ -139,6 +142,9 @@
 			return
 		}
 		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now, found: true}
+		if t.earlyStops[s.Ref] {
+			t.requestStop(now, r)
+		}
 		t.runs[s.Ref] = r
 	}
 	r.percent = s.Percent
