Count the patience of a late stop from the time at which its run was orphaned

The patience of a stop counted from its arrival at the agent. A stop may arrive late, for instance when the agent was paused for most of a lease, while the caller counts 1,300 ms from the time at which the entry sent it. Frames of an entry arrive in order, so that the run was orphaned at most 300 ms after that; the patience now counts from then at the latest.

--- a/dispatch/runtable/lease_test.go
+++ b/dispatch/runtable/lease_test.go
@@ -198,3 +198,22 @@
 		t.Errorf("runs to stop: %v", stops)
 	}
 }
+
+// Guards against a stop that arrives late, after the agent was paused, and whose patience counts from its
+// arrival: the caller of the job counts from the time at which the entry sent the stop.
+func TestPatienceOfLateStopCountsFromOwnersContact(t *testing.T) {
+	s := &leasedServer{fixture: newFixture(t)}
+	s.startRun("e1", ref("a", 1))
+	sent, pause := s.clock(), testLimits.Lease-pollStep
+	s.advance(pause)
+	s.Stop(s.now, ref("a", 1))
+	for range 60 {
+		s.snapshot([]RunningRun{{Ref: ref("a", 1)}}, nil)
+		s.Confirmed("e1", s.now)
+		s.poll(ref("a", 1))
+		s.advance(pollStep)
+	}
+	if limit := sent + (testLimits.OwnerSilence + testLimits.StopPatience + testLimits.Lease).Milliseconds(); s.lease > limit {
+		t.Errorf("the lease was extended to %d ms after the stop was sent, %d ms are allowed", s.lease-sent, limit-sent)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -218,7 +218,8 @@
 	return true
 }
 
-// requestStop marks the run to be stopped. Repeated requests keep the time of the first one.
+// requestStop marks the run to be stopped. Repeated requests keep the time of the first one. A request
+// that arrives when the run is orphaned counts from then: the owner had sent it by that time.
 func (t *Table) requestStop(now time.Time, r *record) {
 	r.phase = stopping
 	if r.stopRequested {
@@ -226,6 +227,9 @@
 	}
 	r.stopRequested = true
 	r.stoppedAt = now
+	if orphanedAt := t.orphanedAt(r); orphanedAt.Before(now) {
+		r.stoppedAt = orphanedAt
+	}
 }
 
 // end removes a run and retains its end for an entry that asks later.
