Dial an agent that has runs again within its claim window

A restarted agent stops runs that no entry has claimed within 100 ms. The delay between an entry's attempts to dial doubles up to 400 ms, so that an agent that is back after 100 to 200 ms could lose runs whose owner was about to dial. While an agent may have runs of the entry, which ends 809 ms after its newest frame at the latest, the delay is at most 60 ms and a half for jitter.

--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -34,6 +34,9 @@
 	// minRedialDelay and maxRedialDelay bound the delay between attempts, which doubles each time.
 	minRedialDelay = 30 * time.Millisecond
 	maxRedialDelay = 400 * time.Millisecond
+	// busyRedialDelay is the upper bound for an agent that has runs of this entry. A restarted agent stops
+	// runs that are unclaimed for 100 ms (see runtable.Limits.ClaimWindow), and jitter adds a half.
+	busyRedialDelay = 60 * time.Millisecond
 )
 
 // agent is the state of the link to one agent. Its fields are guarded by Entry.mu.
@@ -66,7 +69,7 @@
 		conn, err := link.Dial(ctx, a.addr, e.LinkTLS, dialTimeout)
 		if err != nil {
 			boottime.Sleep(ctx, jitter(delay))
-			delay = min(2*delay, maxRedialDelay)
+			delay = nextRedialDelay(delay, e.hasRuns(a.id))
 			continue
 		}
 		delay = minRedialDelay
@@ -74,6 +77,22 @@
 	}
 }
 
+// nextRedialDelay returns the delay that follows the given one. busy tells whether the agent has runs of this
+// entry.
+func nextRedialDelay(delay time.Duration, busy bool) time.Duration {
+	if busy {
+		return min(2*delay, busyRedialDelay)
+	}
+	return min(2*delay, maxRedialDelay)
+}
+
+// hasRuns reports whether the agent may have runs of this entry.
+func (e *Entry) hasRuns(agent string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.scheduler.HasRuns(agent)
+}
+
 // serveLink registers a new connection and handles its frames until it ends.
 func (e *Entry) serveLink(ctx context.Context, a *agent, conn *link.Conn) {
 	stop := context.AfterFunc(ctx, conn.Close)
