--- /dev/null
+++ b/daemon/runentry/pause_test.go
@@ -0,0 +1,47 @@
+package runentry
+
+import (
+	"testing"
+	"time"
+
+	"poplargw.example/daemon/boottime"
+	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/route"
+	"poplargw.example/dispatch/run"
+)
+
+// Guards against an entry that continues a job after a pause in which its caller may have submitted the job to
+// another entry, and against one that gives up jobs after a short pause.
+func TestJobsAreGivenUpAfterPause(t *testing.T) {
+	e, _ := newTestEntry(t)
+	done := make(chan jobs.Outcome, 1)
+	j := jobs.Job{ID: "1", Queue: route.Queue{Service: "svc", Attempts: 1, Stretch: 1.6}, Steps: []jobs.Step{
+		{Count: 1, Demand: run.Demand{CPU: 100}, Estimate: 100 * time.Millisecond},
+	}, Arrived: boottime.Now()}
+	if o, ok := e.admit(j, done); !ok {
+		t.Fatalf("job rejected: %+v", o)
+	}
+	if _, started := e.scheduler.Has(j.ID); !started {
+		t.Fatal("the job has not started")
+	}
+	now := boottime.Now()
+	pause := func(d time.Duration) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.lastTick = now.Add(-d)
+		e.dropJobsAfterPause(now)
+		e.flush()
+	}
+	pause(pauseThreshold - time.Millisecond)
+	if len(done) != 0 {
+		t.Error("job given up after a short pause")
+	}
+	pause(pauseThreshold)
+	if len(done) != 1 {
+		t.Fatal("job continues after a long pause")
+	}
+	if o := <-done; o.Code != result.NotReady || o.Effect == result.NotRun {
+		t.Errorf("outcome %+v of a job that has started", o)
+	}
+}
--- a/dispatch/runtable/lease_test.go
+++ b/dispatch/runtable/lease_test.go
@@ -217,3 +217,20 @@
 		t.Errorf("the lease was extended to %d ms after the stop was sent, %d ms are allowed", s.lease-sent, limit-sent)
 	}
 }
+
+// Guards against a restarted agent that never answers claims because its backend server does not respond,
+// and against one that answers before every lease and order of its former process has expired.
+func TestClaimsAreAnsweredWithoutSnapshotAfterFormerLease(t *testing.T) {
+	f := &fixture{Table: New(start(), testLimits), t: t, now: start()}
+	f.advance(time.Duration(float64(testLimits.Lease+testLimits.OrderExpiry) / minClockRate))
+	if f.CanAnswerClaim(f.now, ref("a", 1)) {
+		t.Error("claim answered while a run of the former process may be in progress")
+	}
+	f.advance(time.Millisecond)
+	if !f.CanAnswerClaim(f.now, ref("a", 1)) {
+		t.Error("claim not answered after the former lease has expired")
+	}
+	if e := f.Claim("e1", ref("a", 1), run.Demand{}, f.now, f.now); e.Kind != run.Stopped {
+		t.Errorf("claim answered with %s", e.Kind)
+	}
+}
