--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -85,6 +85,7 @@
 	runningSince  time.Time // when the agent learned that the run had started
 	stopRequested bool      // stops are sent until a snapshot shows the end
 	stoppedAt     time.Time // when the first stop was requested
+	found         bool      // a snapshot showed the run, which this process of the agent did not order
 	percent       int
 	checkpoint    string    // newest checkpoint in a snapshot
 	listedAt      time.Time // when the newest snapshot that lists the run was requested
@@ -115,6 +116,7 @@
 	unexpected          []UnexpectedRun // not yet taken
 	offers              *Offers
 	confirmedAt         map[string]time.Time // send time of the newest message that each entry has confirmed
+	earlyStops          map[run.Ref]bool     // stops of runs that the table does not know yet
 	domainsOut          map[string]bool      // failure domains out of service
 	domainsOutRevision  uint64
 	draining            bool // the agent is shutting down
@@ -156,6 +158,7 @@
 		offers:        NewOffers(limits.OfferHold),
 		confirmedAt:   map[string]time.Time{},
 		domainsOut:    map[string]bool{},
+		earlyStops:    map[run.Ref]bool{},
 	}
 }
 
@@ -173,8 +176,8 @@
 func (t *Table) usable() bool { return t.serverKnown && t.hasSnapshot && !t.draining }
 
 // quarantined reports whether orders of an earlier process of the agent, or to an earlier
-// incarnation of the backend server, can still start, or may have started since the newest snapshot.
-func (t *Table) quarantined() bool { return t.clock.ms <= t.quarantineEnd }
+// incarnation of the backend server, can still start or may have started unseen.
+func (t *Table) quarantined() bool { return !t.listsAllRuns() }
 
 // Drain makes the table refuse all further orders, because the agent is shutting down.
 func (t *Table) Drain() { t.draining = true }
