Add the drift of a former agent's clock estimate to the lease that it may have granted

The former process computed lease ends on an estimate of the backend server's clock, which runs ahead of a slow clock by up to 2% of the 200 ms since the newest answer. The model failed: a run with a lease to 5,604 was reported as ended when 5,603 had passed. The bound now includes that drift, 5 ms.

--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -150,7 +150,7 @@
 		limits:        limits,
 		startedAt:     now,
 		unknownOrders: true,
-		initialLease:  limits.Lease,
+		initialLease:  limits.Lease + formerDrift(limits),
 		answerTime:    limits.OrderExpiry / timeoutFactor,
 		runs:          map[run.Ref]*record{},
 		copies:        map[run.Ref]*orderCopies{},
@@ -162,6 +162,13 @@
 	}
 }
 
+// formerDrift returns by how much a former process of the agent may have granted a lease beyond
+// Limits.Lease: it took the backend server's clock for ahead of what it was, by the drift since the newest
+// answer.
+func formerDrift(limits Limits) time.Duration {
+	return time.Duration((1-minClockRate)*float64(limits.RenewFor)) + time.Millisecond
+}
+
 // Server returns the backend server's last announcement. Its state is Absent while the table would
 // refuse every order.
 func (t *Table) Server(now time.Time) run.Server {
