--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -59,7 +59,10 @@
 	}
 	t.offers.Use(o.Owner, o.Demand)
 	expiry := t.clock.at(now) + t.orderTimeout().Milliseconds()
-	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, kind: o.Kind, visibleByMS: expiry, firstSeen: now}
+	t.runs[o.Ref] = &record{
+		ref: o.Ref, owner: o.Owner, demand: o.Demand, kind: o.Kind, visibleByMS: expiry, firstSeen: now, orderedMS: t.clock.lowerBound(now),
+	}
+	t.trackCopies(o.Ref, expiry)
 	t.latestLease = max(t.latestLease, expiry)
 	return 0
 }
@@ -77,7 +80,7 @@
 		return result.DomainOut
 	case now.Sub(o.Token) > t.limits.OwnerSilence:
 		return result.StaleToken
-	case t.quarantined():
+	case t.quarantined(), t.HasUnsettled():
 		return result.StaleToken
 	case !t.orderWithinLease(now) || !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
 		return result.NoFreeSlot
@@ -144,7 +147,7 @@
 		limit = t.untilAfter(now, t.quarantineEnd, limit)
 	}
 	for _, r := range t.runs {
-		if !r.accepted {
+		if !r.accepted && !r.unsettled {
 			limit = t.untilAfter(now, r.visibleByMS, limit)
 		}
 	}
@@ -169,6 +172,10 @@
 	return 0
 }
 
+// clockRounding is by how many milliseconds two times on the backend server's clock may differ
+// because they are rounded.
+const clockRounding = 2
+
 // Accepted records the backend server's answer, received at now, that it started the run at clockMS
 // of its own clock. took is the time from sending the answered copy of the order to its answer.
 func (t *Table) Accepted(now time.Time, took time.Duration, ref run.Ref, clockMS int64) {
@@ -178,6 +185,10 @@
 	}
 	t.observeAnswer(took)
 	t.accept(now, r, clockMS)
+	if clockMS+clockRounding < r.orderedMS && !r.unsettled {
+		// The clock of one incarnation never goes back, so a new one has answered.
+		r.unsettle(now)
+	}
 }
 
 // accept marks a run as started at clockMS, unless that is already known.
@@ -193,6 +204,13 @@
 	}
 }
 
+// StartNotSent records at now that a start could not be sent. The backend server is absent until a
+// snapshot that was requested later.
+func (t *Table) StartNotSent(now time.Time) {
+	t.hasSnapshot = false
+	t.notSentAt = now
+}
+
 // Rejected records that the backend server has refused the run for good.
 func (t *Table) Rejected(now time.Time, ref run.Ref, code result.Code) []Event {
 	r := t.runs[ref]
