--- a/dispatch/runtable/capacity_model_test.go
+++ b/dispatch/runtable/capacity_model_test.go
@@ -9,19 +9,65 @@
 	"poplargw.example/dispatch/run"
 )
 
-// capacityServer models a backend server: it carries out orders until their expiry, at once or late,
-// stops all runs when the lease expires, and lists ended runs until the agent has seen them.
-type capacityServer struct {
-	clock           int64
-	lease           int64
-	running         map[run.Ref]run.Demand // resources in use by run
+// largestCapacity is the largest capacity of the backend server in the model of capacities.
+var largestCapacity = run.Demand{CPU: 10_000, MemoryMB: 1000, GPU: 10}
+
+// drawDemand draws an amount of each resource, between low and high tenths of largestCapacity.
+func drawDemand(t *rapid.T, low, high int64) run.Demand {
+	return run.Demand{
+		CPU:      rapid.Int64Range(low, high).Draw(t, "cpu") * 1000,
+		MemoryMB: rapid.Int64Range(low, high).Draw(t, "memory") * 100,
+		GPU:      rapid.Int64Range(low, high).Draw(t, "gpu"),
+	}
+}
+
+// capacityOrder is an order that the backend server has not carried out yet.
+type capacityOrder struct {
+	ref    run.Ref
+	demand run.Demand
+	expiry int64
+}
+
+// capacityModel models a backend server whose capacity changes, and the table of its agent. The server carries
+// out orders until their expiry, at once or late, stops all runs when the lease expires, and lists ended runs
+// until the agent has seen them.
+type capacityModel struct {
+	table  *Table
+	server run.Server // as announced
+	now    time.Time
+
+	clock, lease    int64
+	running         map[run.Ref]run.Demand
 	highestEndedRun map[string]uint64
 	ended           []EndedRun
 	lastEndNumber   int64
+
+	next      uint64 // number of the newest run
+	demands   map[run.Ref]run.Demand
+	orderedAt map[run.Ref]time.Time
+	pending   []capacityOrder
+	delayed   []Snapshot
+	reported  map[run.Ref]bool // runs whose end the table has reported
 }
 
-func (m *capacityServer) advance(ms int64) {
-	m.clock += ms
+// newCapacityModel returns a model whose table accepts orders.
+func newCapacityModel() *capacityModel {
+	m := &capacityModel{
+		table: New(start(), testLimits), server: testServer, now: start(), clock: 5000, running: map[run.Ref]run.Demand{},
+		highestEndedRun: map[string]uint64{}, demands: map[run.Ref]run.Demand{},
+		orderedAt: map[run.Ref]time.Time{}, reported: map[run.Ref]bool{},
+	}
+	m.server.Capacity = largestCapacity
+	m.table.Announce(m.now, m.server, testIncarnation)
+	m.table.ApplySnapshot(m.now, m.snapshot(0))
+	m.advance(testLimits.OrderExpiry + time.Millisecond)
+	m.table.ApplySnapshot(m.now, m.snapshot(0))
+	return m
+}
+
+func (m *capacityModel) advance(d time.Duration) {
+	m.now = m.now.Add(d)
+	m.clock += d.Milliseconds()
 	if m.clock <= m.lease {
 		return
 	}
@@ -30,31 +76,25 @@
 	}
 }
 
-func (m *capacityServer) finish(ref run.Ref, kind run.EventKind) {
+// finish ends a run on the backend server.
+func (m *capacityModel) finish(ref run.Ref, kind run.EventKind) {
 	delete(m.running, ref)
 	m.lastEndNumber++
 	m.ended = append(m.ended, EndedRun{Number: m.lastEndNumber, Ref: ref, Kind: kind})
 	m.highestEndedRun[ref.Task] = max(m.highestEndedRun[ref.Task], ref.Run)
 }
 
-// start starts the run and reports whether the order was accepted.
-func (m *capacityServer) start(ref run.Ref, demand run.Demand, expiry int64) bool {
-	if _, ok := m.running[ref]; ok {
-		return true
-	}
-	if m.clock > expiry || ref.Run <= m.highestEndedRun[ref.Task] {
-		return false
-	}
-	m.running[ref] = demand
-	m.lease = max(m.lease, expiry)
-	return true
+// canStart reports whether the backend server would start the run of a pending order.
+func (m *capacityModel) canStart(o capacityOrder) bool {
+	return m.clock <= o.expiry && o.ref.Run > m.highestEndedRun[o.ref.Task]
 }
 
-func (m *capacityServer) snapshot(lease, lastEnd int64) Snapshot {
+// snapshot renews the lease and returns the state of the runs.
+func (m *capacityModel) snapshot(lease int64) Snapshot {
 	m.lease = max(m.lease, lease)
 	kept := m.ended[:0]
 	for _, e := range m.ended {
-		if e.Number > lastEnd {
+		if e.Number > m.table.LastEnd() {
 			kept = append(kept, e)
 		}
 	}
@@ -67,128 +107,145 @@
 }
 
 // possibleUse returns the resources that are in use if every pending order that can still start does.
-func (m *capacityServer) possibleUse(pending []capacityOrder) run.Demand {
+func (m *capacityModel) possibleUse() run.Demand {
 	var used run.Demand
 	for _, demand := range m.running {
 		used = used.Add(demand)
 	}
-	for _, o := range pending {
-		if m.clock <= o.expiry && o.ref.Run > m.highestEndedRun[o.ref.Task] {
+	for _, o := range m.pending {
+		if m.canStart(o) {
 			used = used.Add(o.demand)
 		}
 	}
 	return used
 }
 
-// drawDemand draws an amount of each resource, between low and high tenths of the largest capacity.
-func drawDemand(t *rapid.T, low, high int64) run.Demand {
-	return run.Demand{
-		CPU:      rapid.Int64Range(low, high).Draw(t, "cpu") * 1000,
-		MemoryMB: rapid.Int64Range(low, high).Draw(t, "memory") * 100,
-		GPU:      rapid.Int64Range(low, high).Draw(t, "gpu"),
+// recordEnded records the ends that the table has reported.
+func (m *capacityModel) recordEnded(events []Event) {
+	for _, e := range events {
+		m.reported[e.Ref] = true
 	}
 }
 
-// capacityOrder is an order that the backend server has not carried out yet.
-type capacityOrder struct {
-	ref    run.Ref
-	demand run.Demand
-	expiry int64
+func (m *capacityModel) order(t *rapid.T) {
+	m.next++
+	o := capacityOrder{ref: ref(rapid.SampledFrom([]string{"a.0", "b.0", "c.0"}).Draw(t, "task"), m.next), demand: drawDemand(t, 1, 6)}
+	if m.table.Order(m.now, Order{Ref: o.ref, Owner: "e1", Demand: o.demand, Instance: testServer.Instance, Token: m.now}) != 0 {
+		return
+	}
+	m.table.Confirmed("e1", m.now)
+	o.expiry = m.table.Expiry(o.ref)
+	m.demands[o.ref], m.orderedAt[o.ref] = o.demand, m.now
+	m.pending = append(m.pending, o)
+	if used := m.possibleUse(); !used.Fits(m.server.Capacity) {
+		t.Fatalf("an order brings the use to %+v of %+v", used, m.server.Capacity)
+	}
 }
 
-// largestCapacity is the largest capacity that the model's backend server has.
-var largestCapacity = run.Demand{CPU: 10_000, MemoryMB: 1000, GPU: 10}
+func (m *capacityModel) carryOut(t *rapid.T) {
+	if len(m.pending) == 0 {
+		t.Skip()
+	}
+	i := rapid.IntRange(0, len(m.pending)-1).Draw(t, "i")
+	o := m.pending[i]
+	m.pending = append(m.pending[:i:i], m.pending[i+1:]...)
+	accepted := m.canStart(o)
+	if accepted {
+		m.running[o.ref] = o.demand
+		m.lease = max(m.lease, o.expiry)
+	}
+	answered := rapid.Bool().Draw(t, "answered")
+	switch {
+	case answered && accepted:
+		m.table.Accepted(m.now, time.Millisecond, o.ref, m.clock)
+	case answered:
+		m.recordEnded(m.table.Rejected(m.now, o.ref, 4012))
+	}
+}
 
-// Guards against runs that exceed the capacity, and against reporting the end of a run that still
-// runs or can still start, after any sequence of late orders, lost answers, late snapshots, pauses,
-// ends, stops, changes of the capacity and agent restarts.
-func TestModelOfCapacity(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := &capacityServer{clock: 5000, running: map[run.Ref]run.Demand{}, highestEndedRun: map[string]uint64{}}
-		now := start()
-		table := New(now, testLimits)
-		server := testServer
-		server.Capacity = largestCapacity
-		table.Announce(now, server, testIncarnation)
-		table.ApplySnapshot(now, m.snapshot(0, 0))
-		quarantine := testLimits.OrderExpiry + time.Millisecond
-		now = now.Add(quarantine)
-		m.advance(quarantine.Milliseconds())
-		table.ApplySnapshot(now, m.snapshot(0, 0))
-		var capacityOrders []capacityOrder
-		var delayedSnapshots []Snapshot
-		reportedEnded := map[run.Ref]bool{}
-		next := uint64(0)
-		recordEnded := func(events []Event) {
-			for _, e := range events {
-				reportedEnded[e.Ref] = true
-			}
+func (m *capacityModel) poll(t *rapid.T) {
+	lease := m.table.RenewLease(m.now)
+	m.table.RenewalDone(lease, true)
+	snap := m.snapshot(lease)
+	switch rapid.SampledFrom([]string{"answered", "lost", "late"}).Draw(t, "response") {
+	case "answered":
+		m.recordEnded(m.table.ApplySnapshot(m.now, snap))
+	case "late":
+		m.delayed = append(m.delayed, snap)
+	}
+}
+
+func (m *capacityModel) lateSnapshot(t *rapid.T) {
+	if len(m.delayed) == 0 {
+		t.Skip()
+	}
+	m.recordEnded(m.table.ApplySnapshot(m.now, m.delayed[0]))
+	m.delayed = m.delayed[1:]
+}
+
+func (m *capacityModel) stop(t *rapid.T) {
+	for r := range m.running {
+		if m.table.Stop(m.now, r) && rapid.Bool().Draw(t, "arrives") {
+			m.finish(r, run.Stopped)
+		}
+		return
+	}
+	t.Skip()
+}
+
+func (m *capacityModel) sweep(t *rapid.T) {
+	m.recordEnded(m.table.ExpireLease(m.now))
+	for _, r := range m.table.Sweep(m.now) {
+		if _, ok := m.running[r]; ok && rapid.Bool().Draw(t, "arrives") {
+			m.finish(r, run.Stopped)
+		}
+	}
+}
+
+func (m *capacityModel) restart(*rapid.T) {
+	m.table = New(m.now, testLimits)
+	m.delayed = nil
+	m.table.Announce(m.now, m.server, testIncarnation)
+}
+
+// claim claims all runs, also those that have not started. Every answer but run.Running says that the run has
+// ended or will never start.
+func (m *capacityModel) claim(*rapid.T) {
+	for r, demand := range m.demands {
+		if !m.table.CanAnswerClaim(m.now, r) {
+			continue
+		}
+		if m.table.Claim("e1", r, demand, m.now, m.orderedAt[r]).Kind != run.Running {
+			m.reported[r] = true
+			continue
+		}
+		m.table.Confirmed("e1", m.now)
+	}
+}
+
+// check fails if a run continues after its end was reported.
+func (m *capacityModel) check(t *rapid.T) {
+	var used run.Demand
+	for r, demand := range m.running {
+		used = used.Add(demand)
+		if m.reported[r] {
+			t.Fatalf("%v runs after its end was reported", r)
 		}
-		demands := map[run.Ref]run.Demand{}
+	}
+	if !used.Fits(largestCapacity) {
+		t.Fatalf("%+v of %+v in use", used, largestCapacity)
+	}
+}
+
+// Guards against an accepted order with which the runs that are in progress, or may still start, exceed the
+// present capacity in one of the resources, after any sequence of changes of the capacity, requests of entries,
+// late orders, lost answers, late snapshots, pauses, ends, stops and agent restarts.
+func TestCapacityModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newCapacityModel()
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
-				ms := rapid.Int64Range(1, 250).Draw(t, "ms")
-				now = now.Add(time.Duration(ms) * time.Millisecond)
-				m.advance(ms)
-			},
-			"order": func(t *rapid.T) {
-				next++
-				o := capacityOrder{ref: ref(rapid.SampledFrom([]string{"a.0", "b.0", "c.0"}).Draw(t, "task"), next), demand: drawDemand(t, 1, 6)}
-				code := table.Order(now, Order{Ref: o.ref, Owner: "e1", Demand: o.demand, Instance: testServer.Instance, Token: now})
-				if code == 0 {
-					table.Confirmed("e1", now)
-					o.expiry = table.Expiry(o.ref)
-					demands[o.ref] = o.demand
-					capacityOrders = append(capacityOrders, o)
-					if used := m.possibleUse(capacityOrders); !used.Fits(server.Capacity) {
-						t.Fatalf("an order brings the use to %+v of %+v", used, server.Capacity)
-					}
-				}
-			},
-			"carry out": func(t *rapid.T) {
-				if len(capacityOrders) == 0 {
-					t.Skip()
-				}
-				i := rapid.IntRange(0, len(capacityOrders)-1).Draw(t, "i")
-				o := capacityOrders[i]
-				capacityOrders = append(capacityOrders[:i], capacityOrders[i+1:]...)
-				accepted := m.start(o.ref, o.demand, o.expiry)
-				answered := rapid.Bool().Draw(t, "answered")
-				switch {
-				case answered && accepted:
-					table.Accepted(now, time.Millisecond, o.ref, m.clock)
-				case answered:
-					recordEnded(table.Rejected(now, o.ref, 4012))
-				}
-			},
-			"snapshot": func(t *rapid.T) {
-				lease := table.RenewLease(now)
-				if rapid.Bool().Draw(t, "not sent") {
-					table.RenewalDone(lease, false)
-					return
-				}
-				table.RenewalDone(lease, true)
-				snap := m.snapshot(lease, table.LastEnd())
-				if rapid.Bool().Draw(t, "lost") {
-					return
-				}
-				if rapid.Bool().Draw(t, "late") {
-					delayedSnapshots = append(delayedSnapshots, snap)
-					return
-				}
-				recordEnded(table.ApplySnapshot(now, snap))
-			},
-			"answered snapshot": func(t *rapid.T) {
-				lease := table.RenewLease(now)
-				table.RenewalDone(lease, true)
-				recordEnded(table.ApplySnapshot(now, m.snapshot(lease, table.LastEnd())))
-			},
-			"late snapshot": func(t *rapid.T) {
-				if len(delayedSnapshots) == 0 {
-					t.Skip()
-				}
-				recordEnded(table.ApplySnapshot(now, delayedSnapshots[0]))
-				delayedSnapshots = delayedSnapshots[1:]
+				m.advance(time.Duration(rapid.Int64Range(1, 250).Draw(t, "ms")) * time.Millisecond)
 			},
 			"end": func(t *rapid.T) {
 				for r := range m.running {
@@ -197,59 +254,17 @@
 				}
 				t.Skip()
 			},
-			"sweep": func(t *rapid.T) {
-				recordEnded(table.ExpireLease(now))
-				for _, r := range table.Sweep(now) {
-					if _, ok := m.running[r]; ok && rapid.Bool().Draw(t, "arrives") {
-						m.finish(r, run.Stopped)
-					}
-				}
-			},
-			"stop": func(t *rapid.T) {
-				for r := range m.running {
-					if table.Stop(now, r) && rapid.Bool().Draw(t, "arrives") {
-						m.finish(r, run.Stopped)
-					}
-					return
-				}
-				t.Skip()
-			},
-			"restart": func(t *rapid.T) {
-				table = New(now, testLimits)
-				delayedSnapshots = nil
-				table.Announce(now, server, testIncarnation)
-			},
 			"capacity": func(t *rapid.T) {
-				server.Capacity = drawDemand(t, 0, 10)
-				table.Announce(now, server, testIncarnation)
+				m.server.Capacity = drawDemand(t, 0, 10)
+				m.table.Announce(m.now, m.server, testIncarnation)
 			},
 			"request": func(t *rapid.T) {
 				owner := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "owner")
-				table.Request(now, owner, now, drawDemand(t, 0, 10))
-				table.Offer(now)
-			},
-			"claim": func(t *rapid.T) {
-				if !table.CanAnswerClaims(now) {
-					t.Skip()
-				}
-				for r := range m.running {
-					if e := table.Claim("e1", r, demands[r], now, now); e.Kind == run.Running {
-						table.Confirmed("e1", now)
-					}
-				}
-			},
-			"": func(t *rapid.T) {
-				var used run.Demand
-				for r, demand := range m.running {
-					used = used.Add(demand)
-					if reportedEnded[r] {
-						t.Fatalf("%v runs after its end was reported", r)
-					}
-				}
-				if !used.Fits(largestCapacity) {
-					t.Fatalf("%+v of %+v in use", used, largestCapacity)
-				}
+				m.table.Request(m.now, owner, m.now, drawDemand(t, 0, 10))
+				m.table.Offer(m.now)
 			},
+			"order": m.order, "carry out": m.carryOut, "poll": m.poll, "late snapshot": m.lateSnapshot,
+			"stop": m.stop, "sweep": m.sweep, "restart": m.restart, "claim": m.claim, "": m.check,
 		})
 	})
 }
