--- a/dispatch/sched/queue.go
+++ b/dispatch/sched/queue.go
@@ -287,13 +287,8 @@
 // queueHeap orders task queues by orderKey, then by arrival of the job.
 type queueHeap []*taskQueue
 
-func (h queueHeap) Len() int { return len(h) }
-func (h queueHeap) Less(a, b int) bool {
-	if h[a].orderKey != h[b].orderKey {
-		return h[a].orderKey < h[b].orderKey
-	}
-	return h[a].job.sequence < h[b].job.sequence
-}
+func (h queueHeap) Len() int           { return len(h) }
+func (h queueHeap) Less(a, b int) bool { return queueBefore(h[a], h[b]) }
 func (h queueHeap) Swap(a, b int) {
 	h[a], h[b] = h[b], h[a]
 	h[a].heapIndex, h[b].heapIndex = a, b
