--- a/daemon/cmd/poplargwd/check.go
+++ b/daemon/cmd/poplargwd/check.go
@@ -21,11 +21,7 @@
 
 // check validates a settings file and then loads the certificate files that it names.
 func check(_ context.Context, c *cli.Command) error {
-	name, err := settingsFile(c)
-	if err != nil {
-		return err
-	}
-	s, err := settings.Load(name)
+	name, s, err := loadSettings(c)
 	if err != nil {
 		return err
 	}
--- a/daemon/cmd/poplargwd/main.go
+++ b/daemon/cmd/poplargwd/main.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"poplargw.example/daemon/settings"
 )
 
 // Exit codes of the daemon.
@@ -32,10 +34,12 @@
 	}
 }
 
-// settingsFile returns the settings file name, which must be the only argument of a command.
-func settingsFile(c *cli.Command) (string, error) {
+// loadSettings returns the name and the content of the settings file, which must be the only argument of a command.
+func loadSettings(c *cli.Command) (string, *settings.Settings, error) {
 	if c.Args().Len() != 1 {
-		return "", fmt.Errorf("%s requires exactly one argument: a settings file", c.FullName())
+		return "", nil, fmt.Errorf("%s requires exactly one argument: a settings file", c.FullName())
 	}
-	return c.Args().First(), nil
+	name := c.Args().First()
+	s, err := settings.Load(name)
+	return name, s, err
 }
--- a/daemon/cmd/poplargwd/run.go
+++ b/daemon/cmd/poplargwd/run.go
@@ -10,7 +10,6 @@
 
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/server"
-	"poplargw.example/daemon/settings"
 	"poplargw.example/daemon/signals"
 )
 
@@ -26,11 +25,7 @@
 func run(_ context.Context, c *cli.Command) error {
 	// Handle signals from the beginning, so that one that arrives during the start is not lost.
 	sig := signals.Notify()
-	name, err := settingsFile(c)
-	if err != nil {
-		return err
-	}
-	s, err := settings.Load(name)
+	_, s, err := loadSettings(c)
 	if err != nil {
 		return err
 	}
