--- a/daemon/tool/apply.go
+++ b/daemon/tool/apply.go
@@ -28,11 +28,7 @@
 }
 
 func apply(ctx context.Context, c *cli.Command) error {
-	dir, err := oneArgument(c, "DIR")
-	if err != nil {
-		return err
-	}
-	declared, err := readDir(dir)
+	declared, err := readDeclarations(c)
 	if err != nil {
 		return err
 	}
--- a/daemon/tool/files.go
+++ b/daemon/tool/files.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"os"
 
+	"github.com/urfave/cli/v3"
 	"poplargw.example/dispatch/decl"
 )
 
@@ -28,8 +29,13 @@
 	return files, nil
 }
 
-// readDir reads and parses the declaration files of a directory. All its errors are usage errors.
-func readDir(dir string) (*decl.Declared, error) {
+// readDeclarations reads and parses the declaration files of the directory that is the only argument of a command.
+// All its errors are usage errors.
+func readDeclarations(c *cli.Command) (*decl.Declared, error) {
+	dir, err := oneArgument(c, "DIR")
+	if err != nil {
+		return nil, err
+	}
 	files, err := tomlFiles(os.DirFS(dir))
 	if err != nil {
 		return nil, withExitCode(ExitUsage, fmt.Errorf("%s: %w", dir, err))
--- a/daemon/tool/plan.go
+++ b/daemon/tool/plan.go
@@ -24,11 +24,7 @@
 }
 
 func plan(ctx context.Context, c *cli.Command) error {
-	dir, err := oneArgument(c, "DIR")
-	if err != nil {
-		return err
-	}
-	declared, err := readDir(dir)
+	declared, err := readDeclarations(c)
 	if err != nil {
 		return err
 	}
