--- a/lab/cmd/capacity/claim.go
+++ b/lab/cmd/capacity/claim.go
@@ -13,17 +13,8 @@
 // measureClaim kills one of two entries and measures how the other one claims the start records of the
 // stand-in agents. The size is the number of start records.
 func measureClaim(o options) error {
-	for _, kind := range o.kinds {
-		t := newResultTable(fmt.Sprintf("Claim by start records, %d agents, %s", o.agents, kind), "claim s", "entry CPU s", "stand-ins CPU s",
-			"resident MB before", "resident MB after")
-		for _, n := range o.sizes {
-			if err := claimRow(o, kind, n, t); err != nil {
-				return err
-			}
-		}
-		t.print()
-	}
-	return nil
+	return measureRows(o, fmt.Sprintf("Claim by start records, %d agents", o.agents), claimRow,
+		"claim s", "entry CPU s", "stand-ins CPU s", "resident MB before", "resident MB after")
 }
 
 // claimRow measures one claim of n start records and adds it to the table.
--- a/lab/cmd/capacity/config.go
+++ b/lab/cmd/capacity/config.go
@@ -17,16 +17,8 @@
 // measureConfig measures the time from a configuration change until all stand-in agents have fetched
 // it, and its cost. The size is the number of stand-in agents.
 func measureConfig(o options) error {
-	for _, kind := range o.kinds {
-		t := newResultTable("Configuration change by agents, "+kind, "median s", "longest s", "entry CPU ms", "entry out bytes", "store calls", "resident MB after")
-		for _, n := range o.sizes {
-			if err := configRow(o, kind, n, t); err != nil {
-				return err
-			}
-		}
-		t.print()
-	}
-	return nil
+	return measureRows(o, "Configuration change by agents", configRow,
+		"median s", "longest s", "entry CPU ms", "entry out bytes", "store calls", "resident MB after")
 }
 
 // configRow measures changesPerRow changes with n stand-in agents and adds a row to the table. The CPU
--- a/lab/cmd/capacity/idle.go
+++ b/lab/cmd/capacity/idle.go
@@ -33,16 +33,8 @@
 
 // measureEntry measures an idle entry. The size is the number of stand-in agents.
 func measureEntry(o options) error {
-	for _, kind := range o.kinds {
-		t := newResultTable("Idle entry by agents, "+kind, "CPU %", "resident MB", "in B/s", "out B/s", "connect CPU s")
-		for _, n := range o.sizes {
-			if err := entryRow(o, kind, n, t); err != nil {
-				return err
-			}
-		}
-		t.print()
-	}
-	return nil
+	return measureRows(o, "Idle entry by agents", entryRow,
+		"CPU %", "resident MB", "in B/s", "out B/s", "connect CPU s")
 }
 
 // entryRow measures an idle entry with n stand-in agents, and the CPU time that it used until they were
@@ -69,26 +61,23 @@
 
 // measureAgent measures an idle agent with one backend server. The size is the number of entries.
 func measureAgent(o options) error {
-	for _, kind := range o.kinds {
-		t := newResultTable("Idle agent by entries, "+kind, "CPU %", "resident MB", "out B/s", "in B/s", "fetches per change")
-		for _, n := range o.sizes {
-			s, err := newSystem(o, kind, n)
-			if err != nil {
-				return err
-			}
-			if err = s.addAgents(1); err == nil {
-				time.Sleep(settleTime)
-				a := s.agents[0]
-				u := s.measureUsage(a, a.IP, s.entries...)
-				t.addRow(n, u.cpu, u.resident, u.in, u.out, s.fetches())
-			}
-			s.stop()
-			if err != nil {
-				return err
-			}
-		}
-		t.print()
+	return measureRows(o, "Idle agent by entries", agentRow, "CPU %", "resident MB", "out B/s", "in B/s", "fetches per change")
+}
+
+// agentRow measures an idle agent with n entries and adds a row to the table.
+func agentRow(o options, kind string, n int, t *resultTable) error {
+	s, err := newSystem(o, kind, n)
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	if err := s.addAgents(1); err != nil {
+		return err
 	}
+	time.Sleep(settleTime)
+	a := s.agents[0]
+	u := s.measureUsage(a, a.IP, s.entries...)
+	t.addRow(n, u.cpu, u.resident, u.in, u.out, s.fetches())
 	return nil
 }
 
@@ -106,16 +95,8 @@
 // measurePeers measures an idle entry without agents, and the calls of all entries to the store. The
 // size is the number of entries.
 func measurePeers(o options) error {
-	for _, kind := range o.kinds {
-		t := newResultTable("Idle entry by entries, "+kind, "CPU %", "resident MB", "out B/s", "in B/s", "store calls/s of all entries", "store calls per change")
-		for _, n := range o.sizes {
-			if err := peersRow(o, kind, n, t); err != nil {
-				return err
-			}
-		}
-		t.print()
-	}
-	return nil
+	return measureRows(o, "Idle entry by entries", peersRow,
+		"CPU %", "resident MB", "out B/s", "in B/s", "store calls/s of all entries", "store calls per change")
 }
 
 // peersRow measures the first of n idle entries and adds a row to the table.
--- a/lab/cmd/capacity/load.go
+++ b/lab/cmd/capacity/load.go
@@ -17,17 +17,8 @@
 // measureLoad runs tasks through two entries and two agents. The size is the number of tasks, so the
 // slopes are the cost of one task.
 func measureLoad(o options) error {
-	for _, kind := range o.kinds {
-		t := newResultTable("Load by tasks, "+kind, "entries CPU s", "agents CPU s", "servers CPU s", "starts sent", "starts refused",
-			"reports", "agents' bytes", "entries' bytes", "seconds", "failed jobs")
-		for _, n := range o.sizes {
-			if err := loadRow(o, kind, n, t); err != nil {
-				return err
-			}
-		}
-		t.print()
-	}
-	return nil
+	return measureRows(o, "Load by tasks", loadRow,
+		"entries CPU s", "agents CPU s", "servers CPU s", "starts sent", "starts refused", "reports", "agents' bytes", "entries' bytes", "seconds", "failed jobs")
 }
 
 // loadRow measures the cost of n tasks and adds a row to the table.
--- a/lab/cmd/capacity/loss.go
+++ b/lab/cmd/capacity/loss.go
@@ -15,16 +15,8 @@
 // measureLoss kills several of ten entries at once and measures the time until the remaining entries are
 // ready and serve all keys. The size is the number of killed entries.
 func measureLoss(o options) error {
-	for _, kind := range o.kinds {
-		t := newResultTable("Recovery by lost entries of ten, "+kind, "seconds until all remaining entries are ready", "CPU s of an entry")
-		for _, n := range o.sizes {
-			if err := lossRow(o, kind, n, t); err != nil {
-				return err
-			}
-		}
-		t.print()
-	}
-	return nil
+	return measureRows(o, "Recovery by lost entries of ten", lossRow,
+		"seconds until all remaining entries are ready", "CPU s of an entry")
 }
 
 // lossRow measures the loss of n entries and adds a row to the table.
--- a/lab/cmd/capacity/resulttable.go
+++ b/lab/cmd/capacity/resulttable.go
@@ -18,6 +18,20 @@
 	return &resultTable{title: title, columns: columns}
 }
 
+// measureRows prints a table for each kind of transport, to which row adds the row of each size.
+func measureRows(o options, title string, row func(o options, kind string, n int, t *resultTable) error, columns ...string) error {
+	for _, kind := range o.kinds {
+		t := newResultTable(title+", "+kind, columns...)
+		for _, n := range o.sizes {
+			if err := row(o, kind, n, t); err != nil {
+				return err
+			}
+		}
+		t.print()
+	}
+	return nil
+}
+
 // addRow appends the values measured at a size, in the order of the columns.
 func (t *resultTable) addRow(size int, row ...float64) {
 	t.sizes = append(t.sizes, float64(size))
