agent: split report.go by job

The list of entries to report to, the fetching of records and the rate limit of reports have files of their own. Declarations are moved without a change.

--- a/daemon/agent/report.go
+++ b/daemon/agent/report.go
@@ -5,13 +5,9 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"golang.org/x/sync/errgroup"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
-	"poplargw.example/api/gen/poplargw/peer/v1/peerv1connect"
 	"poplargw.example/daemon/event"
-	"poplargw.example/dispatch/submission"
-	"poplargw.example/dispatch/table"
 )
 
 const (
@@ -31,115 +27,6 @@
 	slotReportBurst = 10
 )
 
-// reporter sends the reports to one entry. Agent.mu guards the fields other than the channels.
-type reporter struct {
-	address string
-	client  peerv1connect.EntryPeerClient
-	// urgent requests a report at once, slotsChanged one within the rate limit of slot changes.
-	urgent, slotsChanged chan struct{}
-	stop                 context.CancelFunc
-	// member is nil while the entry table does not contain the address.
-	member    *peerv1.EntryMember
-	reachable bool
-	// reachableKnown is set once reachable holds the result of a report.
-	reachableKnown bool
-}
-
-// signal sends on c unless a value is already pending.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// notifyAll requests an immediate report to every entry. The caller must hold a.mu.
-func (a *Agent) notifyAll() {
-	for _, r := range a.reporters {
-		signal(r.urgent)
-	}
-}
-
-// notifyAllButHome requests a report of a slot change to all entries except the home
-// of the key, which learns of it from the reply to its Start. The caller must hold a.mu.
-func (a *Agent) notifyAllButHome(k submission.Key) {
-	home := table.Home(a.fence.Table(), k).GetId()
-	for _, r := range a.reporters {
-		if r.member.GetId() != home {
-			signal(r.slotsChanged)
-		}
-	}
-}
-
-// manageReporters keeps one reporter running for each entry that must receive
-// reports, until ctx ends and all reporters have returned.
-func (a *Agent) manageReporters(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	tick := time.NewTicker(reportInterval)
-	defer tick.Stop()
-	for {
-		a.reconcileReporters(ctx, g)
-		select {
-		case <-ctx.Done():
-			return g.Wait()
-		case <-a.membersChanged:
-		case <-tick.C:
-		}
-	}
-}
-
-// reconcileReporters starts and stops reporters so that they match the members of
-// the entry table. The addresses in the settings are used until a table is known,
-// and also while no entry answers, since all members of the known table may have
-// been replaced.
-func (a *Agent) reconcileReporters(ctx context.Context, g *errgroup.Group) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	t := a.fence.Table()
-	wanted := make(map[string]*peerv1.EntryMember)
-	if t == nil || !a.inContact() {
-		for _, address := range a.opts.Settings.Transport.Entries {
-			wanted[address] = nil
-		}
-	}
-	for _, m := range t.GetMembers() {
-		wanted[m.GetAddress()] = m
-	}
-	for address, r := range a.reporters {
-		if _, ok := wanted[address]; !ok {
-			r.stop()
-			delete(a.reporters, address)
-		}
-	}
-	for address, m := range wanted {
-		a.reconcileReporter(ctx, g, address, m)
-	}
-}
-
-// reconcileReporter starts the reporter for an address or updates its member. m is
-// nil for an address from the settings. The caller must hold a.mu.
-func (a *Agent) reconcileReporter(ctx context.Context, g *errgroup.Group, address string, m *peerv1.EntryMember) {
-	r := a.reporters[address]
-	if r == nil {
-		reporterCtx, stop := context.WithCancel(ctx)
-		r = &reporter{
-			address:      address,
-			client:       peerv1connect.NewEntryPeerClient(a.opts.Client.HTTP(address), "https://"+address, clientOptions()...),
-			urgent:       make(chan struct{}, 1),
-			slotsChanged: make(chan struct{}, 1),
-			stop:         stop,
-			member:       m,
-		}
-		a.reporters[address] = r
-		g.Go(func() error { return a.reportTo(reporterCtx, r) })
-		return
-	}
-	if r.member.GetIncarnation() != m.GetIncarnation() && m != nil && !a.fence.AcknowledgedBy(m.GetIncarnation()) {
-		signal(r.urgent)
-	}
-	r.member = m
-}
-
 // reportTo sends reports to one entry until ctx ends.
 func (a *Agent) reportTo(ctx context.Context, r *reporter) error {
 	timer := time.NewTimer(0)
@@ -173,14 +60,6 @@
 	return a.fence.Table() != nil
 }
 
-// clearSignal discards the pending value of c, if any.
-func clearSignal(c chan struct{}) {
-	select {
-	case <-c:
-	default:
-	}
-}
-
 // pause waits until d has passed, ctx ends, or wakeUp receives a value.
 func pause(ctx context.Context, d time.Duration, wakeUp <-chan struct{}) {
 	t := time.NewTimer(d)
@@ -192,35 +71,6 @@
 	}
 }
 
-// slotReportRate returns how many slot-change reports one entry may get per second.
-func (a *Agent) slotReportRate() float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return slotReportsPerSecond / float64(max(1, len(a.reporters)))
-}
-
-// tokenBucket is a rate limiter. Tokens may become negative: each call of take
-// reserves one, and the caller waits until it is available.
-type tokenBucket struct {
-	burst, tokens float64
-	refilled      time.Time
-}
-
-func newTokenBucket(burst float64) tokenBucket { return tokenBucket{burst: burst, tokens: burst} }
-
-// take reserves one token at the given refill rate and returns how long to wait for it.
-func (b *tokenBucket) take(now time.Time, perSecond float64) time.Duration {
-	if !b.refilled.IsZero() {
-		b.tokens = min(b.burst, b.tokens+now.Sub(b.refilled).Seconds()*perSecond)
-	}
-	b.refilled = now
-	b.tokens--
-	if b.tokens >= 0 {
-		return 0
-	}
-	return time.Duration(-b.tokens / perSecond * float64(time.Second))
-}
-
 // reportWithRetry sends a report and repeats it once after a failure. If there was
 // no answer at all, the second attempt uses a new connection from a new local port,
 // since a middlebox may have lost the flow. It reports whether an attempt succeeded.
@@ -330,57 +180,3 @@
 	a.opts.Log.Info(event.AgentTableAdopted, event.Fields{"version": t.GetVersion(), "members": len(t.GetMembers())})
 	signal(a.membersChanged)
 }
-
-// fetchRequest is the address of an entry and the configuration version that it has.
-type fetchRequest struct {
-	address string
-	config  uint64
-}
-
-// configVersion returns the version of the configuration in force, 0 without one.
-func (a *Agent) configVersion() uint64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.fence.ConfigVersion()
-}
-
-// fetchNewerRecords fetches the records of the entries that fetchRequests names, until ctx ends. It
-// skips a request whose configuration version the agent already has.
-func (a *Agent) fetchNewerRecords(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case req := <-a.fetchRequests:
-			// All entries announce a new version within one report interval; one fetch is enough.
-			if req.config > a.configVersion() {
-				a.fetchFrom(ctx, req.address)
-			}
-		}
-	}
-}
-
-// fetchFrom fetches the configuration and the entry table from an entry and adopts
-// them if they are newer.
-func (a *Agent) fetchFrom(ctx context.Context, address string) {
-	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	a.counters.fetches.Inc()
-	c := peerv1connect.NewEntryPeerClient(a.opts.Client.HTTP(address), "https://"+address, clientOptions()...)
-	res, err := c.Fetch(callCtx, connect.NewRequest(&peerv1.FetchRequest{}))
-	if err != nil {
-		if ctx.Err() == nil {
-			a.opts.Log.Warn(event.AgentFetchFailed, event.Fields{"address": address, "error": err.Error()})
-		}
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.fence.Configure(res.Msg.GetConfig()) {
-		a.opts.Log.Info(event.AgentConfigured, event.Fields{"version": a.fence.ConfigVersion()})
-		a.notifyAll()
-	}
-	previousVersion := a.fence.Table().GetVersion()
-	a.fence.AdoptTable(res.Msg.GetTable())
-	a.onTableChange(previousVersion)
-}
