jobs: bound the share of backend servers whose capacity has shrunk

Callers were admitted to a backlog that their entry could not work off in time: with 8000 CPU of own runs on a backend server that has shrunk to 2000, the entry took its share to be four times the throughput, because the capacity in use was at most the present capacity. It is now at least what the entry's own runs use.

Before: TestShareOfShrunkServerIsAtMostAll: throughput of a backend server with 2000 CPU: 8000

--- a/dispatch/jobs/throughput.go
+++ b/dispatch/jobs/throughput.go
@@ -126,7 +126,7 @@
 		}
 		c.servers++
 		c.entries = max(c.entries, v.entries)
-		c.usedCPU += v.state.Capacity.CPU - max(0, v.available().CPU)
+		c.usedCPU += v.usedCPU()
 		if !v.health.Suspended() {
 			c.effectiveCPU += float64(v.state.Capacity.CPU) / v.slowdown()
 		}
@@ -141,9 +141,22 @@
 		if v.state.Service != service || !p.contains(v) {
 			continue
 		}
-		for _, a := range v.runs {
-			sum += a.demand.CPU
-		}
+		sum += v.ownCPU()
+	}
+	return sum
+}
+
+// usedCPU returns the CPU capacity in use, at least that of the entry's own runs: the capacity may have shrunk
+// below what runs.
+func (v *server) usedCPU() int64 {
+	return max(v.state.Capacity.CPU-max(0, v.available().CPU), v.ownCPU())
+}
+
+// ownCPU returns the CPU capacity that this entry's runs occupy.
+func (v *server) ownCPU() int64 {
+	var sum int64
+	for _, a := range v.runs {
+		sum += a.demand.CPU
 	}
 	return sum
 }
