jobs: answer "not ready" when a capacity that has shrunk sufficed before

Callers got the final "no backend server can ever run it" for a job whose backend server had shrunk for some seconds, and did not retry. The entry now keeps the largest capacity that each instance has reported, and answers "not ready" with a Retry-After when that would suffice. It is forgotten with the instance, which may return as another kind.

--- a/dispatch/jobs/capacity_test.go
+++ b/dispatch/jobs/capacity_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
 )
 
 // Guards against an entry that takes more work than its backend servers can do: when the capacity had shrunk
@@ -19,3 +22,76 @@
 		t.Errorf("throughput of a backend server with 2000 CPU: %v", got)
 	}
 }
+
+// reportCapacity delivers a report with the given capacity of the agent's present instance.
+func (h *harness) reportCapacity(agent string, capacity run.Demand) {
+	free := capacity
+	for _, o := range h.orders[agent] {
+		free = free.Sub(o.Demand)
+	}
+	state := serverOf(agent, 0)
+	state.Capacity = capacity
+	h.Report(h.now, agent, Report{Server: state, Free: free, Ack: h.seqs[agent]})
+	h.take()
+}
+
+// submitDemand submits a job with one task of the given demand.
+func (h *harness) submitDemand(id string, demand run.Demand) bool {
+	o, ok := h.Submit(h.now, Job{
+		ID: id, Queue: testQueue, Arrived: h.now, Steps: []Step{{Count: 1, Demand: demand, Estimate: time.Second}},
+	})
+	if !ok {
+		h.outcomes[id] = o
+	}
+	h.take()
+	return ok
+}
+
+var (
+	largeCapacity = run.Demand{CPU: 8000, MemoryMB: 800, GPU: 2}
+	largeDemand   = run.Demand{CPU: 4000, MemoryMB: 400, GPU: 2}
+)
+
+// smallerCapacities are capacities of which one resource is less than largeDemand.
+var smallerCapacities = map[string]run.Demand{
+	"cpu":    {CPU: 3000, MemoryMB: 800, GPU: 2},
+	"memory": {CPU: 8000, MemoryMB: 300, GPU: 2},
+	"gpu":    {CPU: 8000, MemoryMB: 800, GPU: 1},
+}
+
+// Guards against a job that is refused for good, so that its caller does not retry, because of a capacity that
+// has shrunk and may grow again. A job that no capacity seen so far suffices for is still refused for good.
+func TestJobForShrunkCapacityIsNotReady(t *testing.T) {
+	for name, capacity := range smallerCapacities {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 0)
+			h.reportCapacity("a0", largeCapacity)
+			h.reportCapacity("a0", capacity)
+			h.submitDemand("fitted", largeDemand)
+			if o := h.outcomes["fitted"]; o.Code != result.NotReady || o.Effect != result.NotRun || o.RetryAfter <= 0 {
+				t.Errorf("job that fitted before: %+v", o)
+			}
+			h.submitDemand("never", largeCapacity.Add(largeCapacity))
+			if o := h.outcomes["never"]; o.Code != result.CannotRun {
+				t.Errorf("job that never fitted: %+v", o)
+			}
+			h.reportCapacity("a0", largeCapacity)
+			if !h.submitDemand("again", largeDemand) {
+				t.Errorf("job at the former capacity: %+v", h.outcomes["again"])
+			}
+		})
+	}
+}
+
+// Guards against the largest capacity of one incarnation of a backend server that counts for the next one.
+func TestLargestCapacityEndsWithInstance(t *testing.T) {
+	h := newHarness(t, 1, 0)
+	h.reportCapacity("a0", largeCapacity)
+	state := serverOf("a0", 1000)
+	state.Instance = "later"
+	h.Report(h.now, "a0", Report{Server: state, Free: state.Capacity})
+	h.submitDemand("x", largeDemand)
+	if o := h.outcomes["x"]; o.Code != result.CannotRun {
+		t.Errorf("job that fitted on the former instance: %+v", o)
+	}
+}
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -68,6 +68,7 @@
 		s.newInstance(v, r.Server)
 	}
 	v.state = r.Server
+	v.largest = v.largest.Max(r.Server.Capacity)
 	v.free = r.Free
 	v.entries = r.Entries
 	v.othersSlowdown = r.OthersSlowdown
@@ -96,6 +97,7 @@
 	v.health = s.restoreHealth(group, state.Instance)
 	v.speedEstimate = s.speeds.Kind(state.Service).ForServer(state.Instance)
 	v.lagFactor = 1
+	v.largest = run.Demand{}
 }
 
 // restoreHealth returns the health of a backend server. A suspension from before its agent was removed
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -224,6 +224,9 @@
 			s.jobRefused = true
 			return result.NotReady
 		}
+		if s.fittedBefore(in.Queue.Service, step) {
+			return result.NotReady
+		}
 		return result.CannotRun
 	}
 	return 0
@@ -240,6 +243,17 @@
 	return false
 }
 
+// fittedBefore reports whether a task of the step would fit on some known backend server of the service with
+// the largest capacity that it has had. The capacity may grow again.
+func (s *Scheduler) fittedBefore(service string, step Step) bool {
+	for _, v := range s.fleet {
+		if v.state.Service == service && step.Demand.Fits(v.largest) && v.state.HasLabel(step.Label) {
+			return true
+		}
+	}
+	return false
+}
+
 // jobsByArrival returns the jobs in the order of their arrival.
 func (s *Scheduler) jobsByArrival() []*job {
 	list := make([]*job, 0, len(s.jobs))
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -18,9 +18,10 @@
 	agent       string
 	state       run.Server
 	free        run.Demand
-	linked      bool      // the entry has a link to the agent
-	lastContact time.Time // time of the newest message from the agent
-	seq         uint64    // number of the newest frame sent to the agent
+	largest     run.Demand // largest capacity, of each resource, that the instance has reported
+	linked      bool       // the entry has a link to the agent
+	lastContact time.Time  // time of the newest message from the agent
+	seq         uint64     // number of the newest frame sent to the agent
 	runs        map[run.Ref]*attempt
 	// unacked are the orders that the agent's newest report does not account for yet.
 	unacked        []*attempt
--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -45,6 +45,11 @@
 	return Demand{d.CPU - o.CPU, d.MemoryMB - o.MemoryMB, d.GPU - o.GPU}
 }
 
+// Max returns the larger amount of each resource of d and o.
+func (d Demand) Max(o Demand) Demand {
+	return Demand{max(d.CPU, o.CPU), max(d.MemoryMB, o.MemoryMB), max(d.GPU, o.GPU)}
+}
+
 // Ref identifies one run of one task.
 type Ref struct {
 	// Task is the name of the task, see TaskName.
