--- a/dispatch/jobs/capacity_test.go
+++ b/dispatch/jobs/capacity_test.go
@@ -95,3 +95,52 @@
 		t.Errorf("job that fitted on the former instance: %+v", o)
 	}
 }
+
+// Guards against a caller that is held until the job can no longer be useful although no backend server has the
+// capacity for it any more. A job that may have run continues.
+func TestWaitingJobThatNoLongerFitsIsRejected(t *testing.T) {
+	for name, capacity := range smallerCapacities {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 0)
+			h.reportCapacity("a0", largeCapacity)
+			if !h.submitDemand("running", largeDemand) || !h.submitDemand("waiting", largeDemand) {
+				t.Fatalf("a job was rejected: %+v", h.outcomes)
+			}
+			h.reportCapacity("a0", capacity)
+			h.advance(20 * time.Millisecond)
+			if o := h.outcomes["waiting"]; o.Code != result.NotReady || o.Effect != result.NotRun || o.RetryAfter <= 0 {
+				t.Errorf("job that no longer fits: %+v", o)
+			}
+			if o, ended := h.outcomes["running"]; ended {
+				t.Errorf("job that has started: %+v", o)
+			}
+		})
+	}
+}
+
+// Guards against waiting jobs that are rejected while a backend server with the capacity for them is out of
+// reach, or while there are agents to which no link exists.
+func TestWaitingJobIsKeptWhileItMayFit(t *testing.T) {
+	prepare := func() *harness {
+		h := newHarness(t, 2, 0)
+		h.reportCapacity("a0", largeCapacity)
+		h.reportCapacity("a1", run.Demand{CPU: 1000})
+		if !h.submitDemand("running", largeDemand) || !h.submitDemand("waiting", largeDemand) {
+			t.Fatalf("a job was rejected: %+v", h.outcomes)
+		}
+		return h
+	}
+	h := prepare()
+	h.AgentDisconnected("a0")
+	h.advance(20 * time.Millisecond)
+	if o, ended := h.outcomes["waiting"]; ended {
+		t.Errorf("rejected while the link to its backend server is down: %+v", o)
+	}
+	h = prepare()
+	h.SetPartial(true)
+	h.reportCapacity("a0", smallerCapacities["cpu"])
+	h.advance(20 * time.Millisecond)
+	if o, ended := h.outcomes["waiting"]; ended {
+		t.Errorf("rejected with links to a part of the agents: %+v", o)
+	}
+}
