jobs: let a task that runs alone ask for at least its demand

A backend server could get a run beyond its capacity: a task that must run alone asked for all the capacity that there is, also where that is less than its step's demand, because it has shrunk or the server is small. Both the entry and the agent then found that it fits.

Before: TestTaskThatRunsAloneNeedsItsDemand/cpu: a task of {CPU:4000 MemoryMB:400 GPU:2} is placed on {CPU:3000 MemoryMB:800 GPU:2} (memory and gpu likewise)

--- a/dispatch/jobs/capacity_test.go
+++ b/dispatch/jobs/capacity_test.go
@@ -144,3 +144,29 @@
 		t.Errorf("rejected with links to a part of the agents: %+v", o)
 	}
 }
+
+// Guards against a task that must run alone and is placed on a backend server whose capacity is, or has become,
+// less than its demand: its order asked for all that there is, and the run exceeded it.
+func TestTaskThatRunsAloneNeedsItsDemand(t *testing.T) {
+	for name, capacity := range smallerCapacities {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1, 0)
+			h.reportCapacity("a0", capacity)
+			j := newJob(Job{ID: "x", Queue: testQueue, Arrived: h.now, Steps: []Step{{Count: 1, Demand: largeDemand, Estimate: time.Second}}})
+			task := j.tasks[0]
+			for range minBlamedCrashes {
+				h.Scheduler.crashes.addTask(h.now, task.name, 0)
+			}
+			if !h.mustRunAlone(j, task) {
+				t.Fatal("the task need not run alone")
+			}
+			if h.hasCapacity(h.now, j, task, h.servers["a0"]) {
+				t.Errorf("a task of %+v is placed on %+v", largeDemand, capacity)
+			}
+			h.reportCapacity("a0", largeCapacity)
+			if got := h.demandOn(j, task, h.servers["a0"]); got != largeCapacity {
+				t.Errorf("demand %+v of a task that runs alone on %+v", got, largeCapacity)
+			}
+		})
+	}
+}
--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -206,10 +206,10 @@
 }
 
 // demandOn returns what a run of the task occupies on the backend server: all of it if the task must run
-// alone.
+// alone, and at least the demand of its step: the capacity may be less.
 func (s *Scheduler) demandOn(j *job, t *task, v *server) run.Demand {
 	if s.mustRunAlone(j, t) {
-		return v.state.Capacity
+		return v.state.Capacity.Max(j.Steps[t.step].Demand)
 	}
 	return j.Steps[t.step].Demand
 }
