End the runs of a leaving backend server when that is seen

A leave names the backend server's ID, which a later incarnation shares, and the agent ended all runs at once. The server may run its tasks a moment longer, so their next runs elsewhere could overlap, and a delayed leave of a former incarnation ended the runs of its successor.

--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -130,16 +130,15 @@
 	}
 }
 
-// ServerLeft records that the backend server has shut down. It ignores an instance other than the current
-// one.
+// ServerLeft records that the backend server has announced its shutdown. It ignores an instance other than
+// the announced one.
 func (a *Agent) ServerLeft(instance string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.table.Server(boottime.Now()).Instance != instance {
+	if !a.table.ServerLeft(instance) {
 		return
 	}
-	a.Log.Info(event.ServerLeft, event.Fields{"instance": instance})
-	a.deliver(a.table.ServerLeft(boottime.Now()))
+	a.Log.Info(event.ServerLeft, event.Fields{"instance": instance, "runs": a.table.Len()})
 	a.sendStateToAll()
 }
 
--- a/dispatch/runtable/ends.go
+++ b/dispatch/runtable/ends.go
@@ -20,8 +20,6 @@
 	EndLeasePassed
 	// EndNewIncarnation means that the backend server has started anew.
 	EndNewIncarnation
-	// EndServerLeft means that the backend server announced its shutdown.
-	EndServerLeft
 	// EndStopConfirmed means that a new incarnation of the backend server has answered a stop of the
 	// run and does not list it.
 	EndStopConfirmed
@@ -31,7 +29,7 @@
 
 var endBasisNames = map[EndBasis]string{
 	EndListed: "listed by the server", EndMissing: "missing from a snapshot", EndLeasePassed: "lease passed",
-	EndNewIncarnation: "new incarnation", EndServerLeft: "server left", EndRefused: "refused",
+	EndNewIncarnation: "new incarnation", EndRefused: "refused",
 	EndStopConfirmed: "stopped at a new incarnation",
 }
 
--- a/dispatch/runtable/model_test.go
+++ b/dispatch/runtable/model_test.go
@@ -265,6 +265,9 @@
 	m.polls = slices.DeleteFunc(m.polls, func(p modelPoll) bool { return p.orphaned && p.incarnation != m.server.incarnation })
 }
 
+// leave announces the shutdown of the server, which may run its tasks for some time after that.
+func (m *model) leave(*rapid.T) { m.table.ServerLeft(m.table.Server(m.now).Instance) }
+
 func (m *model) announce(*rapid.T) {
 	m.recordEnded(m.table.Announce(m.now, m.server.announced(), m.server.incarnation))
 }
@@ -323,7 +326,7 @@
 			"wait": m.wait, "order": m.order, "resend": m.resend, "call returns": m.callReturns, "carry out": m.carryOut,
 			"snapshot": func(t *rapid.T) { m.openPoll(t); m.answerPoll(t) }, "open poll": m.openPoll, "answer poll": m.answerPoll,
 			"late snapshot": m.applyDelayed, "end": m.finish, "sweep": m.sweep, "carry out stop": m.carryOutStop, "claim": m.claim,
-			"restart": m.restartAgent, "crash": m.crash, "announce": m.announce, "": m.check,
+			"restart": m.restartAgent, "crash": m.crash, "announce": m.announce, "leave": m.leave, "": m.check,
 		})
 	})
 }
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -10,7 +10,6 @@
 import (
 	"time"
 
-	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 )
 
@@ -207,12 +206,21 @@
 	t.serverKnown = true
 }
 
-// ServerLeft records that the backend server has shut down gracefully.
-func (t *Table) ServerLeft(now time.Time) []Event {
+// ServerLeft records that the backend server has announced its shutdown. It accepts no more orders,
+// and its runs are stopped: it may still run them for a moment, so they end when a snapshot shows that
+// or their lease has passed. ServerLeft reports whether the instance is the one that is announced; it
+// ignores any other.
+func (t *Table) ServerLeft(instance string) bool {
+	if !t.serverKnown || t.server.Instance != instance {
+		return false
+	}
 	t.serverLeft = true
 	t.serverKnown = false
 	t.server.State = run.Absent
-	return t.endAllRuns(now, ending{basis: EndServerLeft})
+	for ref := range t.runs {
+		t.Stop(ref)
+	}
+	return true
 }
 
 // setIncarnation records the incarnation of the backend server, which announcements and snapshots
@@ -245,16 +253,6 @@
 // by their start time.
 func (t *Table) IsFormer(incarnation int64) bool { return incarnation < t.incarnation }
 
-// endAllRuns ends every run as lost with its backend server.
-func (t *Table) endAllRuns(now time.Time, how ending) []Event {
-	how.kind, how.code = run.Stopped, result.ServerLost
-	var events []Event
-	for _, r := range t.runs {
-		events = append(events, t.end(now, r, how, r.checkpoint))
-	}
-	return events
-}
-
 // Confirmed records that the entry has confirmed the message that the agent sent at the given time.
 func (t *Table) Confirmed(owner string, at time.Time) {
 	if at.After(t.confirmedAt[owner]) {
--- a/dispatch/runtable/runtable_test.go
+++ b/dispatch/runtable/runtable_test.go
@@ -162,7 +162,7 @@
 		"instance": {order: Order{Instance: "i-0@1"}, want: result.UnknownServer},
 		"label":    {order: Order{Label: "gpu"}, want: result.UnknownServer},
 		"leaving":  {change: func(f *fixture) { f.Drain() }, want: result.AgentDraining},
-		"left":     {change: func(f *fixture) { f.ServerLeft(f.now) }, want: result.UnknownServer},
+		"left":     {change: func(f *fixture) { f.ServerLeft(testServer.Instance) }, want: result.UnknownServer},
 	}
 	for name, c := range cases {
 		f := newFixture(t)
@@ -454,7 +454,7 @@
 	if usable(testIncarnation-1, func(*fixture) {}) {
 		t.Error("another incarnation of the backend server gets orders")
 	}
-	left := func(f *fixture) { f.ServerLeft(f.now); f.RestoreServer(testServer, testIncarnation) }
+	left := func(f *fixture) { f.ServerLeft(testServer.Instance); f.RestoreServer(testServer, testIncarnation) }
 	if usable(testIncarnation, left) {
 		t.Error("a backend server that has shut down gets orders")
 	}
@@ -486,3 +486,41 @@
 		t.Errorf("code %d after a later snapshot", code)
 	}
 }
+
+// Guards against two runs of a task on a backend server that leaves: all runs were ended at once,
+// although the server may run them for a moment longer.
+func TestRunsOfLeavingServerEndWhenThatIsSeen(t *testing.T) {
+	runningFixture := func() *fixture {
+		f := newFixture(t)
+		f.order(ref("a", 1), 6000)
+		f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+		f.advance(5 * time.Millisecond)
+		f.RenewalDone(f.RenewLease(f.now), true)
+		f.snapshot([]RunningRun{{Ref: ref("a", 1)}}, nil)
+		if !f.ServerLeft(testServer.Instance) || f.Server(f.now).State != run.Absent {
+			t.Fatal("server usable after it left")
+		}
+		if stops := f.Sweep(f.now); f.Len() != 1 || len(stops) != 1 {
+			t.Fatalf("%d runs, stops %v after the server left", f.Len(), stops)
+		}
+		return f
+	}
+	f := runningFixture()
+	f.advance(5 * time.Millisecond)
+	wantSingleEvent(t, f.snapshot(nil, []EndedRun{{Number: 1, Ref: ref("a", 1), Kind: run.Stopped}}), run.Stopped, 0)
+	f = runningFixture()
+	f.advance(testLimits.Lease)
+	if events := f.ExpireLease(f.now); len(events) != 0 {
+		t.Fatalf("events %+v before the lease has passed", events)
+	}
+	f.advance(20 * time.Millisecond)
+	wantSingleEvent(t, f.ExpireLease(f.now), run.Stopped, result.ServerLost)
+}
+
+// Guards against a leave of a former incarnation that makes its successor unusable and stops its runs.
+func TestLeaveOfOtherInstanceIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	if f.ServerLeft("i-1@999") || f.order(ref("a", 1), 1) != 0 {
+		t.Error("a leave of a former incarnation counts")
+	}
+}
