Model stops that take time, late answers, and longer sequences of calls

Sequences around the start of a run and the return of the backend server are now actions of their own, a stop takes up to 50 ms after its answer, and answers to stops may arrive late.

A new incarnation is recognised by an answer whose clock is lower than the newest known reading, no longer than an estimate, so that a clock that runs slow cannot look like one.

--- a/dispatch/runtable/model_test.go
+++ b/dispatch/runtable/model_test.go
@@ -42,14 +42,15 @@
 	crashedAt time.Time // latest crash of the server
 	next      uint64    // number of the newest run
 
-	copies   []modelCopy
-	sent     map[run.Ref]int // copies
-	stops    []modelStop
-	polls    []modelPoll
-	delayed  []Snapshot
-	demands  map[run.Ref]int64
-	accepted map[run.Ref]int64 // newest incarnation whose answer the table has seen
-	ended    map[run.Ref]int64 // incarnation that the table knew when it reported the end
+	copies      []modelCopy
+	sent        map[run.Ref]int // copies
+	stops       []modelStop
+	stopAnswers []modelStop
+	polls       []modelPoll
+	delayed     []Snapshot
+	demands     map[run.Ref]int64
+	accepted    map[run.Ref]int64 // newest incarnation whose answer the table has seen
+	ended       map[run.Ref]int64 // incarnation that the table knew when it reported the end
 	// excused are runs that no agent can prevent: a copy without an answer was carried out by an
 	// incarnation that the table did not know when it reported the end.
 	excused map[run.Ref]bool
@@ -164,13 +165,22 @@
 }
 
 func (m *model) carryOut(t *rapid.T) {
-	c := pick(t, &m.copies)
+	if len(m.copies) == 0 {
+		t.Skip()
+	}
+	m.deliver(rapid.IntRange(0, len(m.copies)-1).Draw(t, "i"), rapid.Bool().Draw(t, "answered"))
+}
+
+// deliver carries out the copy with the given index. An answer counts if the call has not returned.
+func (m *model) deliver(i int, answered bool) {
+	c := m.copies[i]
+	m.copies = append(m.copies[:i:i], m.copies[i+1:]...)
 	known, reported := m.ended[c.ref]
 	started := m.server.start(c.ref, c.cpu, c.expiry)
 	if started && reported && m.server.incarnation > known {
 		m.excused[c.ref] = true
 	}
-	answered := rapid.Bool().Draw(t, "answered") && !c.returned
+	answered = answered && !c.returned
 	if !c.returned && !c.orphaned {
 		m.table.CopyReturned(m.now, c.ref, answered)
 	}
@@ -235,17 +245,6 @@
 	}
 }
 
-func (m *model) carryOutStop(t *rapid.T) {
-	s := pick(t, &m.stops)
-	if m.now.Sub(s.sentAt) > lateCallLimit {
-		return
-	}
-	m.server.stop(s.ref)
-	if rapid.Bool().Draw(t, "answered") {
-		m.table.StopAnswered(m.now, s.ref, s.sentAt)
-	}
-}
-
 // crash ends the server, which is back at once with another clock.
 func (m *model) crash(t *rapid.T) {
 	clock := rapid.Int64Range(1, 1000).Draw(t, "clock")
@@ -277,7 +276,7 @@
 		t.Skip()
 	}
 	m.table = New(m.now, testLimits)
-	m.delayed, m.stops = nil, nil
+	m.delayed, m.stops, m.stopAnswers = nil, nil, nil
 	for i := range m.copies {
 		m.copies[i].orphaned = true
 	}
@@ -325,8 +324,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": m.wait, "order": m.order, "resend": m.resend, "call returns": m.callReturns, "carry out": m.carryOut,
 			"snapshot": func(t *rapid.T) { m.openPoll(t); m.answerPoll(t) }, "open poll": m.openPoll, "answer poll": m.answerPoll,
-			"late snapshot": m.applyDelayed, "end": m.finish, "sweep": m.sweep, "carry out stop": m.carryOutStop, "claim": m.claim,
-			"restart": m.restartAgent, "crash": m.crash, "announce": m.announce, "leave": m.leave, "": m.check,
+			"late snapshot": m.applyDelayed, "end": m.finish, "sweep": m.sweep, "carry out stop": m.carryOutStop, "stop answer": m.answerStop, "claim": m.claim,
+			"restart": m.restartAgent, "crash": m.crash, "announce": m.announce, "leave": m.leave, "start run": m.startRun, "come back": m.comeBack, "": m.check,
 		})
 	})
 }
--- a/dispatch/runtable/modelserver_test.go
+++ b/dispatch/runtable/modelserver_test.go
@@ -14,13 +14,14 @@
 	clock           int64
 	lease           int64
 	running         map[run.Ref]int64 // CPU in use by run
+	stopping        map[run.Ref]int64 // latest end of stopped runs, on the server's clock
 	highestEndedRun map[string]uint64
 	ended           []EndedRun
 	lastEndNumber   int64
 }
 
 func newModelServer(incarnation, clock int64) *modelServer {
-	return &modelServer{incarnation: incarnation, clock: clock, running: map[run.Ref]int64{}, highestEndedRun: map[string]uint64{}}
+	return &modelServer{incarnation: incarnation, clock: clock, running: map[run.Ref]int64{}, stopping: map[run.Ref]int64{}, highestEndedRun: map[string]uint64{}}
 }
 
 // announced returns the server as it announces itself.
@@ -32,6 +33,11 @@
 
 func (m *modelServer) advance(ms int64) {
 	m.clock += ms
+	for ref, end := range m.stopping {
+		if m.clock >= end {
+			m.finish(ref, run.Stopped)
+		}
+	}
 	if m.clock <= m.lease {
 		return
 	}
@@ -42,15 +48,20 @@
 
 func (m *modelServer) finish(ref run.Ref, kind run.EventKind) {
 	delete(m.running, ref)
+	delete(m.stopping, ref)
 	m.lastEndNumber++
 	m.ended = append(m.ended, EndedRun{Number: m.lastEndNumber, Ref: ref, Kind: kind})
 	m.highestEndedRun[ref.Task] = max(m.highestEndedRun[ref.Task], ref.Run)
 }
 
-// stop ends the run, if it is in progress, and rejects later starts of it.
+// modelStopMS is how long a stopped run goes on.
+const modelStopMS = 50
+
+// stop ends the run, if it is in progress, within modelStopMS, and rejects later starts of it.
 func (m *modelServer) stop(ref run.Ref) {
-	if _, ok := m.running[ref]; ok {
-		m.finish(ref, run.Stopped)
+	_, runs := m.running[ref]
+	if _, ends := m.stopping[ref]; runs && !ends {
+		m.stopping[ref] = m.clock + modelStopMS
 	}
 	m.highestEndedRun[ref.Task] = max(m.highestEndedRun[ref.Task], ref.Run)
 }
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -53,7 +53,7 @@
 	}
 	t.offers.Use(o.Owner, o.Demand)
 	expiry := t.clock.at(now) + t.orderTimeout().Milliseconds()
-	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, visibleByMS: expiry, firstSeen: now, orderedMS: t.clock.lowerBound(now)}
+	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, visibleByMS: expiry, firstSeen: now, orderedMS: t.clock.ms}
 	t.trackCopies(o.Ref, expiry)
 	t.latestLease = max(t.latestLease, expiry)
 	return 0
@@ -156,10 +156,6 @@
 	return 0
 }
 
-// clockRounding is by how many milliseconds two times on the backend server's clock may differ
-// because they are rounded.
-const clockRounding = 2
-
 // Accepted records the backend server's answer, received at now, that it started the run at clockMS
 // of its own clock. took is the time from sending the answered copy of the order to its answer.
 func (t *Table) Accepted(now time.Time, took time.Duration, ref run.Ref, clockMS int64) {
@@ -169,7 +165,7 @@
 	}
 	t.observeAnswer(took)
 	t.accept(now, r, clockMS)
-	if clockMS+clockRounding < r.orderedMS && !r.unsettled {
+	if clockMS < r.orderedMS && !r.unsettled {
 		// The clock of one incarnation never goes back, so a new one has answered.
 		r.unsettle(now)
 	}
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -86,7 +86,8 @@
 	// the backend server, since when, and when that incarnation has answered a stop.
 	unsettled                   bool
 	unsettledAt, stopAnsweredAt time.Time
-	// orderedMS is a time on the backend server's clock that had passed when the run was ordered.
+	// orderedMS is the newest time on the backend server's clock that was known when the run was
+	// ordered.
 	orderedMS int64
 }
 
