--- a/daemon/runagent/poll_test.go
+++ b/daemon/runagent/poll_test.go
@@ -12,6 +12,7 @@
 
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
+	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 	"poplargw.example/dispatch/runtable"
 )
@@ -147,3 +148,20 @@
 		t.Errorf("incarnation %d as of poll %d, want 20 as of poll 3", p.answeredIncarnation, p.answeredNumber)
 	}
 }
+
+// A run that the backend server lists after its end was inferred must be counted and stopped: nobody noticed
+// two runs of one task.
+func TestRunListedAfterItsEndIsReported(t *testing.T) {
+	a, ref := newAgentWithOrder(&fakeBackend{})
+	p := newPoller(a)
+	a.deliver(a.table.Rejected(boottime.Now(), ref, result.NoFreeSlot))
+	p.handleResponse(pollCall{number: 1, sentAt: boottime.Now(), snapshot: runtable.Snapshot{
+		Incarnation: 1, ClockMS: 1000, Running: []runtable.RunningRun{{Ref: ref}},
+	}})
+	if n := a.counters.endedRunsListed.Get(); n != 1 {
+		t.Errorf("%d runs counted", n)
+	}
+	if stops := a.table.Sweep(boottime.Now()); len(stops) != 1 || stops[0] != ref {
+		t.Errorf("runs to stop: %v", stops)
+	}
+}
--- a/daemon/timeline/timeline.go
+++ b/daemon/timeline/timeline.go
@@ -73,7 +73,7 @@
 	event.ServerLeft: {"instance"}, event.ServerReachable: {}, event.ServerUnreachable: {}, event.RoutesChanged: {"version"},
 	event.DomainsChanged: {"out"}, event.PlatformStoreUnreachable: {}, event.PlatformStoreReachable: {}, event.ReadinessChanged: {"ready"},
 	event.ProcessPaused: {"ms"}, event.AgentLost: {"agent"}, event.ServerSuspended: {"agent"}, event.EntryLeft: {"jobs"},
-	event.ProcessorShort: {"short"}, event.LinkLost: {"agent", "reason"},
+	event.ProcessorShort: {"short"}, event.LinkLost: {"agent", "reason"}, event.EndedRunListed: {"task", "run", "basis"},
 }
 
 // addChange adds an event if it counts as a change. event.Started sets *process to the ID of the process.
