--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -3,7 +3,8 @@
 //
 // The backend server carries out a start order before the order's expiry or never, and kills every
 // run when its lease expires. A run therefore keeps its capacity until a snapshot of the backend
-// server proves that it has ended or can no longer start. The package does no I/O and is not safe
+// server proves that it has ended or can no longer start. A server that has started anew has another
+// clock, on which the expiry of an earlier order means nothing; see orderCopies and endOrUnsettleRuns. The package does no I/O and is not safe
 // for concurrent use.
 package runtable
 
