--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -3,14 +3,14 @@
 //
 // The backend server carries out a start order before the order's expiry or never, and kills every
 // run when its lease expires. A run therefore keeps its capacity until a snapshot of the backend
-// server proves that it has ended or can no longer start. The package does no I/O and is not safe
+// server proves that it has ended or can no longer start. A server that has started anew has another
+// clock, on which the expiry of an earlier order means nothing; see orderCopies and endOrUnsettleRuns. The package does no I/O and is not safe
 // for concurrent use.
 package runtable
 
 import (
 	"time"
 
-	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 )
 
@@ -93,7 +93,8 @@
 	// the backend server, since when, and when that incarnation has answered a stop.
 	unsettled                   bool
 	unsettledAt, stopAnsweredAt time.Time
-	// orderedMS is a time on the backend server's clock that had passed when the run was ordered.
+	// orderedMS is the newest time on the backend server's clock that was known when the run was
+	// ordered.
 	orderedMS int64
 }
 
@@ -227,12 +228,21 @@
 	t.serverKnown = true
 }
 
-// ServerLeft records that the backend server has shut down gracefully.
-func (t *Table) ServerLeft(now time.Time) []Event {
+// ServerLeft records that the backend server has announced its shutdown. It accepts no more orders,
+// and its runs are stopped: it may still run them for a moment, so they end when a snapshot shows that
+// or their lease has passed. ServerLeft reports whether the instance is the one that is announced; it
+// ignores any other.
+func (t *Table) ServerLeft(now time.Time, instance string) bool {
+	if !t.serverKnown || t.server.Instance != instance {
+		return false
+	}
 	t.serverLeft = true
 	t.serverKnown = false
 	t.server.State = run.Absent
-	return t.endAllRuns(now, ending{basis: EndServerLeft})
+	for ref := range t.runs {
+		t.Stop(now, ref)
+	}
+	return true
 }
 
 // setIncarnation records the incarnation of the backend server, which announcements and snapshots
@@ -268,16 +278,6 @@
 // by their start time.
 func (t *Table) IsFormer(incarnation int64) bool { return incarnation < t.incarnation }
 
-// endAllRuns ends every run as lost with its backend server.
-func (t *Table) endAllRuns(now time.Time, how ending) []Event {
-	how.kind, how.code = run.Stopped, result.ServerLost
-	var events []Event
-	for _, r := range t.runs {
-		events = append(events, t.end(now, r, how, r.checkpoint))
-	}
-	return events
-}
-
 // Confirmed records that the entry has confirmed the message that the agent sent at the given time.
 func (t *Table) Confirmed(owner string, at time.Time) {
 	if at.After(t.confirmedAt[owner]) {
