--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -21,6 +21,8 @@
 	AnnouncementNotLoaded ID = 615
 	AnnouncementRestored  ID = 616
 
+	EndedRunListed ID = 617
+
 	JobEnded                 ID = 650
 	JobAbandoned             ID = 651
 	RoutesChanged            ID = 652
@@ -45,6 +47,9 @@
 	EntryLeft                ID = 671
 	ProcessorShort           ID = 672
 	EntrySecondCounts        ID = 673
+	ServerCrashed            ID = 674
+	KindConfined             ID = 675
+	KindReleased             ID = 676
 )
 
 var runTexts = map[ID]string{
@@ -64,6 +69,7 @@
 	AnnouncementNotSaved:     "announcement of the backend server was not saved; saving is retried",
 	AnnouncementNotLoaded:    "saved announcement of the backend server was not loaded; loading is retried for a short time",
 	AnnouncementRestored:     "saved announcement of the backend server was loaded; it is used until the next one",
+	EndedRunListed:           "backend server listed a run that was taken for ended; if it is in progress, it is stopped",
 	JobEnded:                 "job ended",
 	JobAbandoned:             "caller disconnected before its job ended",
 	RoutesChanged:            "routes changed",
@@ -88,4 +94,7 @@
 	EntryLeft:                "entry rejects further jobs because it stops",
 	ProcessorShort:           "shortage of processor time at the entry began or ended",
 	EntrySecondCounts:        "job counts of one second",
+	ServerCrashed:            "backend server crashed while it had runs",
+	KindConfined:             "kind of request is confined to some backend servers because it crashes them",
+	KindReleased:             "confined kind of request may use all backend servers again",
 }
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -116,11 +116,15 @@
 func (a *Agent) Announce(s run.Server, incarnation int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.table.IsFormer(incarnation) {
+		return
+	}
 	before := a.table.Server(boottime.Now())
 	a.deliver(a.table.Announce(boottime.Now(), s, incarnation))
-	if before.Instance != s.Instance || before.State != s.State {
+	if !before.Equal(&s) {
 		a.Log.Info(event.ServerStateChanged, event.Fields{
-			"instance": s.Instance, "service": s.Service, "state": int(s.State), "cpu": s.Capacity.CPU, "runs": a.table.Len(),
+			"instance": s.Instance, "service": s.Service, "state": int(s.State),
+			"cpu": s.Capacity.CPU, "memory_mb": s.Capacity.MemoryMB, "gpu": s.Capacity.GPU, "runs": a.table.Len(),
 		})
 		a.queueSave(Announcement{Server: s, Incarnation: incarnation})
 		a.sendStateToAll()
@@ -208,6 +212,7 @@
 		if e.Kind != run.Done {
 			a.Log.InfoLimited(event.RunEnded, event.Fields{
 				"task": e.Ref.Task, "run": e.Ref.Run, "entry": e.Owner, "kind": e.Kind.String(), "code": uint32(e.Reason),
+				"basis": e.Basis.String(),
 			})
 		}
 		byOwner[e.Owner] = append(byOwner[e.Owner], e.Event)
@@ -215,6 +220,17 @@
 	a.sendUpdates(boottime.Now(), byOwner)
 }
 
+// reportUnexpectedRuns logs and counts runs that the backend server has listed although their end had been
+// inferred. The caller must hold a.mu.
+func (a *Agent) reportUnexpectedRuns() {
+	for _, r := range a.table.TakeUnexpectedRuns() {
+		a.counters.endedRunsListed.Inc()
+		a.Log.Error(event.EndedRunListed, event.Fields{
+			"task": r.Ref.Task, "run": r.Ref.Run, "kind": r.Kind.String(), "basis": r.Basis.String(), "in_progress": r.Running,
+		})
+	}
+}
+
 // sendUpdates sends a frame to each entry in events, and to each entry with a new offer of capacity. Offers
 // are made before any frame is sent, so that no two entries are offered the same free capacity. The
 // caller must hold a.mu.
@@ -262,6 +278,7 @@
 	for _, ref := range a.table.Sweep(now) {
 		a.stopRun(ctx, ref)
 	}
+	a.forgetStops(now)
 	server := a.table.Server(now)
 	for _, s := range a.sessions {
 		s.respondToClaims(a, now)
--- a/daemon/runagent/poll.go
+++ b/daemon/runagent/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"poplargw.example/daemon/boottime"
@@ -14,7 +15,8 @@
 	// busyPollWait is how long a poll waits for a run to end while tasks run. It also bounds the age of
 	// the progress that is reported to entries.
 	busyPollWait = 60 * time.Millisecond
-	// lossyPollWait is the wait while responses get lost, because a loss is detected only after the wait.
+	// lossyPollWait is the wait while responses get lost, because a loss is detected only after the wait, and
+	// while orders are refused until a snapshot is requested after a stop.
 	lossyPollWait = 10 * time.Millisecond
 	// lossyPeriod is how long lossyPollWait applies after a lost response.
 	lossyPeriod = time.Second
@@ -44,6 +46,7 @@
 	number   uint64
 	request  PollRequest
 	sent     time.Time
+	sentAt   time.Time // sent, on the clock of package boottime
 	took     time.Duration
 	snapshot runtable.Snapshot
 	err      error
@@ -92,7 +95,7 @@
 func (p *poller) send(ctx context.Context) {
 	p.lastNumber++
 	p.inFlight++
-	p.newest = pollCall{number: p.lastNumber, request: p.request(), sent: time.Now()}
+	p.newest = pollCall{number: p.lastNumber, request: p.request(), sent: time.Now(), sentAt: boottime.Now()}
 	go p.call(ctx, p.newest)
 }
 
@@ -130,20 +133,21 @@
 }
 
 // request returns the next poll's request. It asks the backend server to wait only if the last poll was
-// answered.
+// answered. A poll that may not renew the lease still waits, so that ends are seen without many polls.
 func (p *poller) request() PollRequest {
 	a := p.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := PollRequest{LeaseMS: a.table.RenewLease(boottime.Now()), LastEnd: a.table.LastEnd()}
-	if p.consecutiveFailures > 0 || r.LeaseMS == 0 {
+	if p.consecutiveFailures > 0 || !a.table.Responding(boottime.Now()) {
 		return r
 	}
 	r.Wait = idlePollWait
 	if a.table.Len() > 0 {
-		r.Wait = a.table.NextExpiry(boottime.Now(), busyPollWait)
+		r.Wait = busyPollWait
 	}
-	if time.Since(p.lastLoss) < lossyPeriod {
+	r.Wait = a.table.NextExpiry(boottime.Now(), r.Wait)
+	if time.Since(p.lastLoss) < lossyPeriod || a.table.HasUnsettled() {
 		r.Wait = min(r.Wait, lossyPollWait)
 	}
 	return r
@@ -158,6 +162,9 @@
 	a.table.RenewalDone(c.request.LeaseMS, !errors.Is(c.err, ErrNotSent))
 	if c.err != nil {
 		p.countFailure(c)
+		if errors.Is(c.err, syscall.ECONNREFUSED) && a.table.ServerGone(boottime.Now()) {
+			a.sendStateToAll()
+		}
 		return
 	}
 	p.consecutiveFailures = 0
@@ -166,7 +173,9 @@
 		return
 	}
 	settled := a.table.CanAnswerClaims(boottime.Now())
+	c.snapshot.Requested = c.sentAt
 	a.deliver(a.table.ApplySnapshot(boottime.Now(), c.snapshot))
+	a.reportUnexpectedRuns()
 	if !settled {
 		a.sendStateToAll()
 	}
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
@@ -28,6 +29,8 @@
 	lastReceived           time.Time          // time of the newest frame from the entry
 	claims                 []*peerv1.RunClaim // claims of the entry that have no response yet
 	sentServer             run.Server         // as last sent to the entry
+	sentCrash              uint64             // number of the newest crash sent to the entry
+	confined               []string           // kinds of request that the entry confines
 }
 
 // minResponseInterval is the time after a frame to the entry during which a frame with orders gets no
@@ -122,6 +125,7 @@
 	token := a.startedAt.Add(time.Duration(f.GetTokenMs()) * time.Millisecond)
 	s.lastSeq = f.GetSeq()
 	s.lastReceived = now
+	s.confined = f.GetConfined()
 	s.confirmedSeq = max(s.confirmedSeq, f.GetAck())
 	a.table.Request(now, s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandFromProto(f.GetWant()))
 	a.table.Confirmed(s.entry, token)
@@ -138,7 +142,7 @@
 		}
 	}
 	for _, r := range f.GetStops() {
-		if ref := link.RefFromProto(r); a.table.Stop(ref) {
+		if ref := link.RefFromProto(r); a.table.Stop(now, ref) {
 			a.stopRun(ctx, ref)
 		}
 	}
@@ -155,7 +159,7 @@
 	ref := link.RefFromProto(o.GetRef())
 	code := a.table.Order(now, runtable.Order{
 		Ref: ref, Owner: s.entry, Demand: link.DemandFromProto(o.GetDemand()), Instance: o.GetServer(), Token: token,
-		MaxPerServer: int(o.GetMaxPerServer()), Label: o.GetLabel(),
+		MaxPerServer: int(o.GetMaxPerServer()), Label: o.GetLabel(), Kind: o.GetKind(),
 	})
 	if code != 0 {
 		a.counters.countRefusedOrder(code)
@@ -172,19 +176,25 @@
 	return run.Event{}, true
 }
 
-// respondToClaims sends the entry the state of the runs that it claimed, once the table can tell. The
-// caller must hold a.mu.
+// respondToClaims sends the entry the state of those runs that it claimed of which the table can tell. The
+// others stay in s.claims. The caller must hold a.mu.
 func (s *session) respondToClaims(a *Agent, now time.Time) {
-	if len(s.claims) == 0 || !a.table.CanAnswerClaims(now) {
-		return
-	}
 	var events []run.Event
+	var waiting []*peerv1.RunClaim
 	for _, c := range s.claims {
+		ref := link.RefFromProto(c.GetRef())
+		if !a.table.CanAnswerClaim(now, ref) {
+			waiting = append(waiting, c)
+			continue
+		}
 		ordered := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
-		events = append(events, a.table.Claim(s.entry, link.RefFromProto(c.GetRef()), link.DemandFromProto(c.GetDemand()), now, ordered))
+		events = append(events, a.table.Claim(s.entry, ref, link.DemandFromProto(c.GetDemand()), now, ordered))
+	}
+	s.claims = waiting
+	if len(events) == 0 {
+		return
 	}
-	a.Log.Info(event.RunsClaimed, event.Fields{"entry": s.entry, "runs": len(events)})
-	s.claims = nil
+	a.Log.Info(event.RunsClaimed, event.Fields{"entry": s.entry, "runs": len(events), "waiting": len(waiting)})
 	s.send(a, events)
 }
 
@@ -213,5 +223,23 @@
 	for _, p := range a.table.Progress(now, s.entry) {
 		f.Progress = append(f.Progress, &peerv1.RunProgress{Ref: link.RefToProto(p.Ref), Percent: uint32(p.Percent), AgeMs: uint32(p.Age.Milliseconds())})
 	}
+	for _, c := range a.table.Crashes(now, s.sentCrash) {
+		f.Crashes = append(f.Crashes, link.CrashToProto(c.Crash, now.Sub(c.At)))
+		s.sentCrash = c.Number
+	}
+	f.Confined = a.confinedByOthers(now, s)
 	s.conn.Send(f)
 }
+
+// confinedByOthers returns the kinds of request that active entries other than that of the session confine. The
+// caller must hold Agent.mu.
+func (a *Agent) confinedByOthers(now time.Time, s *session) []string {
+	var kinds []string
+	for _, o := range a.sessions {
+		if o != s && now.Sub(o.lastReceived) <= entryTimeout {
+			kinds = append(kinds, o.confined...)
+		}
+	}
+	slices.Sort(kinds)
+	return slices.Compact(kinds)
+}
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -139,6 +139,11 @@
 		age := time.Duration(p.GetAgeMs()) * time.Millisecond
 		e.scheduler.Progress(now, a.id, link.RefFromProto(p.GetRef()), int(p.GetPercent()), age)
 	}
+	// Crashes come before the ends of the runs that they took with them.
+	for _, c := range f.GetCrashes() {
+		crash, ago := link.CrashFromProto(c)
+		e.scheduler.ServerCrashed(now, a.id, crash, ago)
+	}
 	for _, v := range f.GetEvents() {
 		e.scheduler.Event(now, a.id, link.EventFromProto(v))
 	}
@@ -147,7 +152,7 @@
 	}
 	e.scheduler.Report(now, a.id, jobs.Report{
 		Server: a.server, Free: link.DemandFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(f.GetEntries()),
-		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()),
+		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(),
 	})
 	e.flush()
 	// The agent reserves capacity for entries with waiting tasks, so tell it immediately when this changes.
@@ -166,6 +171,7 @@
 	f := link.BatchToProto(b)
 	f.Ack, f.TokenMs = a.lastSeq, a.tokenMS
 	f.SlowdownPermille = link.SlowdownToProto(e.scheduler.MeasuredSlowdown(a.id))
+	f.Confined = e.scheduler.ConfinedKinds(a.id)
 	want := e.scheduler.WaitingDemand(a.lastSent, a.id)
 	a.demandSent = want.Demand.CPU > 0
 	if a.demandSent {
--- a/dispatch/jobs/attempt.go
+++ b/dispatch/jobs/attempt.go
@@ -12,6 +12,7 @@
 	job       *job
 	task      *task
 	server    *server
+	instance  string // process of the backend server
 	demand    run.Demand
 	seq       uint64 // number of the frame that carried the order
 	orderedAt time.Time
@@ -53,7 +54,7 @@
 func (s *Scheduler) orderRun(now time.Time, j *job, t *task, v *server) {
 	step := j.Steps[t.step]
 	a := &attempt{
-		ref: s.newRunRef(now, t), job: j, task: t, server: v, demand: step.Demand, seq: v.seq + 1, orderedAt: now, startedAt: now,
+		ref: s.newRunRef(now, t), job: j, task: t, server: v, instance: v.state.Instance, demand: s.demandOn(j, t, v), seq: v.seq + 1, orderedAt: now, startedAt: now,
 		localityFactor: s.localityFactor(step, v),
 	}
 	t.state = taskPlaced
@@ -64,6 +65,7 @@
 		Expected: time.Duration(float64(j.expectedRunTime(t)) * a.slowdown()),
 	})
 	v.runs[a.ref] = a
+	s.bulkheads.service(j.Queue.Service).kind(j.Queue.Name).starts.add(now)
 	v.lastOrder = now
 	v.probes = s.nextProbeCount(v)
 	v.unacked = append(v.unacked, a)
@@ -73,7 +75,7 @@
 	b := s.batch(v)
 	b.Orders = append(b.Orders, Order{
 		Ref: a.ref, Demand: a.demand, Spec: j.Spec, Checkpoint: t.checkpoint,
-		Instance: v.state.Instance, MaxPerServer: step.MaxPerServer, Label: step.Label,
+		Kind: j.Queue.Name, Instance: v.state.Instance, MaxPerServer: step.MaxPerServer, Label: step.Label,
 	})
 }
 
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -72,6 +72,12 @@
 	Lost
 	// Suspended: a backend server gets no more tasks because too many have failed there.
 	Suspended
+	// Crashed: a backend server has crashed with runs that may have caused it.
+	Crashed
+	// Confined: a kind of request is confined to some backend servers because it crashes them.
+	Confined
+	// Released: a confined kind may use all backend servers again.
+	Released
 )
 
 // Decision describes a decision and the facts that it was based on.
@@ -90,6 +96,10 @@
 	Age time.Duration
 	// Free is the available CPU capacity of the backend server before the order, in millicores.
 	Free int64
+	// Suspects is the number of runs that may have caused a crash.
+	Suspects int
+	// Queue is the name of the queue of a kind that is confined or released.
+	Queue string
 }
 
 // Order asks an agent to start a run.
@@ -101,6 +111,7 @@
 	Instance     string // process of the backend server that the order is meant for
 	MaxPerServer int    // as in Step
 	Label        string // as in Step
+	Kind         string // kind of request: the name of the queue
 }
 
 // Claim asks an agent for the state of a run after a new link was opened.
@@ -130,6 +141,8 @@
 	Entries int
 	// OthersSlowdown is the median of the slowdowns that other entries have measured there; 0 if there is none.
 	OthersSlowdown float64
+	// OthersConfined are the kinds of request that other entries confine because they crash backend servers.
+	OthersConfined []string
 }
 
 // Limits configures the scheduler.
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -22,10 +22,16 @@
 	MaxPerServer int
 	// Label must be carried by the backend server; empty accepts any.
 	Label string
+	// Kind is the kind of request that the job belongs to; empty if not known.
+	Kind string
 }
 
-// FreeFor returns the free capacity that is not reserved for other entries.
+// FreeFor returns the free capacity that is not reserved for other entries. There is none while the
+// lease forbids further orders: entries then place tasks elsewhere and keep the agent as a partner.
 func (t *Table) FreeFor(now time.Time, owner string) run.Demand {
+	if !t.orderWithinLease(now) {
+		return run.Demand{}
+	}
 	return t.Free().Sub(t.offers.Others(now, owner))
 }
 
@@ -39,7 +45,7 @@
 
 // Offer returns the entries to notify of newly offered capacity.
 func (t *Table) Offer(now time.Time) []string {
-	if t.Server(now).State != run.Ready || t.domainsOut[t.server.Domain] {
+	if t.Server(now).State != run.Ready || t.domainsOut[t.server.Domain] || !t.orderWithinLease(now) {
 		return nil
 	}
 	return t.offers.Next(now, t.Free())
@@ -53,7 +59,10 @@
 	}
 	t.offers.Use(o.Owner, o.Demand)
 	expiry := t.clock.at(now) + t.orderTimeout().Milliseconds()
-	t.runs[o.Ref] = &record{ref: o.Ref, owner: o.Owner, demand: o.Demand, visibleByMS: expiry, firstSeen: now}
+	t.runs[o.Ref] = &record{
+		ref: o.Ref, owner: o.Owner, demand: o.Demand, kind: o.Kind, visibleByMS: expiry, firstSeen: now, orderedMS: t.clock.lowerBound(now),
+	}
+	t.trackCopies(o.Ref, expiry)
 	t.latestLease = max(t.latestLease, expiry)
 	return 0
 }
@@ -71,9 +80,9 @@
 		return result.DomainOut
 	case now.Sub(o.Token) > t.limits.OwnerSilence:
 		return result.StaleToken
-	case t.quarantined(now):
+	case t.quarantined(), t.HasUnsettled():
 		return result.StaleToken
-	case !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
+	case !t.orderWithinLease(now) || !o.Demand.Fits(t.FreeFor(now, o.Owner)) || t.exceedsTaskLimits(o):
 		return result.NoFreeSlot
 	}
 	return 0
@@ -131,18 +140,26 @@
 	t.answerTime = time.Duration(answerDecay*float64(t.answerTime) + (1-answerDecay)*float64(took))
 }
 
-// NextExpiry returns the time until the first unanswered order has expired, but at most limit.
+// NextExpiry returns the time until the first unanswered order has expired, or those of an earlier
+// process have, but at most limit.
 func (t *Table) NextExpiry(now time.Time, limit time.Duration) time.Duration {
+	if t.clock.known && t.quarantined() {
+		limit = t.untilAfter(now, t.quarantineEnd, limit)
+	}
 	for _, r := range t.runs {
-		if r.accepted {
-			continue
+		if !r.accepted && !r.unsettled {
+			limit = t.untilAfter(now, r.visibleByMS, limit)
 		}
-		remaining := time.Duration(r.visibleByMS-t.clock.at(now))*time.Millisecond + expiryMargin
-		limit = min(limit, max(expiryMargin, remaining))
 	}
 	return limit
 }
 
+// untilAfter returns the time until the backend server's clock is past ms, but at most limit.
+func (t *Table) untilAfter(now time.Time, ms int64, limit time.Duration) time.Duration {
+	remaining := time.Duration(ms-t.clock.at(now))*time.Millisecond + expiryMargin
+	return min(limit, max(expiryMargin, remaining))
+}
+
 // expiryMargin is how long after an order's expiry a snapshot is sure to show whether it started.
 const expiryMargin = 3 * time.Millisecond
 
@@ -155,6 +172,10 @@
 	return 0
 }
 
+// clockRounding is by how many milliseconds two times on the backend server's clock may differ
+// because they are rounded.
+const clockRounding = 2
+
 // Accepted records the backend server's answer, received at now, that it started the run at clockMS
 // of its own clock. took is the time from sending the answered copy of the order to its answer.
 func (t *Table) Accepted(now time.Time, took time.Duration, ref run.Ref, clockMS int64) {
@@ -164,6 +185,10 @@
 	}
 	t.observeAnswer(took)
 	t.accept(now, r, clockMS)
+	if clockMS+clockRounding < r.orderedMS && !r.unsettled {
+		// The clock of one incarnation never goes back, so a new one has answered.
+		r.unsettle(now)
+	}
 }
 
 // accept marks a run as started at clockMS, unless that is already known.
@@ -179,31 +204,38 @@
 	}
 }
 
+// StartNotSent records at now that a start could not be sent. The backend server is absent until a
+// snapshot that was requested later.
+func (t *Table) StartNotSent(now time.Time) {
+	t.hasSnapshot = false
+	t.notSentAt = now
+}
+
 // Rejected records that the backend server has refused the run for good.
 func (t *Table) Rejected(now time.Time, ref run.Ref, code result.Code) []Event {
 	r := t.runs[ref]
 	if r == nil || r.accepted {
 		return nil
 	}
-	return []Event{t.end(now, r, run.NotRun, code, "")}
+	return []Event{t.end(now, r, ending{basis: EndRefused, kind: run.NotRun, code: code}, "")}
 }
 
 // Stop marks a run to be stopped and reports whether the table has the run, so that a stop call must be
 // sent to the backend server. The run keeps its capacity until a snapshot shows its end.
-func (t *Table) Stop(ref run.Ref) bool {
+func (t *Table) Stop(now time.Time, ref run.Ref) bool {
 	r := t.runs[ref]
 	if r == nil {
 		return false
 	}
-	r.phase = stopping
-	r.stopRequested = true
+	r.requestStop(now)
 	return true
 }
 
-// end removes a run and retains its end for an entry that asks later.
-func (t *Table) end(now time.Time, r *record, kind run.EventKind, code result.Code, checkpoint string) Event {
-	delete(t.runs, r.ref)
-	e := run.Event{Ref: r.ref, Kind: kind, Reason: code, Checkpoint: checkpoint}
-	t.retainedEnds[r.ref] = retainedEnd{event: e, at: now}
-	return Event{Owner: r.owner, Event: e}
+// requestStop marks the run to be stopped. Repeated requests keep the time of the first one.
+func (r *record) requestStop(now time.Time) {
+	r.phase = stopping
+	if !r.stopRequested {
+		r.stopRequested = true
+		r.stoppedAt = now
+	}
 }
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -24,6 +24,8 @@
 	MinOrderExpiry time.Duration
 	// Lease is how long the runs on the backend server survive without a renewal.
 	Lease time.Duration
+	// MaxLease is the longest lease that the backend server grants; it shortens longer ones to that.
+	MaxLease time.Duration
 	// RenewFor is how long the agent keeps renewing the lease without an answer. A call whose
 	// answer is lost still renews the lease, so a few lost answers need not end the runs.
 	RenewFor time.Duration
@@ -33,6 +35,9 @@
 	// ClaimWindow is how long a run that the agent found after its own restart waits for an entry
 	// to claim it.
 	ClaimWindow time.Duration
+	// StopPatience is how long after the first stop of a run the lease is renewed although the end has
+	// not been seen. The caller of a job that was stopped may submit it again to another entry.
+	StopPatience time.Duration
 	// EndRetention is how long ended runs are remembered for entries that lost their link.
 	EndRetention time.Duration
 	// OfferHold is how long free capacity is reserved for the entry that it was offered to: about
@@ -44,6 +49,7 @@
 type Event struct {
 	Owner string
 	run.Event
+	Basis EndBasis
 }
 
 // Progress is the completed part of a run, in percent, and the time since the run started.
@@ -68,6 +74,7 @@
 	ref      run.Ref
 	owner    string
 	demand   run.Demand
+	kind     string // kind of request; empty if not known
 	phase    phase
 	accepted bool
 	// visibleByMS is a time on the backend server's clock, in milliseconds: that of the run's
@@ -77,14 +84,16 @@
 	firstSeen     time.Time // when the run was ordered, or first seen in a snapshot
 	runningSince  time.Time // when the agent learned that the run had started
 	stopRequested bool      // stops are sent until a snapshot shows the end
+	stoppedAt     time.Time // when the first stop was requested
 	percent       int
-	checkpoint    string // newest checkpoint in a snapshot
-}
-
-// retainedEnd is the last event of an ended run, kept for EndRetention.
-type retainedEnd struct {
-	event run.Event
-	at    time.Time
+	checkpoint    string    // newest checkpoint in a snapshot
+	listedAt      time.Time // when the newest snapshot that lists the run was requested
+	// unsettled, unsettledAt and stopAnsweredAt tell whether the run may be on a new incarnation of
+	// the backend server, since when, and when that incarnation has answered a stop.
+	unsettled                   bool
+	unsettledAt, stopAnsweredAt time.Time
+	// orderedMS is a time on the backend server's clock that had passed when the run was ordered.
+	orderedMS int64
 }
 
 // Table is an agent's record of the runs on its backend server. Create one with New.
@@ -92,14 +101,18 @@
 	limits      Limits
 	server      run.Server
 	incarnation int64 // 0 before the first announcement or snapshot
-	serverKnown bool  // server holds an announcement of the current incarnation
-	serverLeft  bool  // the server shut down gracefully
+	// incarnationSince is when the current incarnation became known.
+	incarnationSince time.Time
+	serverKnown      bool // server holds an announcement of the current incarnation
+	serverLeft       bool // the server shut down gracefully
 	// restoredServer is the announcement that an earlier process of the agent received from the
 	// incarnation restoredIncarnation of the backend server.
 	restoredServer      run.Server
 	restoredIncarnation int64
 	runs                map[run.Ref]*record
+	copies              map[run.Ref]*orderCopies // of the runs, and of ended ones that may arrive late
 	retainedEnds        map[run.Ref]retainedEnd
+	unexpected          []UnexpectedRun // not yet taken
 	offers              *Offers
 	confirmedAt         map[string]time.Time // send time of the newest message that each entry has confirmed
 	domainsOut          map[string]bool      // failure domains out of service
@@ -109,15 +122,22 @@
 	// quarantineEnd is the time on the backend server's clock, in milliseconds, at which all orders
 	// unknown to the table have expired.
 	quarantineEnd int64
-	unknownOrders bool  // orders unknown to the table may exist
-	hasSnapshot   bool  // a snapshot of the incarnation has arrived since its lease last expired
-	lastEnd       int64 // highest number of a processed end
+	unknownOrders bool      // orders unknown to the table may exist
+	hasSnapshot   bool      // a snapshot of the incarnation has arrived since its lease last expired
+	notSentAt     time.Time // when a start could not be sent
+	lastEnd       int64     // highest number of a processed end
 	// latestLease is the latest lease end that the backend server may know.
 	latestLease     int64
-	pendingRenewals []int64 // lease ends of renewals in flight
+	pendingRenewals []int64       // lease ends of renewals in flight
+	formerRenewals  []int64       // the same, sent before the current incarnation was known
+	initialLease    time.Duration // the longest lease granted before the first snapshot
 	startedAt       time.Time
 	claimsReady     bool          // the runs are known well enough to answer claims
 	answerTime      time.Duration // moving estimate of the time to answer an order
+	crashes         []Crash       // within crashRetention, by number
+	lastCrash       uint64        // number of the newest crash
+	// crashedIncarnation is the incarnation of the newest crash.
+	crashedIncarnation int64
 }
 
 // New returns the table of an agent that has just started. It accepts no orders until the backend
@@ -127,8 +147,10 @@
 		limits:        limits,
 		startedAt:     now,
 		unknownOrders: true,
+		initialLease:  limits.Lease,
 		answerTime:    limits.OrderExpiry / timeoutFactor,
 		runs:          map[run.Ref]*record{},
+		copies:        map[run.Ref]*orderCopies{},
 		retainedEnds:  map[run.Ref]retainedEnd{},
 		offers:        NewOffers(limits.OfferHold),
 		confirmedAt:   map[string]time.Time{},
@@ -140,7 +162,7 @@
 // refuse every order.
 func (t *Table) Server(now time.Time) run.Server {
 	s := t.server
-	if !t.usable() || t.quarantined(now) {
+	if !t.usable() || t.quarantined() || t.HasUnsettled() {
 		s.State = run.Absent
 	}
 	return s
@@ -150,8 +172,8 @@
 func (t *Table) usable() bool { return t.serverKnown && t.hasSnapshot && !t.draining }
 
 // quarantined reports whether orders of an earlier process of the agent, or to an earlier
-// incarnation of the backend server, can still start.
-func (t *Table) quarantined(now time.Time) bool { return t.clock.at(now) <= t.quarantineEnd }
+// incarnation of the backend server, can still start, or may have started since the newest snapshot.
+func (t *Table) quarantined() bool { return t.clock.ms <= t.quarantineEnd }
 
 // Drain makes the table refuse all further orders, because the agent is shutting down.
 func (t *Table) Drain() { t.draining = true }
@@ -159,9 +181,16 @@
 // Len returns the number of runs that may be on the backend server.
 func (t *Table) Len() int { return len(t.runs) }
 
+// Has reports whether the run may be on the backend server.
+func (t *Table) Has(ref run.Ref) bool { return t.runs[ref] != nil }
+
 // Announce records an announcement of the backend server. The number incarnation identifies the
-// server's process: a new incarnation has none of the earlier one's runs.
+// server's process: a new incarnation has none of the earlier one's runs, but may carry out orders
+// that were sent to the earlier one. A delayed announcement of an earlier incarnation is ignored.
 func (t *Table) Announce(now time.Time, s run.Server, incarnation int64) []Event {
+	if t.IsFormer(incarnation) {
+		return nil
+	}
 	events := t.setIncarnation(now, incarnation)
 	t.server = s
 	t.serverKnown = true
@@ -192,17 +221,21 @@
 	t.serverLeft = true
 	t.serverKnown = false
 	t.server.State = run.Absent
-	return t.endAllRuns(now)
+	return t.endAllRuns(now, ending{basis: EndServerLeft})
 }
 
 // setIncarnation records the incarnation of the backend server, which announcements and snapshots
-// carry, and ends all runs when it has changed.
+// carry. When it has changed, it ends the runs that were lost with the former incarnation.
 func (t *Table) setIncarnation(now time.Time, incarnation int64) []Event {
 	if incarnation == t.incarnation {
 		return nil
 	}
 	first := t.incarnation == 0
+	if !first {
+		t.recordCrash(t.clock.readAt)
+	}
 	t.incarnation = incarnation
+	t.incarnationSince = now
 	if first {
 		return nil
 	}
@@ -212,17 +245,24 @@
 	t.unknownOrders = true
 	t.lastEnd = 0
 	t.latestLease = 0
+	t.initialLease = t.longestLease()
+	t.formerRenewals = append(t.formerRenewals, t.pendingRenewals...)
 	t.pendingRenewals = nil
 	t.quarantineEnd = 0
 	t.clock = serverClock{}
-	return t.endAllRuns(now)
+	return t.endOrUnsettleRuns(now)
 }
 
+// IsFormer reports whether the incarnation is earlier than the current one. Incarnations are numbered
+// by their start time.
+func (t *Table) IsFormer(incarnation int64) bool { return incarnation < t.incarnation }
+
 // endAllRuns ends every run as lost with its backend server.
-func (t *Table) endAllRuns(now time.Time) []Event {
+func (t *Table) endAllRuns(now time.Time, how ending) []Event {
+	how.kind, how.code = run.Stopped, result.ServerLost
 	var events []Event
 	for _, r := range t.runs {
-		events = append(events, t.end(now, r, run.Stopped, result.ServerLost, r.checkpoint))
+		events = append(events, t.end(now, r, how, r.checkpoint))
 	}
 	return events
 }
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -9,8 +9,10 @@
 )
 
 // Snapshot lists the runs of the backend server at one time. Incarnation identifies the server's
-// process, and ClockMS is the server's clock at that time, in milliseconds.
+// process, and ClockMS is the server's clock at that time, in milliseconds. Requested is when the agent
+// asked for the snapshot.
 type Snapshot struct {
+	Requested   time.Time
 	Incarnation int64
 	ClockMS     int64
 	Running     []RunningRun
@@ -39,12 +41,16 @@
 // RenewLease returns the time, on the backend server's clock in milliseconds, to which a renewal
 // sent at now may extend the lease. It returns 0 before the clock is known, and after RenewFor
 // without an answer: otherwise the time at which all runs have certainly ended would be postponed
-// indefinitely.
+// indefinitely. It also returns 0 once leaseLimit has passed.
 func (t *Table) RenewLease(now time.Time) int64 {
-	if !t.clock.known || now.Sub(t.clock.readAt) > t.limits.RenewFor {
+	if !t.Responding(now) {
+		return 0
+	}
+	clock := t.clock.at(now)
+	end := min(clock+t.limits.Lease.Milliseconds(), t.leaseLimit())
+	if end <= clock {
 		return 0
 	}
-	end := t.clock.at(now) + t.limits.Lease.Milliseconds()
 	t.pendingRenewals = append(t.pendingRenewals, end)
 	return end
 }
@@ -53,14 +59,25 @@
 // may have reached the backend server. A renewal for which no connection could be made has not
 // reached it and does not extend the lease. Several renewals may be in flight.
 func (t *Table) RenewalDone(end int64, delivered bool) {
-	if i := slices.Index(t.pendingRenewals, end); i >= 0 {
-		t.pendingRenewals = slices.Delete(t.pendingRenewals, i, i+1)
+	i := slices.Index(t.pendingRenewals, end)
+	if i < 0 {
+		t.formerRenewalDone(end)
+		return
 	}
+	t.pendingRenewals = slices.Delete(t.pendingRenewals, i, i+1)
 	if delivered {
 		t.latestLease = max(t.latestLease, end)
 	}
 }
 
+// formerRenewalDone records that a renewal has returned whose lease end is a time on the clock of a
+// former incarnation.
+func (t *Table) formerRenewalDone(end int64) {
+	if i := slices.Index(t.formerRenewals, end); i >= 0 {
+		t.formerRenewals = slices.Delete(t.formerRenewals, i, i+1)
+	}
+}
+
 // latestPossibleLease returns the latest lease end that the backend server knows or may still
 // receive.
 func (t *Table) latestPossibleLease() int64 {
@@ -74,15 +91,29 @@
 // ExpireLease ends all runs once the newest lease has certainly expired on a backend server that
 // does not answer.
 func (t *Table) ExpireLease(now time.Time) []Event {
-	if len(t.runs) == 0 || !t.clock.known || t.clock.lowerBound(now) <= t.latestPossibleLease() {
+	if len(t.runs) == 0 {
 		return nil
 	}
-	t.hasSnapshot = false
-	return t.endAllRuns(now)
+	passed := t.clock.known && t.clock.lowerBound(now) > t.latestPossibleLease()
+	if passed {
+		t.hasSnapshot = false
+		t.recordCrash(t.clock.readAt)
+	}
+	how := ending{basis: EndLeasePassed, kind: run.Stopped, code: result.ServerLost, clockMS: t.latestPossibleLease()}
+	var events []Event
+	for _, r := range t.runs {
+		if !r.unsettled && passed || r.unsettled && t.lapsed(now, r, passed) {
+			events = append(events, t.end(now, r, how, r.checkpoint))
+		}
+	}
+	return events
 }
 
 // ApplySnapshot applies a snapshot that was received at now and returns the resulting events.
 func (t *Table) ApplySnapshot(now time.Time, snapshot Snapshot) []Event {
+	if t.IsFormer(snapshot.Incarnation) && !snapshot.Requested.After(t.incarnationSince) {
+		return nil
+	}
 	events := t.setIncarnation(now, snapshot.Incarnation)
 	t.useRestored()
 	fresh := !t.clock.known || snapshot.ClockMS >= t.clock.ms
@@ -98,10 +129,12 @@
 	}
 	events = append(events, t.endMissingRuns(now, snapshot, seen)...)
 	t.claimsReady = true
-	t.hasSnapshot = true
+	t.hasSnapshot = t.hasSnapshot || t.notSentAt.IsZero() || snapshot.Requested.After(t.notSentAt)
 	if t.unknownOrders {
-		t.unknownOrders = false
-		t.latestLease = max(t.latestLease, snapshot.ClockMS+t.limits.Lease.Milliseconds())
+		// Renewals for a former incarnation may have granted the longest lease, because their ends are
+		// times on another clock. One that is in flight may still do so.
+		t.unknownOrders = len(t.formerRenewals) > 0
+		t.latestLease = max(t.latestLease, snapshot.ClockMS+t.initialLease.Milliseconds())
 		t.quarantineEnd = snapshot.ClockMS + t.limits.OrderExpiry.Milliseconds()
 	}
 	return events
@@ -118,61 +151,81 @@
 		t.lastEnd = e.Number
 		r := t.runs[e.Ref]
 		if r == nil {
-			t.retainedEnds[e.Ref] = retainedEnd{event: run.Event{Ref: e.Ref, Kind: e.Kind, Checkpoint: e.Checkpoint}, at: now}
+			t.retainListedEnd(now, e)
 			continue
 		}
-		events = append(events, t.end(now, r, e.Kind, 0, e.Checkpoint))
+		events = append(events, t.end(now, r, ending{basis: EndListed, kind: e.Kind}, e.Checkpoint))
 	}
 	return events
 }
 
 // recordRunning updates a run that a snapshot lists, and adds it without an owner if the table does
-// not have it.
+// not have it. A run whose end had been inferred is stopped.
 func (t *Table) recordRunning(now time.Time, snapshot Snapshot, s RunningRun) {
 	r := t.runs[s.Ref]
 	if r == nil {
-		if _, ended := t.retainedEnds[s.Ref]; ended {
+		if e, ended := t.retainedEnds[s.Ref]; ended {
+			if t.contradicts(e, snapshot.ClockMS) {
+				t.stopUnexpected(now, e, snapshot)
+			}
 			return
 		}
 		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now}
 		t.runs[s.Ref] = r
 	}
+	r.listedAt = snapshot.Requested
 	r.percent = s.Percent
 	r.checkpoint = s.Checkpoint
 	t.accept(now, r, snapshot.ClockMS)
 }
 
 // endMissingRuns ends the runs that a snapshot should list and does not. A snapshot may have been
-// taken before a start whose answer arrived first, so only one with a later clock counts.
+// taken before a start whose answer arrived first, so only one with a later clock counts. The answer
+// may also have come from a new incarnation with a lower clock, before the agent knew of it, so the
+// snapshot must have been requested after the answer.
 func (t *Table) endMissingRuns(now time.Time, snapshot Snapshot, seen map[run.Ref]bool) []Event {
 	var events []Event
 	for ref, r := range t.runs {
-		if seen[ref] || snapshot.ClockMS <= r.visibleByMS+1 {
+		if seen[ref] || !r.endsWithout(snapshot) {
 			continue
 		}
-		kind, code := run.Stopped, result.ServerLost
-		if !r.accepted {
-			kind, code = run.NotRun, result.StartTooLate
+		how := ending{basis: EndMissing, kind: run.Stopped, code: result.ServerLost, clockMS: snapshot.ClockMS}
+		switch {
+		case r.unsettled:
+			how.basis = EndStopConfirmed
+		case !r.accepted:
+			how.kind, how.code = run.NotRun, result.StartTooLate
 		}
-		events = append(events, t.end(now, r, kind, code, r.checkpoint))
+		events = append(events, t.end(now, r, how, r.checkpoint))
 	}
 	return events
 }
 
-// Sweep returns the runs to stop because their owner is silent or no entry has claimed them, and
-// forgets old ends. A run is returned each time until it has ended, so that lost stops are
-// repeated.
+// endsWithout reports whether the run has ended, or never starts, if the snapshot does not list it.
+func (r *record) endsWithout(snapshot Snapshot) bool {
+	switch {
+	case r.unsettled:
+		return r.settled(snapshot)
+	case r.accepted && !snapshot.Requested.After(r.runningSince):
+		return false
+	}
+	return snapshot.ClockMS > r.visibleByMS+1
+}
+
+// Sweep returns the runs to stop because their owner is silent, no entry has claimed them or the
+// backend server has started anew, and forgets old ends. A run is returned each time until it has
+// ended, so that lost stops are repeated.
 func (t *Table) Sweep(now time.Time) []run.Ref {
+	t.forgetCopies(now)
 	for ref, e := range t.retainedEnds {
-		if now.Sub(e.at) > t.limits.EndRetention {
+		if now.Sub(e.at) > t.limits.EndRetention && t.copies[ref] == nil {
 			delete(t.retainedEnds, ref)
 		}
 	}
-	var stops []run.Ref
+	stops := t.lateStops(now)
 	for ref, r := range t.runs {
 		if r.stopRequested || t.orphaned(now, r) {
-			r.stopRequested = true
-			r.phase = stopping
+			r.requestStop(now)
 			stops = append(stops, ref)
 		}
 	}
@@ -181,12 +234,7 @@
 
 // orphaned reports whether the run has been unclaimed for longer than ClaimWindow, or its owner
 // silent for longer than OwnerSilence.
-func (t *Table) orphaned(now time.Time, r *record) bool {
-	if r.owner == "" {
-		return now.Sub(r.firstSeen) > t.limits.ClaimWindow
-	}
-	return now.Sub(t.confirmedAt[r.owner]) > t.limits.OwnerSilence
-}
+func (t *Table) orphaned(now time.Time, r *record) bool { return now.After(t.orphanedAt(r)) }
 
 // Claim answers an entry that asks what has become of a run which it ordered at orderedAt. The
 // entry becomes the owner of a run that is in the table.
@@ -217,11 +265,33 @@
 	return orderedAt.Sub(t.startedAt) > orderTimeMargin && now.Sub(orderedAt) < t.limits.EndRetention-orderTimeMargin
 }
 
-// CanAnswerClaims reports whether claims can be answered. After its own start, an agent first needs
-// a snapshot, or has to wait until every lease and order of its earlier process has expired.
+// CanAnswerClaims reports whether claims of runs that the table knows can be answered. After its own
+// start, an agent first needs a snapshot, or has to wait until every lease and order of its earlier
+// process has expired.
 func (t *Table) CanAnswerClaims(now time.Time) bool {
+	return t.claimsReady || t.formerRunsOver(now)
+}
+
+// CanAnswerClaim reports whether a claim of the given run can be answered. A run that the table does
+// not know may still start from an order of an earlier process of the agent, until a snapshot is newer
+// than every such order.
+func (t *Table) CanAnswerClaim(now time.Time, ref run.Ref) bool {
+	if !t.CanAnswerClaims(now) {
+		return false
+	}
+	_, ended := t.retainedEnds[ref]
+	return t.runs[ref] != nil || ended || t.listsAllRuns() || t.formerRunsOver(now)
+}
+
+// listsAllRuns reports whether the newest snapshot is newer than every order that is unknown to the
+// table, so that the table has all runs.
+func (t *Table) listsAllRuns() bool { return !t.unknownOrders && t.clock.ms > t.quarantineEnd }
+
+// formerRunsOver reports whether every lease and order of the agent's earlier process has expired
+// since the start of this one.
+func (t *Table) formerRunsOver(now time.Time) bool {
 	expiry := time.Duration(float64(t.limits.Lease+t.limits.OrderExpiry) / minClockRate)
-	return t.claimsReady || now.Sub(t.startedAt) > expiry
+	return now.Sub(t.startedAt) > expiry
 }
 
 // Progress returns the progress of the owner's runs.
