--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// summary returns the numbers of jobs by their answers, of starts and crashes, and of starts carried out late.
+func (d *deployment) summary(c *callers) string {
+	starts, crashed, late := 0, 0, 0
+	for _, a := range d.agents {
+		for _, s := range a.backend.Starts() {
+			starts++
+			if s.Outcome == "crashed" {
+				crashed++
+			}
+			if s.Late {
+				late++
+			}
+		}
+	}
+	return fmt.Sprintf("%d jobs, %d completed, %d failed, %d refused, %d starts, %d runs crashed, %d starts late",
+		c.next, c.completed, len(c.failed), len(c.refused), starts, crashed, late)
+}
+
 // jobOf returns the ID of the job to which a task belongs.
 func jobOf(task string) string {
 	job, _, _ := strings.Cut(task, ".")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -129,7 +129,7 @@
 	for _, v := range <-versions {
 		t.Error(v)
 	}
-	t.Logf("seed %d: %d jobs, %d completed, %d refused, faults: %s", seed, c.next, c.completed, len(c.refused), strings.Join(done, ", "))
+	t.Logf("seed %d: %s, faults: %s", seed, d.summary(c), strings.Join(done, ", "))
 }
 
 // awaitService waits until every entry completes a job, and ends the test if one does not within
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -80,7 +80,7 @@
 	for _, v := range <-versions {
 		t.Error(v)
 	}
-	t.Logf("%s, seed %d: %d jobs, %d completed, %d refused, faults: %s", m.name, seed, c.next, c.completed, len(c.refused), strings.Join(done, ", "))
+	t.Logf("%s, seed %d: %s, faults: %s", m.name, seed, d.summary(c), strings.Join(done, ", "))
 }
 
 // replaceAll replaces the processes one by one, in random order, by those of another build: each gets SIGTERM and
