Refuse connections to a crashed backend server in the soak

The connections were accepted and closed, so that an agent could not tell an order that was never sent from one that may run. Every other crash now makes the operating system refuse them, as after the end of a process; the others keep the former behavior. The forwarder can stop listening and listen again on its address.

--- a/lab/testbed/forwarder.go
+++ b/lab/testbed/forwarder.go
@@ -27,13 +27,14 @@
 // has its own IP, so the source IP of a connection tells which process opened it, and the link
 // between any two processes can be cut separately.
 type Forwarder struct {
-	listener net.Listener
-	target   string
-
-	mu     sync.Mutex
-	modes  map[string]LinkMode
-	delays map[string]time.Duration
-	conns  map[*forwardedConn]bool
+	address string
+	target  string
+
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	modes    map[string]LinkMode
+	delays   map[string]time.Duration
+	conns    map[*forwardedConn]bool
 }
 
 // forwardedConn is one connection through a forwarder: in is the side of the source, out that of the
@@ -52,10 +53,10 @@
 		return nil, err
 	}
 	f := &Forwarder{
-		listener: l, target: target,
+		address: l.Addr().String(), listener: l, target: target,
 		modes: make(map[string]LinkMode), delays: make(map[string]time.Duration), conns: make(map[*forwardedConn]bool),
 	}
-	go f.accept()
+	go f.accept(l)
 	return f, nil
 }
 
@@ -105,7 +106,7 @@
 
 // Close stops listening and closes all connections.
 func (f *Forwarder) Close() {
-	f.listener.Close()
+	f.StopListening()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
@@ -113,8 +114,35 @@
 	}
 }
 
+// StopListening makes the operating system refuse new connections until Listen. Open connections are not
+// affected.
+func (f *Forwarder) StopListening() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listener != nil {
+		f.listener.Close()
+		f.listener = nil
+	}
+}
+
+// Listen accepts connections again on the same address after StopListening.
+func (f *Forwarder) Listen() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", f.address)
+	if err != nil {
+		return err
+	}
+	f.listener = l
+	go f.accept(l)
+	return nil
+}
+
 // Addr returns the IP:port that the forwarder listens on.
-func (f *Forwarder) Addr() string { return f.listener.Addr().String() }
+func (f *Forwarder) Addr() string { return f.address }
 
 // Reset closes all open connections, with a TCP reset to the source. New connections are not
 // affected.
@@ -130,9 +158,9 @@
 	}
 }
 
-func (f *Forwarder) accept() {
+func (f *Forwarder) accept(l net.Listener) {
 	for {
-		in, err := f.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/agent.go
+++ b/soak/agent.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"poplargw.example/lab/testbed"
@@ -65,6 +66,7 @@
 	d.agents = append(d.agents, a)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.t.Cleanup(cancel)
+	go a.refuseWhileDown(ctx, d.t)
 	go func() {
 		for ctx.Err() == nil {
 			a.sendHeartbeat()
@@ -73,6 +75,31 @@
 	}()
 }
 
+// crashPollInterval is the time between two looks at whether the backend server has crashed or returned.
+const crashPollInterval = time.Millisecond
+
+// refuseWhileDown makes the operating system refuse connections to the backend server while that is down, until
+// ctx ends. After every other crash, connections are accepted and closed instead, as by a host that forwards
+// ports.
+func (a *agentNode) refuseWhileDown(ctx context.Context, t *testing.T) {
+	wasUp, crashes := true, 0
+	for ; ctx.Err() == nil; time.Sleep(crashPollInterval) {
+		up := a.backend.Up()
+		switch {
+		case wasUp && !up:
+			if crashes++; crashes%2 == 1 {
+				a.backendLinks.StopListening()
+			}
+		case up && !wasUp:
+			if err := a.backendLinks.Listen(); err != nil {
+				t.Errorf("%s: backend server cannot return: %v", a.name, err)
+				return
+			}
+		}
+		wasUp = up
+	}
+}
+
 // sendHeartbeat sends a heartbeat of the backend server to its agent, unless the backend server is down. Errors
 // are ignored, because the agent may be down; it gets the next heartbeat.
 func (a *agentNode) sendHeartbeat() {
