Do not order a task that must run alone from a server smaller than the task

Callers saw: nothing yet; found by review. A task under which two backend servers have crashed is ordered with the whole capacity of the server as its demand. The demand of its step was not compared with that capacity, so a free server that is smaller than the task, or has shrunk, was chosen, and its agent accepted the order.

The demand of such an order is now at least that of the step, in each resource.

On the code before, TestTaskThatRunsAloneIsNotPlacedOnTooSmallServer failed with "a task of 3000 CPU was ordered from a backend server of 2000".

--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -210,11 +210,13 @@
 	return false
 }
 
-// demandOn returns what a run of the task occupies on the backend server: all of it if the task must run
-// alone.
+// demandOn returns what a run of the task occupies on the backend server: all of it, but at least the demand of
+// its step, if the task must run alone.
 func (s *Scheduler) demandOn(j *job, t *task, v *server) run.Demand {
-	if s.mustRunAlone(j, t) {
-		return v.state.Capacity
+	step := j.Steps[t.step].Demand
+	if !s.mustRunAlone(j, t) {
+		return step
 	}
-	return j.Steps[t.step].Demand
+	all := v.state.Capacity
+	return run.Demand{CPU: max(all.CPU, step.CPU), MemoryMB: max(all.MemoryMB, step.MemoryMB), GPU: max(all.GPU, step.GPU)}
 }
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -235,3 +235,22 @@
 		t.Errorf("outcome %+v, want not run, with retry advice", o)
 	}
 }
+
+// Guards against a start beyond the capacity: a task that must run alone was ordered with the capacity of the
+// backend server as its demand, also on a server that is smaller than the task.
+func TestTaskThatRunsAloneIsNotPlacedOnTooSmallServer(t *testing.T) {
+	h := newHarness(t, 0, 0)
+	h.connect("large", 10_000)
+	h.connect("small", 2000)
+	h.submit("filler", 1, 1000, 50*time.Millisecond)
+	for i := range minBlamedCrashes {
+		suspects := []run.Suspect{{Task: "j.0.0.0", Kind: "q", Age: time.Second}, {Task: "deadly.0.0.0", Kind: "q"}}
+		h.ServerCrashed(h.now, "large", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
+	}
+	if !h.submit("j", 1, 3000, 50*time.Millisecond) {
+		t.Fatalf("the job was refused: %+v", h.outcomes["j"])
+	}
+	if agent := h.agentOf("j.0.0.0"); agent == "small" {
+		t.Error("a task of 3000 CPU was ordered from a backend server of 2000")
+	}
+}
