Record no crash of a backend server that answers while its lease passes

Callers saw: nothing yet; found by review. The lease of a backend server also passes because the agent does not renew it, while the stop of an orphaned, stopped or unsettled run is lost. The table then recorded a crash although the server answers: its tasks came closer to being given up, a task counted one crash as two, and the next crash of that process was not recorded.

A passed lease counts as a crash only if no answer came for as long as renewals are sent without one (RenewFor).

On the code before, TestWithheldRenewalIsNoCrash failed with "a crash was recorded" 720 ms after the start of the run, and TestLostStopOfUnsettledRunIsNoSecondCrash with two crashes in place of one.

--- a/dispatch/runtable/crash_test.go
+++ b/dispatch/runtable/crash_test.go
@@ -86,3 +86,46 @@
 		t.Error("a backend server that has left was reported as crashed")
 	}
 }
+
+// Guards against blaming runs for a crash when the lease of a backend server that answers passes only because it
+// is not renewed, for the sake of an orphaned run whose stops are lost.
+func TestWithheldRenewalIsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	f.startRun("j.0.0.0")
+	ended := false
+	for range 100 {
+		f.advance(20 * time.Millisecond)
+		f.RenewalDone(f.RenewLease(f.now), true)
+		if !ended {
+			f.snapshot([]RunningRun{{Ref: ref("j.0.0.0", 1)}}, nil)
+		}
+		f.Sweep(f.now)
+		ended = ended || len(f.ExpireLease(f.now)) > 0
+		if crashes := f.Crashes(f.now, 0); len(crashes) > 0 {
+			t.Fatalf("a crash was recorded: %+v", crashes)
+		}
+	}
+	if !ended {
+		t.Error("the run has not ended")
+	}
+}
+
+// Guards against counting one crash twice: the lease of the new incarnation passed while a stop of an unsettled
+// run was lost, and the run was then suspected of another crash.
+func TestLostStopOfUnsettledRunIsNoSecondCrash(t *testing.T) {
+	f := newFixture(t)
+	f.startRun("j.0.0.0")
+	f.advance(10 * time.Millisecond)
+	f.ServerGone(f.now)
+	f.Announce(f.now, testServer, newIncarnation)
+	for range 100 {
+		f.advance(20 * time.Millisecond)
+		f.RenewalDone(f.RenewLease(f.now), true)
+		f.newSnapshot()
+		f.Sweep(f.now)
+		f.ExpireLease(f.now)
+	}
+	if crashes := f.Crashes(f.now, 0); len(crashes) != 1 {
+		t.Errorf("crashes %+v, want one", crashes)
+	}
+}
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -97,6 +97,8 @@
 	passed := t.clock.known && t.clock.lowerBound(now) > t.latestPossibleLease()
 	if passed {
 		t.hasSnapshot = false
+	}
+	if passed && !t.Responding(now) {
 		t.recordCrash(t.clock.readAt)
 	}
 	how := ending{basis: EndLeasePassed, kind: run.Stopped, code: result.ServerLost, clockMS: t.latestPossibleLease()}
