Say of a waiting job that is given up after crashes that it has run

Callers saw: nothing yet; found by review. A caller that lost its entry submits the job to another one.

An outcome with the code for crashes now always has the effect run, as it had when the crashes were known at submission.

On the code before, TestWaitingJobGivenUpAfterCrashesCountsAsRun failed with "Code:3009 Effect:not run".

--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -254,3 +254,21 @@
 		t.Error("a task of 3000 CPU was ordered from a backend server of 2000")
 	}
 }
+
+// Guards against the answer "not run" for a job that ran on the orders of another entry: the crashes were reported
+// while the job waited here, and it was rejected instead of failed.
+func TestWaitingJobGivenUpAfterCrashesCountsAsRun(t *testing.T) {
+	h := newHarness(t, 1, 10_000)
+	h.submit("filler", 1, 10_000, 50*time.Millisecond)
+	if !h.submit("deadly", 1, 3000, 10*time.Millisecond) {
+		t.Fatalf("the job was refused: %+v", h.outcomes["deadly"])
+	}
+	for i := range maxTaskCrashes {
+		suspects := []run.Suspect{{Task: "deadly.0.0.0", Kind: "q"}, {Task: "x.0.0.0", Kind: "q"}}
+		h.ServerCrashed(h.now, "a1", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
+	}
+	h.take()
+	if o := h.outcomes["deadly"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
+		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
+	}
+}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -286,8 +286,8 @@
 	o.LatencyObjective = j.latencyObjective()
 	if o.Code != 0 {
 		o.Effect = result.NotRun
-		if j.mayHaveRun() {
-			o.Effect = result.Run
+		if j.mayHaveRun() || o.Code == result.ServerCrashes {
+			o.Effect = result.Run // under crashes, perhaps on the orders of another entry
 		}
 	}
 	s.outcomes = append(s.outcomes, o)
