Choose the bulkhead among backend servers that are not drained or out of service

Callers saw: nothing yet; found by review. When the servers of a bulkhead were drained, or their failure domain was taken out of service, all jobs of the confined kind were rejected while other servers were idle. The time until its release counts only while the bulkhead has servers, so this lasted as long as the state itself.

Such servers are no longer members. Those that have crashed still are, because they return.

On the code before, TestBulkheadHasNoServersThatAreTakenOutOfService failed with "the job was refused" and "the kind is still confined 2s after the newest crash" for both states.

--- a/dispatch/jobs/bulkhead.go
+++ b/dispatch/jobs/bulkhead.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"poplargw.example/dispatch/rendezvous"
+	"poplargw.example/dispatch/run"
 )
 
 const (
@@ -224,7 +225,10 @@
 			continue
 		}
 		v.inBulkhead = false
-		members = append(members, v)
+		// Servers that crash come back and keep their place; these do not for a while.
+		if !s.outOfService[v.state.Domain] && v.state.State != run.Draining {
+			members = append(members, v)
+		}
 	}
 	if !active || len(members) < 2 {
 		return
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -272,3 +272,33 @@
 		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
 	}
 }
+
+// Guards against a confined kind that gets no backend server, and is therefore never released, because those of its
+// bulkhead are drained or in a failure domain out of service.
+func TestBulkheadHasNoServersThatAreTakenOutOfService(t *testing.T) {
+	for _, name := range []string{"failure domain", "draining"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 8, 10_000)
+			h.confine()
+			var out []string
+			for _, v := range h.fleet {
+				if v.inBulkhead && name == "draining" {
+					v.state.State = run.Draining
+				} else if v.inBulkhead {
+					out = append(out, v.state.Domain)
+				}
+			}
+			h.SetDomainsOut(out)
+			h.advance(20 * time.Millisecond)
+			if !h.submit("j", 1, 3000, 50*time.Millisecond) {
+				t.Errorf("the job was refused: %+v", h.outcomes["j"])
+			}
+			for range int(releaseAfter/(20*time.Millisecond)) + 2 {
+				h.advance(20 * time.Millisecond)
+			}
+			if h.bulkheads.isConfined("svc", testQueue.Name) {
+				t.Errorf("the kind is still confined %s after the newest crash", releaseAfter)
+			}
+		})
+	}
+}
