Keep one kind of request unconfined when entries confine different ones

Callers saw: nothing yet; found by review. An entry confines what other entries report as confined, without the check that it makes for its own decisions. Two entries with different evidence about a service with two kinds confined both, and three quarters of the backend servers stayed idle until one was released.

A kind that only others confine is now confined only while another kind that has had jobs lately is not. An entry that has had no jobs of other kinds confines it as before.

On the code before, TestEntriesDoNotConfineAllKindsTogether failed with "the kind that this entry confines is not the only confined one".

--- a/dispatch/jobs/bulkhead.go
+++ b/dispatch/jobs/bulkhead.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -114,6 +115,33 @@
 	return false
 }
 
+// allOthersConfined reports whether other kinds of the service have had jobs lately and all of them are confined.
+func (c *serviceCrashes) allOthersConfined(now time.Time, name string) bool {
+	known := false
+	for other, k := range c.kinds {
+		if other == name || now.Sub(k.arrived) > kindMemory {
+			continue
+		}
+		if !k.isConfined() {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
+// confineByOthers confines the kinds that other entries confine. One kind always keeps the rest of the service:
+// entries with different evidence may together confine all of them.
+func (c *serviceCrashes) confineByOthers(now time.Time) {
+	for _, k := range c.kinds {
+		k.byOthers = false
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.kinds)) {
+		k := c.kinds[name]
+		k.byOthers = now.Before(k.othersUntil) && !c.allOthersConfined(now, name)
+	}
+}
+
 // isConfined reports whether the kind is confined.
 func (b *bulkheads) isConfined(service, name string) bool {
 	c := b.services[service]
@@ -144,9 +172,8 @@
 	changed := false
 	for _, name := range names {
 		k := b.service(service).kind(name)
+		changed = changed || !now.Before(k.othersUntil)
 		k.othersUntil = now.Add(othersHold)
-		changed = changed || !k.byOthers
-		k.byOthers = true
 	}
 	return changed
 }
@@ -180,9 +207,7 @@
 	b.at = now
 	s.crashes.sweep(now)
 	for service, c := range b.services {
-		for _, k := range c.kinds {
-			k.byOthers = now.Before(k.othersUntil)
-		}
+		c.confineByOthers(now)
 		confined := b.anyConfined(service)
 		if confined || c.active {
 			s.chooseBulkhead(service, confined)
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -302,3 +302,17 @@
 		})
 	}
 }
+
+// Guards against entries with different evidence that together confine all kinds of a service to the bulkhead and
+// leave the other backend servers idle.
+func TestEntriesDoNotConfineAllKindsTogether(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	h.submit("j", 1, 100, 50*time.Millisecond)
+	h.confine()
+	state := serverOf("a0", 10_000)
+	h.Report(h.now, "a0", Report{Server: state, Free: state.Capacity, OthersConfined: []string{otherQueue.Name}})
+	h.advance(20 * time.Millisecond)
+	if !h.bulkheads.isConfined("svc", testQueue.Name) || h.bulkheads.isConfined("svc", otherQueue.Name) {
+		t.Error("the kind that this entry confines is not the only confined one")
+	}
+}
