--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -131,6 +131,14 @@
 	}
 }
 
+// ServerIncarnation returns the incarnation of the backend server that the newest announcement or poll has shown, or
+// 0 before the first one.
+func (a *Agent) ServerIncarnation() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Incarnation()
+}
+
 // ServerLeft records that the backend server has shut down. It ignores an instance other than the current
 // one.
 func (a *Agent) ServerLeft(instance string) {
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -253,6 +253,10 @@
 	return t.endOrUnsettleRuns(now)
 }
 
+// Incarnation returns the current incarnation of the backend server, or 0 before the first announcement or
+// snapshot.
+func (t *Table) Incarnation() int64 { return t.incarnation }
+
 // IsFormer reports whether the incarnation is earlier than the current one. Incarnations are numbered
 // by their start time.
 func (t *Table) IsFormer(incarnation int64) bool { return incarnation < t.incarnation }
