Do not count the graceful end of a backend server as a crash

Callers saw: nothing yet; found by review. A backend server that leaves ends its runs with the code that a crash has too, and its agent reports no crash. An entry counted this as an unreported crash of an agent of an earlier version: a long task whose servers were replaced one after the other had to run alone after two, and its job failed after three.

Runs that are lost with a server that was draining no longer count. Agents that report crashes still report those of a draining server.

On the code before, TestServersThatLeaveDoNotCountAsCrashed failed with "outcome {Job:long Code:3009 Effect:run".

--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -182,9 +182,12 @@
 }
 
 // countUnreportedCrash counts a run that was lost with its backend server although its agent has reported no
-// crash of that process: agents of earlier versions send no such reports.
+// crash of that process: agents of earlier versions send no such reports. Runs that a draining server ends when it
+// leaves are lost with it too, but not by a crash.
 func (s *Scheduler) countUnreportedCrash(now time.Time, a *attempt, reason result.Code) {
-	if _, reported := s.crashes.instances[a.instance]; reported || reason != result.ServerLost {
+	_, reported := s.crashes.instances[a.instance]
+	left := a.server.state.Instance == a.instance && a.server.state.State == run.Draining
+	if reported || left || reason != result.ServerLost {
 		return
 	}
 	s.crashes.addTask(now, a.task.name, 0)
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -316,3 +316,24 @@
 		t.Error("the kind that this entry confines is not the only confined one")
 	}
 }
+
+// Guards against giving up a long task that runs on one backend server after the other while all are replaced: the
+// graceful end of each was counted as a crash.
+func TestServersThatLeaveDoNotCountAsCrashed(t *testing.T) {
+	h := newHarness(t, 5, 10_000)
+	slow := testQueue
+	slow.Latency = 100 * time.Second
+	h.submitTo(slow, "long", 1, 3000, 6*time.Second)
+	for i := range maxTaskCrashes {
+		agent := h.agentOf("long.0.0.0")
+		if agent == "" {
+			t.Fatalf("the task has no run after %d servers have left; outcome %+v", i, h.outcomes["long"])
+		}
+		h.servers[agent].state.State = run.Draining
+		h.endRun(agent, h.orders[agent][0].Ref, run.Stopped, result.ServerLost)
+		h.advance(20 * time.Millisecond)
+	}
+	if h.agentOf("long.0.0.0") == "" || len(h.Scheduler.crashes.tasks) > 0 {
+		t.Errorf("outcome %+v, crashes %+v", h.outcomes["long"], h.Scheduler.crashes.tasks)
+	}
+}
