--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -266,3 +266,61 @@
 		t.Errorf("outcome %+v, want not run, with retry advice", o)
 	}
 }
+
+// Guards against a start beyond the capacity: a task that must run alone was ordered with the capacity of the
+// backend server as its demand, also on a server that is smaller than the task.
+func TestTaskThatRunsAloneIsNotPlacedOnTooSmallServer(t *testing.T) {
+	h := newHarness(t, 0, 0)
+	h.connect("large", 10_000)
+	h.connect("small", 2000)
+	h.submit("filler", 1, 1000, 50*time.Millisecond)
+	for i := range minBlamedCrashes {
+		suspects := []run.Suspect{{Task: "j.0.0.0", Kind: "q", Age: time.Second}, {Task: "deadly.0.0.0", Kind: "q"}}
+		h.ServerCrashed(h.now, "large", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
+	}
+	if !h.submit("j", 1, 3000, 50*time.Millisecond) {
+		t.Fatalf("the job was refused: %+v", h.outcomes["j"])
+	}
+	if agent := h.agentOf("j.0.0.0"); agent == "small" {
+		t.Error("a task of 3000 CPU was ordered from a backend server of 2000")
+	}
+}
+
+// Guards against the answer "not run" for a job that ran on the orders of another entry: the crashes were reported
+// while the job waited here, and it was rejected instead of failed.
+func TestWaitingJobGivenUpAfterCrashesCountsAsRun(t *testing.T) {
+	h := newHarness(t, 1, 10_000)
+	h.submit("filler", 1, 10_000, 50*time.Millisecond)
+	if !h.submit("deadly", 1, 3000, 10*time.Millisecond) {
+		t.Fatalf("the job was refused: %+v", h.outcomes["deadly"])
+	}
+	for i := range maxTaskCrashes {
+		suspects := []run.Suspect{{Task: "deadly.0.0.0", Kind: "q"}, {Task: "x.0.0.0", Kind: "q"}}
+		h.ServerCrashed(h.now, "a1", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
+	}
+	h.take()
+	if o := h.outcomes["deadly"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
+		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
+	}
+}
+
+// Guards against giving up a long task that runs on one backend server after the other while all are replaced: the
+// graceful end of each was counted as a crash.
+func TestServersThatLeaveDoNotCountAsCrashed(t *testing.T) {
+	h := newHarness(t, 5, 10_000)
+	slow := testQueue
+	slow.Latency = 100 * time.Second
+	h.submitTo(slow, "long", 1, 3000, 6*time.Second)
+	for i := range maxTaskCrashes {
+		agent := h.agentOf("long.0.0.0")
+		if agent == "" {
+			t.Fatalf("the task has no run after %d servers have left; outcome %+v", i, h.outcomes["long"])
+		}
+		h.servers[agent].state.State = run.Draining
+		h.endRun(agent, h.orders[agent][0].Ref, run.Stopped, result.ServerLost)
+		h.advance(20 * time.Millisecond)
+	}
+	if h.agentOf("long.0.0.0") == "" || len(h.Scheduler.crashes.tasks) > 0 {
+		t.Errorf("outcome %+v, crashes %+v", h.outcomes["long"], h.Scheduler.crashes.tasks)
+	}
+}
