--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,8 @@
 }{
 	{29, 24, "a restarted agent reported a run as not run although its previous process had started it and seen it end"},
 	{32, 24, "same cause as seed 29"},
+	{4, 37, "nothing bounded how many backend servers a task could crash"},
+	{5, 37, "orders of a former incarnation, carried out late by the next one, brought it over its capacity"},
 }
 
 // recoveryLimit is the time after the last fault within which every entry has to complete a job again.
