--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -68,6 +68,7 @@
 		s.newInstance(v, r.Server)
 	}
 	v.state = r.Server
+	v.largest = v.largest.Max(r.Server.Capacity)
 	v.free = r.Free
 	v.entries = r.Entries
 	v.othersSlowdown = r.OthersSlowdown
@@ -96,6 +97,7 @@
 	v.health = s.restoreHealth(group, state.Instance)
 	v.speedEstimate = s.speeds.Kind(state.Service).ForServer(state.Instance)
 	v.lagFactor = 1
+	v.largest = run.Demand{}
 }
 
 // restoreHealth returns the health of a backend server. A suspension from before its agent was removed
@@ -200,6 +202,7 @@
 	j.steps[t.step].runTime += work
 	j.raiseEstimate(t.step, work)
 	if j.finished() {
+		s.bulkheads.service(j.Queue.Service).kind(j.Queue.Name).completed++
 		s.finish(j, Outcome{})
 		return
 	}
--- a/dispatch/runtable/crash_test.go
+++ b/dispatch/runtable/crash_test.go
@@ -81,7 +81,7 @@
 		t.Error("a backend server without runs was reported as crashed")
 	}
 	f.startRun("j.0.0.0")
-	f.ServerLeft(f.now)
+	f.ServerLeft(f.now, testServer.Instance)
 	if f.ServerGone(f.now) || len(f.Crashes(f.now, 0)) > 0 {
 		t.Error("a backend server that has left was reported as crashed")
 	}
--- a/dispatch/runtable/lease_test.go
+++ b/dispatch/runtable/lease_test.go
@@ -128,3 +128,109 @@
 		t.Errorf("the lease was extended to %d ms after the stop, %d ms are allowed", s.lease-stopped, limit-stopped)
 	}
 }
+
+// Guards against runs that a restarted agent finds and keeps running while stop calls are lost. Their
+// owner may have been silent since before the restart, and starts the tasks elsewhere. A run may also
+// start from an order of the former process after the first snapshot.
+func TestRestartedAgentDoesNotRenewLeaseOfUnclaimedRuns(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.Announce(s.now, testServer, testIncarnation)
+	s.poll()
+	for range 30 {
+		s.advance(pollStep)
+		if s.now.Sub(start()) < testLimits.OrderExpiry/2 {
+			s.poll()
+		} else {
+			s.poll(ref("a", 1))
+		}
+		s.Sweep(s.now)
+		if s.lease > 0 {
+			t.Fatalf("lease renewed %s after the first snapshot", s.now.Sub(start()))
+		}
+	}
+}
+
+// Guards against runs that lapse after a restart of the agent although their owner has claimed them.
+func TestRestartedAgentRenewsLeaseOfClaimedRuns(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.poll(ref("a", 1))
+	s.Confirmed("e1", s.now)
+	s.Claim("e1", ref("a", 1), run.Demand{CPU: 100}, s.now, s.now)
+	s.advance(testLimits.OrderExpiry + time.Millisecond)
+	s.Confirmed("e1", s.now)
+	s.poll(ref("a", 1))
+	if got, want := s.RenewLease(s.now), s.clock()+testLimits.Lease.Milliseconds(); got != want {
+		t.Errorf("lease renewed to %d, want %d", got, want)
+	}
+}
+
+// Guards against an agent whose restart renews the patience with a run that its owner had stopped: the
+// caller submits the abandoned job again at a time that does not depend on the restart.
+func TestRestartedAgentDoesNotRenewLeaseOfStoppedRun(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.poll(ref("a", 1))
+	s.Confirmed("e1", s.now)
+	s.Claim("e1", ref("a", 1), run.Demand{CPU: 100}, s.now, s.now)
+	s.Stop(s.now, ref("a", 1))
+	for range 30 {
+		s.advance(pollStep)
+		s.Confirmed("e1", s.now)
+		s.poll(ref("a", 1))
+		if s.lease > 0 {
+			t.Fatalf("lease renewed %s after the first snapshot", s.now.Sub(start()))
+		}
+	}
+}
+
+// Guards against a run that nobody stops because the stop reached a restarted agent before a snapshot
+// showed the run, which an order of the former process had started late.
+func TestStopIsKeptUntilOrdersOfFormerProcessHaveExpired(t *testing.T) {
+	s := &leasedServer{fixture: &fixture{Table: New(start(), testLimits), t: t, now: start()}}
+	s.poll()
+	if s.Stop(s.now, ref("a", 1)) {
+		t.Error("an unknown run counts as known")
+	}
+	s.advance(testLimits.OrderExpiry + pollStep)
+	s.poll(ref("a", 1))
+	s.Confirmed("e1", s.now)
+	s.Claim("e1", ref("a", 1), run.Demand{CPU: 100}, s.now, s.now)
+	if stops := s.Sweep(s.now); len(stops) != 1 {
+		t.Errorf("runs to stop: %v", stops)
+	}
+}
+
+// Guards against a stop that arrives late, after the agent was paused, and whose patience counts from its
+// arrival: the caller of the job counts from the time at which the entry sent the stop.
+func TestPatienceOfLateStopCountsFromOwnersContact(t *testing.T) {
+	s := &leasedServer{fixture: newFixture(t)}
+	s.startRun("e1", ref("a", 1))
+	sent, pause := s.clock(), testLimits.Lease-pollStep
+	s.advance(pause)
+	s.Stop(s.now, ref("a", 1))
+	for range 60 {
+		s.snapshot([]RunningRun{{Ref: ref("a", 1)}}, nil)
+		s.Confirmed("e1", s.now)
+		s.poll(ref("a", 1))
+		s.advance(pollStep)
+	}
+	if limit := sent + (testLimits.OwnerSilence + testLimits.StopPatience + testLimits.Lease).Milliseconds(); s.lease > limit {
+		t.Errorf("the lease was extended to %d ms after the stop was sent, %d ms are allowed", s.lease-sent, limit-sent)
+	}
+}
+
+// Guards against a restarted agent that never answers claims because its backend server does not respond,
+// and against one that answers before every lease and order of its former process has expired.
+func TestClaimsAreAnsweredWithoutSnapshotAfterFormerLease(t *testing.T) {
+	f := &fixture{Table: New(start(), testLimits), t: t, now: start()}
+	f.advance(time.Duration(float64(testLimits.Lease+testLimits.OrderExpiry) / minClockRate))
+	if f.CanAnswerClaim(f.now, ref("a", 1)) {
+		t.Error("claim answered while a run of the former process may be in progress")
+	}
+	f.advance(time.Millisecond)
+	if !f.CanAnswerClaim(f.now, ref("a", 1)) {
+		t.Error("claim not answered after the former lease has expired")
+	}
+	if e := f.Claim("e1", ref("a", 1), run.Demand{}, f.now, f.now); e.Kind != run.Stopped {
+		t.Errorf("claim answered with %s", e.Kind)
+	}
+}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -60,9 +60,10 @@
 	t.offers.Use(o.Owner, o.Demand)
 	expiry := t.clock.at(now) + t.orderTimeout().Milliseconds()
 	t.runs[o.Ref] = &record{
-		ref: o.Ref, owner: o.Owner, demand: o.Demand, kind: o.Kind, visibleByMS: expiry, firstSeen: now, orderedMS: t.clock.lowerBound(now),
+		ref: o.Ref, owner: o.Owner, demand: o.Demand, kind: o.Kind, visibleByMS: expiry, firstSeen: now, orderedMS: t.clock.ms,
 	}
 	t.trackCopies(o.Ref, expiry)
+	t.starts.Add(now, o.Kind)
 	t.latestLease = max(t.latestLease, expiry)
 	return 0
 }
@@ -140,24 +141,25 @@
 	t.answerTime = time.Duration(answerDecay*float64(t.answerTime) + (1-answerDecay)*float64(took))
 }
 
-// NextExpiry returns the time until the first unanswered order has expired, or those of an earlier
-// process have, but at most limit.
+// NextExpiry returns the time until the first unanswered order has expired, or until all orders that
+// are unknown to the table have, but at most limit.
 func (t *Table) NextExpiry(now time.Time, limit time.Duration) time.Duration {
-	if t.clock.known && t.quarantined() {
-		limit = t.untilAfter(now, t.quarantineEnd, limit)
+	if !t.unknownOrders && t.quarantined() {
+		limit = min(limit, t.timeToExpiry(now, t.quarantineEnd))
 	}
 	for _, r := range t.runs {
 		if !r.accepted && !r.unsettled {
-			limit = t.untilAfter(now, r.visibleByMS, limit)
+			limit = min(limit, t.timeToExpiry(now, r.visibleByMS))
 		}
 	}
 	return limit
 }
 
-// untilAfter returns the time until the backend server's clock is past ms, but at most limit.
-func (t *Table) untilAfter(now time.Time, ms int64, limit time.Duration) time.Duration {
-	remaining := time.Duration(ms-t.clock.at(now))*time.Millisecond + expiryMargin
-	return min(limit, max(expiryMargin, remaining))
+// timeToExpiry returns the time until a snapshot shows whether an order with the given expiry, on the
+// backend server's clock in milliseconds, has started.
+func (t *Table) timeToExpiry(now time.Time, expiryMS int64) time.Duration {
+	remaining := time.Duration(expiryMS-t.clock.at(now))*time.Millisecond + expiryMargin
+	return max(expiryMargin, remaining)
 }
 
 // expiryMargin is how long after an order's expiry a snapshot is sure to show whether it started.
@@ -172,10 +174,6 @@
 	return 0
 }
 
-// clockRounding is by how many milliseconds two times on the backend server's clock may differ
-// because they are rounded.
-const clockRounding = 2
-
 // Accepted records the backend server's answer, received at now, that it started the run at clockMS
 // of its own clock. took is the time from sending the answered copy of the order to its answer.
 func (t *Table) Accepted(now time.Time, took time.Duration, ref run.Ref, clockMS int64) {
@@ -185,7 +183,7 @@
 	}
 	t.observeAnswer(took)
 	t.accept(now, r, clockMS)
-	if clockMS+clockRounding < r.orderedMS && !r.unsettled {
+	if clockMS < r.orderedMS && !r.unsettled {
 		// The clock of one incarnation never goes back, so a new one has answered.
 		r.unsettle(now)
 	}
@@ -221,21 +219,31 @@
 }
 
 // Stop marks a run to be stopped and reports whether the table has the run, so that a stop call must be
-// sent to the backend server. The run keeps its capacity until a snapshot shows its end.
+// sent to the backend server. The run keeps its capacity until a snapshot shows its end. A run that
+// may still start from an order of the agent's former process is stopped when a snapshot shows it: the
+// owner does not repeat the stop on the same link.
 func (t *Table) Stop(now time.Time, ref run.Ref) bool {
 	r := t.runs[ref]
 	if r == nil {
+		if !t.listsAllRuns() {
+			t.earlyStops[ref] = true
+		}
 		return false
 	}
-	r.requestStop(now)
+	t.requestStop(now, r)
 	return true
 }
 
-// requestStop marks the run to be stopped. Repeated requests keep the time of the first one.
-func (r *record) requestStop(now time.Time) {
+// requestStop marks the run to be stopped. Repeated requests keep the time of the first one. A request
+// that arrives when the run is orphaned counts from then: the owner had sent it by that time.
+func (t *Table) requestStop(now time.Time, r *record) {
 	r.phase = stopping
-	if !r.stopRequested {
-		r.stopRequested = true
-		r.stoppedAt = now
+	if r.stopRequested {
+		return
+	}
+	r.stopRequested = true
+	r.stoppedAt = now
+	if orphanedAt := t.orphanedAt(r); orphanedAt.Before(now) {
+		r.stoppedAt = orphanedAt
 	}
 }
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -3,14 +3,14 @@
 //
 // The backend server carries out a start order before the order's expiry or never, and kills every
 // run when its lease expires. A run therefore keeps its capacity until a snapshot of the backend
-// server proves that it has ended or can no longer start. The package does no I/O and is not safe
+// server proves that it has ended or can no longer start. A server that has started anew has another
+// clock, on which the expiry of an earlier order means nothing; see orderCopies and endOrUnsettleRuns. The package does no I/O and is not safe
 // for concurrent use.
 package runtable
 
 import (
 	"time"
 
-	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 )
 
@@ -85,6 +85,7 @@
 	runningSince  time.Time // when the agent learned that the run had started
 	stopRequested bool      // stops are sent until a snapshot shows the end
 	stoppedAt     time.Time // when the first stop was requested
+	found         bool      // a snapshot showed the run, which this process of the agent did not order
 	percent       int
 	checkpoint    string    // newest checkpoint in a snapshot
 	listedAt      time.Time // when the newest snapshot that lists the run was requested
@@ -92,7 +93,8 @@
 	// the backend server, since when, and when that incarnation has answered a stop.
 	unsettled                   bool
 	unsettledAt, stopAnsweredAt time.Time
-	// orderedMS is a time on the backend server's clock that had passed when the run was ordered.
+	// orderedMS is the newest time on the backend server's clock that was known when the run was
+	// ordered.
 	orderedMS int64
 }
 
@@ -115,6 +117,7 @@
 	unexpected          []UnexpectedRun // not yet taken
 	offers              *Offers
 	confirmedAt         map[string]time.Time // send time of the newest message that each entry has confirmed
+	earlyStops          map[run.Ref]bool     // stops of runs that the table does not know yet
 	domainsOut          map[string]bool      // failure domains out of service
 	domainsOutRevision  uint64
 	draining            bool // the agent is shutting down
@@ -136,6 +139,7 @@
 	answerTime      time.Duration // moving estimate of the time to answer an order
 	crashes         []Crash       // within crashRetention, by number
 	lastCrash       uint64        // number of the newest crash
+	starts          StartRates    // on all incarnations of the backend server
 	// crashedIncarnation is the incarnation of the newest crash.
 	crashedIncarnation int64
 }
@@ -147,7 +151,7 @@
 		limits:        limits,
 		startedAt:     now,
 		unknownOrders: true,
-		initialLease:  limits.Lease,
+		initialLease:  limits.Lease + formerDrift(limits),
 		answerTime:    limits.OrderExpiry / timeoutFactor,
 		runs:          map[run.Ref]*record{},
 		copies:        map[run.Ref]*orderCopies{},
@@ -155,9 +159,17 @@
 		offers:        NewOffers(limits.OfferHold),
 		confirmedAt:   map[string]time.Time{},
 		domainsOut:    map[string]bool{},
+		earlyStops:    map[run.Ref]bool{},
 	}
 }
 
+// formerDrift returns by how much a former process of the agent may have granted a lease beyond
+// Limits.Lease: it took the backend server's clock for ahead of what it was, by the drift since the newest
+// answer.
+func formerDrift(limits Limits) time.Duration {
+	return time.Duration((1-minClockRate)*float64(limits.RenewFor)) + time.Millisecond
+}
+
 // Server returns the backend server's last announcement. Its state is Absent while the table would
 // refuse every order.
 func (t *Table) Server(now time.Time) run.Server {
@@ -172,8 +184,8 @@
 func (t *Table) usable() bool { return t.serverKnown && t.hasSnapshot && !t.draining }
 
 // quarantined reports whether orders of an earlier process of the agent, or to an earlier
-// incarnation of the backend server, can still start, or may have started since the newest snapshot.
-func (t *Table) quarantined() bool { return t.clock.ms <= t.quarantineEnd }
+// incarnation of the backend server, can still start or may have started unseen.
+func (t *Table) quarantined() bool { return !t.listsAllRuns() }
 
 // Drain makes the table refuse all further orders, because the agent is shutting down.
 func (t *Table) Drain() { t.draining = true }
@@ -216,12 +228,21 @@
 	t.serverKnown = true
 }
 
-// ServerLeft records that the backend server has shut down gracefully.
-func (t *Table) ServerLeft(now time.Time) []Event {
+// ServerLeft records that the backend server has announced its shutdown. It accepts no more orders,
+// and its runs are stopped: it may still run them for a moment, so they end when a snapshot shows that
+// or their lease has passed. ServerLeft reports whether the instance is the one that is announced; it
+// ignores any other.
+func (t *Table) ServerLeft(now time.Time, instance string) bool {
+	if !t.serverKnown || t.server.Instance != instance {
+		return false
+	}
 	t.serverLeft = true
 	t.serverKnown = false
 	t.server.State = run.Absent
-	return t.endAllRuns(now, ending{basis: EndServerLeft})
+	for ref := range t.runs {
+		t.Stop(now, ref)
+	}
+	return true
 }
 
 // setIncarnation records the incarnation of the backend server, which announcements and snapshots
@@ -257,16 +278,6 @@
 // by their start time.
 func (t *Table) IsFormer(incarnation int64) bool { return incarnation < t.incarnation }
 
-// endAllRuns ends every run as lost with its backend server.
-func (t *Table) endAllRuns(now time.Time, how ending) []Event {
-	how.kind, how.code = run.Stopped, result.ServerLost
-	var events []Event
-	for _, r := range t.runs {
-		events = append(events, t.end(now, r, how, r.checkpoint))
-	}
-	return events
-}
-
 // Confirmed records that the entry has confirmed the message that the agent sent at the given time.
 func (t *Table) Confirmed(owner string, at time.Time) {
 	if at.After(t.confirmedAt[owner]) {
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -41,9 +41,9 @@
 // RenewLease returns the time, on the backend server's clock in milliseconds, to which a renewal
 // sent at now may extend the lease. It returns 0 before the clock is known, and after RenewFor
 // without an answer: otherwise the time at which all runs have certainly ended would be postponed
-// indefinitely. It also returns 0 once leaseLimit has passed.
+// indefinitely. It also returns 0 once leaseLimit has passed, and until the table has all runs.
 func (t *Table) RenewLease(now time.Time) int64 {
-	if !t.Responding(now) {
+	if !t.Responding(now) || !t.listsAllRuns() {
 		return 0
 	}
 	clock := t.clock.at(now)
@@ -137,6 +137,9 @@
 		t.latestLease = max(t.latestLease, snapshot.ClockMS+t.initialLease.Milliseconds())
 		t.quarantineEnd = snapshot.ClockMS + t.limits.OrderExpiry.Milliseconds()
 	}
+	if t.listsAllRuns() {
+		clear(t.earlyStops)
+	}
 	return events
 }
 
@@ -170,7 +173,10 @@
 			}
 			return
 		}
-		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now}
+		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now, found: true}
+		if t.earlyStops[s.Ref] {
+			t.requestStop(now, r)
+		}
 		t.runs[s.Ref] = r
 	}
 	r.listedAt = snapshot.Requested
@@ -225,7 +231,7 @@
 	stops := t.lateStops(now)
 	for ref, r := range t.runs {
 		if r.stopRequested || t.orphaned(now, r) {
-			r.requestStop(now)
+			t.requestStop(now, r)
 			stops = append(stops, ref)
 		}
 	}
