Follow the release rule in the test of a bulkhead without usable servers

A kind is released after 2 s without a crash and 20 completed jobs; the test, written for the rule without jobs, now sets those. It checks the same: the servers chosen instead make the time count.

--- a/dispatch/jobs/bulkhead_test.go
+++ b/dispatch/jobs/bulkhead_test.go
@@ -27,6 +27,7 @@
 			if !h.submit("j", 1, 3000, 50*time.Millisecond) {
 				t.Errorf("the job was refused: %+v", h.outcomes["j"])
 			}
+			h.bulkheads.service("svc").kind(testQueue.Name).completed = releaseJobs
 			for range int(releaseAfter/(20*time.Millisecond)) + 2 {
 				h.advance(20 * time.Millisecond)
 			}
