Count crashes of a process that had been reported as crashed before

Callers saw: nothing yet; found by review. An agent reports one crash for each process of its backend server, and records one too when the server was only silent for longer than the lease. The entry took the loss of a run for reported when any crash of that process had been reported: after a stall of all servers no later crash of those processes counted, and a crashing task could be started on each of them.

A lost run now counts as reported only if the newest crash of its task was that of the same process. The agent still reports no second crash, so each entry counts only what its own runs show, without a share of the blame.

On the code before, TestCrashesAfterReportedStallsCount failed with "6 starts, each with a crash, want at most 3".

--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -31,6 +31,8 @@
 	// blame is the sum over the crashes of the task's share of the blame: 1 if its job alone ran there.
 	blame  float64
 	newest time.Time
+	// instance is the process of the newest crash, or "" if its agent has reported none.
+	instance string
 }
 
 // exhausted reports whether the task must not start again.
@@ -58,8 +60,8 @@
 	return true
 }
 
-// addTask records that a backend server crashed while it had a run of the task.
-func (l *crashLog) addTask(now time.Time, name string, blame float64) *taskCrashes {
+// addTask records that a process of a backend server crashed while it had a run of the task.
+func (l *crashLog) addTask(now time.Time, name, instance string, blame float64) *taskCrashes {
 	c := l.tasks[name]
 	if c == nil {
 		if len(l.tasks) >= maxCrashedTasks {
@@ -71,6 +73,7 @@
 	c.count++
 	c.blame += blame
 	c.newest = now
+	c.instance = instance
 	return c
 }
 
@@ -137,7 +140,7 @@
 		if before != nil && at.Sub(before.newest) > simultaneousCrashes && suspect.Age <= youngRun {
 			repeated[suspect.Kind] = true
 		}
-		s.crashes.addTask(at, suspect.Task, shares[i])
+		s.crashes.addTask(at, suspect.Task, c.Instance, shares[i])
 	}
 	if v := s.servers[agent]; v != nil {
 		s.blameKind(now, at, v, c.Suspects, repeated)
@@ -181,16 +184,17 @@
 	return false
 }
 
-// countUnreportedCrash counts a run that was lost with its backend server although its agent has reported no
-// crash of that process: agents of earlier versions send no such reports. Runs that a draining server ends when it
-// leaves are lost with it too, but not by a crash.
+// countUnreportedCrash counts a run that was lost with its backend server although no report of a crash names it:
+// agents of earlier versions send no such reports, and others only the first for each process, which may have been
+// a stall. Runs that a draining server ends when it leaves are lost with it too, but not by a crash.
 func (s *Scheduler) countUnreportedCrash(now time.Time, a *attempt, reason result.Code) {
-	_, reported := s.crashes.instances[a.instance]
+	c := s.crashes.tasks[a.task.name]
+	reported := c != nil && c.instance == a.instance
 	left := a.server.state.Instance == a.instance && a.server.state.State == run.Draining
 	if reported || left || reason != result.ServerLost {
 		return
 	}
-	s.crashes.addTask(now, a.task.name, 0)
+	s.crashes.addTask(now, a.task.name, "", 0)
 }
 
 // mustRunAlone reports whether the task may have crashed a backend server and belongs to a confined kind, or has
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -293,3 +293,26 @@
 		t.Errorf("outcome %+v, crashes %+v", h.outcomes["long"], h.Scheduler.crashes.tasks)
 	}
 }
+
+// Guards against unlimited starts of a crashing task on backend servers that have all stalled before: the stall was
+// reported as the crash of the process, and the agent reports no second one.
+func TestCrashesAfterReportedStallsCount(t *testing.T) {
+	h := newHarness(t, 6, 10_000)
+	for i := range 6 {
+		suspects := []run.Suspect{{Task: fmt.Sprintf("x%d.0.0.0", i), Kind: "q", Age: time.Second}}
+		h.ServerCrashed(h.now, fmt.Sprintf("a%d", i), run.Crash{Instance: fmt.Sprintf("i-a%d", i), Suspects: suspects}, 0)
+	}
+	h.advance(2 * time.Second)
+	h.submit("deadly", 1, 3000, 60*time.Millisecond)
+	starts := 0
+	for agent := h.agentOf("deadly.0.0.0"); agent != ""; agent = h.agentOf("deadly.0.0.0") {
+		starts++
+		h.crashes[agent]++
+		h.endRun(agent, h.orders[agent][0].Ref, run.Stopped, result.ServerLost)
+		h.report(agent, 10_000)
+		h.advance(20 * time.Millisecond)
+	}
+	if starts > maxTaskCrashes {
+		t.Errorf("%d starts, each with a crash, want at most %d", starts, maxTaskCrashes)
+	}
+}
