Release a confined kind also while its service has too few servers for a bulkhead

Callers saw: nothing yet; found by review. With one backend server left, none can be set apart. All jobs of a confined kind were then rejected, and the time until its release did not pass, because it counts only while the bulkhead has servers.

That time now also passes while the service has no bulkhead.

On the code before, TestKindIsReleasedWithTooFewServersForBulkhead failed with "the job was refused", 2 s after the newest crash, while the server was idle.

--- a/dispatch/jobs/bulkhead.go
+++ b/dispatch/jobs/bulkhead.go
@@ -35,8 +35,8 @@
 // kindState is what is known of one kind of request of a service.
 type kindState struct {
 	arrived time.Time // arrival of the newest job
-	// confined is set while the kind is confined; served is for how long it has had backend servers since the
-	// newest crash.
+	// confined is set while the kind is confined; served is for how long it has had backend servers, or the service
+	// too few for a bulkhead, since the newest crash.
 	confined bool
 	served   time.Duration
 	// othersUntil is the end of the time for which the kind is confined because other entries confine it.
@@ -216,7 +216,7 @@
 		if !confined {
 			continue
 		}
-		available := s.bulkheadAvailable(service)
+		available := s.bulkheadAvailable(service) || !s.hasBulkhead(service)
 		for name, k := range c.kinds {
 			if k.confined && available {
 				k.served += elapsed
@@ -230,6 +230,11 @@
 	}
 }
 
+// hasBulkhead reports whether the service has a bulkhead: it needs two backend servers.
+func (s *Scheduler) hasBulkhead(service string) bool {
+	return slices.ContainsFunc(s.fleet, func(v *server) bool { return v.inBulkhead && v.state.Service == service })
+}
+
 // bulkheadAvailable reports whether a backend server of the service's bulkhead accepts tasks.
 func (s *Scheduler) bulkheadAvailable(service string) bool {
 	for _, v := range s.fleet {
--- a/dispatch/jobs/bulkhead_test.go
+++ b/dispatch/jobs/bulkhead_test.go
@@ -50,3 +50,19 @@
 		t.Error("the kind that this entry confines is not the only confined one")
 	}
 }
+
+// Guards against a confined kind that is never released because the service has only one backend server left, so
+// that none can be set apart for it.
+func TestKindIsReleasedWithTooFewServersForBulkhead(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	h.confine()
+	for _, v := range h.fleet[1:] {
+		v.state.State = run.Draining
+	}
+	for range int(releaseAfter/(20*time.Millisecond)) + 2 {
+		h.advance(20 * time.Millisecond)
+	}
+	if !h.submit("j", 1, 3000, 50*time.Millisecond) {
+		t.Errorf("the job was refused: %+v", h.outcomes["j"])
+	}
+}
