Count as crashes only runs that began on a server that is gone

Cause: an order that never began, to a server that was down, counted as a crash under its task, with all of the blame when it was alone there; and a server that was silent until its lease had passed counted as crashed although it answered again, after which a real crash of the same process was not reported. An agent now reports a crash when connections are refused or a new incarnation shows, with the runs that the server had started, as of when it became silent. A silent server that answers again has not crashed. Reports of one process are numbered. Agents say that they report crashes, so that entries count other lost runs only beside older agents.

TestExpiredLeaseReportsCrash asserted the second fault; TestReturnOfSilentServerReportsCrash and TestStallOfServerIsNoCrash replace it.

A confined kind without a bulkhead is released without completed jobs, which it cannot have.

--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -82,7 +82,7 @@
 
 // CrashToProto converts a crash of a backend server, the given time ago, to its protobuf message.
 func CrashToProto(c run.Crash, ago time.Duration) *peerv1.ServerCrash {
-	m := &peerv1.ServerCrash{Server: c.Instance, AgeMs: uint32(ago.Milliseconds())}
+	m := &peerv1.ServerCrash{Server: c.Instance, Number: c.Number, AgeMs: uint32(ago.Milliseconds())}
 	for _, s := range c.Suspects {
 		m.Suspects = append(m.Suspects, &peerv1.CrashSuspect{Task: s.Task, Kind: s.Kind, AgeMs: uint32(s.Age.Milliseconds())})
 	}
@@ -94,7 +94,7 @@
 
 // CrashFromProto converts a protobuf message to a crash of a backend server and the time since then.
 func CrashFromProto(m *peerv1.ServerCrash) (c run.Crash, ago time.Duration) {
-	c.Instance = m.GetServer()
+	c.Instance, c.Number = m.GetServer(), m.GetNumber()
 	for _, s := range m.GetSuspects() {
 		c.Suspects = append(c.Suspects, run.Suspect{Task: s.GetTask(), Kind: s.GetKind(), Age: time.Duration(s.GetAgeMs()) * time.Millisecond})
 	}
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -228,6 +228,7 @@
 		s.sentCrash = c.Number
 	}
 	f.Confined = a.confinedByOthers(now, s)
+	f.ReportsCrashes = true
 	s.conn.Send(f)
 }
 
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -171,7 +171,7 @@
 	}
 	e.scheduler.Report(now, a.id, jobs.Report{
 		Server: a.server, Free: link.DemandFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(f.GetEntries()),
-		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(),
+		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(), ReportsCrashes: f.GetReportsCrashes(),
 	})
 	e.flush()
 	// The agent reserves capacity for entries with waiting tasks, so tell it immediately when this changes.
--- a/dispatch/jobs/bulkhead.go
+++ b/dispatch/jobs/bulkhead.go
@@ -134,9 +134,10 @@
 	}
 }
 
-// mayBeReleased reports whether the kind has done enough without another crash.
-func (k *kindState) mayBeReleased() bool {
-	return k.served > releaseAfter && k.completed >= releaseJobs || k.served > maxConfined
+// mayBeReleased reports whether the kind has done enough without another crash. Without a bulkhead, none of its
+// jobs can run.
+func (k *kindState) mayBeReleased(bulkhead bool) bool {
+	return k.served > releaseAfter && (k.completed >= releaseJobs || !bulkhead) || k.served > maxConfined
 }
 
 // hasOthers reports whether another kind of the service has had jobs lately and is not confined. A kind that
@@ -256,7 +257,7 @@
 			if k.confined && available {
 				k.served += elapsed
 			}
-			if k.confined && k.mayBeReleased() {
+			if k.confined && k.mayBeReleased(s.hasBulkhead(service)) {
 				k.confined = false
 				c.recent = nil
 				s.recordDecision(Decision{Kind: Released, Queue: name})
--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"time"
@@ -129,7 +130,7 @@
 // crashed too many backend servers fail at once. Reports of a crash that is known are ignored.
 func (s *Scheduler) ServerCrashed(now time.Time, agent string, c run.Crash, ago time.Duration) {
 	at := now.Add(-ago)
-	if !s.crashes.addInstance(at, c.Instance) {
+	if !s.crashes.addInstance(at, fmt.Sprintf("%s#%d", c.Instance, c.Number)) {
 		return
 	}
 	shares := blameShares(c.Suspects)
@@ -180,13 +181,12 @@
 }
 
 // countUnreportedCrash counts a run that was lost with its backend server although no report of a crash names it:
-// agents of earlier versions send no such reports, and others only the first for each process, which may have been
-// a stall. Runs that a draining server ends when it leaves are lost with it too, but not by a crash.
+// agents of earlier versions send no such reports. Runs that a draining server ends when it leaves are lost with it too, but not by a crash.
 func (s *Scheduler) countUnreportedCrash(now time.Time, a *attempt, reason result.Code) {
 	c := s.crashes.tasks[a.task.name]
 	reported := c != nil && c.instance == a.instance
 	left := a.server.state.Instance == a.instance && a.server.state.State == run.Draining
-	if reported || left || reason != result.ServerLost {
+	if reported || left || a.server.reportsCrashes || reason != result.ServerLost {
 		return
 	}
 	s.crashes.addTask(now, a.task.name, "", 0)
@@ -195,6 +195,9 @@
 // mustRunAlone reports whether the task may have crashed a backend server and belongs to a confined kind, or has
 // been in two crashes. Another crash then shows which task causes it.
 func (s *Scheduler) mustRunAlone(j *job, t *task) bool {
+	if len(s.crashes.tasks) == 0 {
+		return false
+	}
 	c := s.crashes.tasks[t.name]
 	return c != nil && (c.count >= minBlamedCrashes || s.confined(j))
 }
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -72,6 +72,7 @@
 	v.free = r.Free
 	v.entries = r.Entries
 	v.othersSlowdown = r.OthersSlowdown
+	v.reportsCrashes = r.ReportsCrashes
 	if s.bulkheads.recordOthers(now, r.Server.Service, r.OthersConfined) {
 		s.updateBulkheads(now)
 	}
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -67,8 +67,9 @@
 		if t.state != taskWaiting || !j.runnable(t) || !v.state.HasLabel(step.Label) || !step.Demand.Fits(v.state.Capacity) {
 			continue
 		}
-		if !t.avoided[v.state.Instance] && s.bulkheadAllows(j, v) && s.fastEnough(now, j, t, v) {
-			sum = sum.Add(s.demandOn(j, t, v))
+		// A task that must run alone takes an idle backend server and reserves none: a part of one is no use to it.
+		if !t.avoided[v.state.Instance] && !s.mustRunAlone(j, t) && s.bulkheadAllows(j, v) && s.fastEnough(now, j, t, v) {
+			sum = sum.Add(step.Demand)
 		}
 	}
 	return sum
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -29,13 +29,15 @@
 	speedEstimate  *estimate.ServerEstimate
 	othersSlowdown float64 // slowdown that other entries have measured; 0 if unknown
 	// lagFactor is how many times slower than its speed estimate the backend server runs at present.
-	lagFactor  float64
-	batch      Batch     // content of the next frame
-	reported   bool      // a report has arrived over the present link
-	entries    int       // number of entries that share the backend server; 0 if unknown
-	lastOrder  time.Time // time of the newest order
-	probes     int       // consecutive orders while it was too slow
-	unanswered int       // consecutive orders without an answer
+	lagFactor float64
+	batch     Batch // content of the next frame
+	reported  bool  // a report has arrived over the present link
+	// reportsCrashes is set if the agent reports crashes, so that other lost runs are not counted as such.
+	reportsCrashes bool
+	entries        int       // number of entries that share the backend server; 0 if unknown
+	lastOrder      time.Time // time of the newest order
+	probes         int       // consecutive orders while it was too slow
+	unanswered     int       // consecutive orders without an answer
 	// pausedUntil is when the agent gets orders again after it refused or did not answer some.
 	pausedUntil time.Time
 	// inBulkhead is set while the backend server takes only tasks of confined kinds.
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -143,6 +143,8 @@
 	OthersSlowdown float64
 	// OthersConfined are the kinds of request that other entries confine because they crash backend servers.
 	OthersConfined []string
+	// ReportsCrashes is set if the agent reports crashes of its backend server.
+	ReportsCrashes bool
 }
 
 // Limits configures the scheduler.
--- a/dispatch/run/crash.go
+++ b/dispatch/run/crash.go
@@ -7,6 +7,8 @@
 type Crash struct {
 	// Instance identifies the process; see Server.
 	Instance string
+	// Number tells two crashes of a process apart, of which the first one was only supposed.
+	Number   uint64
 	Suspects []Suspect
 	// Starts is the number of runs per second that the process has started lately, by kind of request; nil if the
 	// agent does not know it.
--- a/dispatch/runtable/crash.go
+++ b/dispatch/runtable/crash.go
@@ -14,7 +14,6 @@
 
 // Crash is a crash of the backend server. Numbers rise with each crash that the table records.
 type Crash struct {
-	Number uint64
 	run.Crash
 	At time.Time
 }
@@ -22,7 +21,10 @@
 // ServerGone records that no process listens at the backend server's address. It returns false if that is no
 // news or the server has left. The runs stay in the table: what refuses connections may be something between
 // the agent and the server.
-func (t *Table) ServerGone(now time.Time) bool { return t.recordCrash(now) }
+func (t *Table) ServerGone(now time.Time) bool {
+	t.noteSilence(now)
+	return t.recordCrash()
+}
 
 // Crashes returns the crashes with a number above the given one that happened within crashRetention.
 func (t *Table) Crashes(now time.Time, number uint64) []Crash {
@@ -31,27 +33,33 @@
 	return t.crashes[i:]
 }
 
-// recordCrash records that the present incarnation of the backend server crashed at the given time, with the
-// runs that it may have. It returns false if there are none, or if the crash is known.
-func (t *Table) recordCrash(at time.Time) bool {
-	if len(t.runs) == 0 || t.serverLeft || t.crashedIncarnation == t.incarnation {
-		return false
+// noteSilence remembers the runs that the backend server had when it was last known to run, in case it has
+// crashed. Only runs that it has started can have caused a crash.
+func (t *Table) noteSilence(at time.Time) {
+	if t.silent != nil || t.serverLeft {
+		return
 	}
-	t.crashedIncarnation = t.incarnation
-	c := run.Crash{Instance: t.server.Instance, Starts: t.starts.PerSecond(at)}
+	c := &Crash{Crash: run.Crash{Instance: t.server.Instance, Starts: t.starts.PerSecond(at)}, At: at}
 	for _, r := range t.runs {
-		c.Suspects = append(c.Suspects, run.Suspect{Task: r.ref.Task, Kind: r.kind, Age: max(0, at.Sub(r.startedBy()))})
+		if r.accepted {
+			c.Suspects = append(c.Suspects, run.Suspect{Task: r.ref.Task, Kind: r.kind, Age: max(0, at.Sub(r.runningSince))})
+		}
+	}
+	if len(c.Suspects) == 0 {
+		return
 	}
 	slices.SortFunc(c.Suspects, func(a, b run.Suspect) int { return cmp.Compare(a.Task, b.Task) })
-	t.lastCrash++
-	t.crashes = append(t.crashes, Crash{Number: t.lastCrash, Crash: c, At: at})
-	return true
+	t.silent = c
 }
 
-// startedBy returns when the run started, or when it was ordered if that is not known.
-func (r *record) startedBy() time.Time {
-	if r.accepted {
-		return r.runningSince
+// recordCrash records that the backend server has crashed with the runs that it had when it became silent. It
+// returns false if there were none, or if the crash is known.
+func (t *Table) recordCrash() bool {
+	if t.silent == nil || t.silent.Number > 0 {
+		return false
 	}
-	return r.firstSeen
+	t.lastCrash++
+	t.silent.Number = t.lastCrash
+	t.crashes = append(t.crashes, *t.silent)
+	return true
 }
--- a/dispatch/runtable/crash_test.go
+++ b/dispatch/runtable/crash_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// Guards against an unnoticed crash of a backend server that becomes silent.
-func TestExpiredLeaseReportsCrash(t *testing.T) {
+// silentServer returns a fixture whose backend server has become silent with a run, until the lease has passed.
+func silentServer(t *testing.T) *fixture {
 	f := newFixture(t)
 	f.startRun("j.0.0.0")
 	f.advance(20 * time.Millisecond)
@@ -59,9 +59,44 @@
 	if events := f.ExpireLease(f.now); len(events) != 1 {
 		t.Fatalf("events %+v, want the end of the run", events)
 	}
+	return f
+}
+
+// Guards against an unnoticed crash of a backend server that becomes silent and comes back as a new process.
+func TestReturnOfSilentServerReportsCrash(t *testing.T) {
+	f := silentServer(t)
+	f.Announce(f.now, testServer, testIncarnation+1)
 	wantCrash(t, f, "j.0.0.0", 20*time.Millisecond)
 }
 
+// Guards against taking a stall of a backend server for a crash: after some, an innocent job would be given up. A
+// later crash of the same process counts.
+func TestStallOfServerIsNoCrash(t *testing.T) {
+	f := silentServer(t)
+	if n := len(f.Crashes(f.now, 0)); n > 0 {
+		t.Fatalf("%d crashes reported while the backend server was silent", n)
+	}
+	f.snapshot(nil, nil)
+	f.advance(300 * time.Millisecond)
+	f.snapshot(nil, nil)
+	f.Confirmed("e1", f.now)
+	f.startRun("k.0.0.0")
+	f.advance(10 * time.Millisecond)
+	f.ServerGone(f.now)
+	wantCrash(t, f, "k.0.0.0", 10*time.Millisecond)
+}
+
+// Guards against counting an order that never began as a crash under its task.
+func TestUnansweredOrderIsNoSuspect(t *testing.T) {
+	f := newFixture(t)
+	if code := f.order(ref("j.0.0.0", 1), 100); code != 0 {
+		t.Fatalf("order refused with code %d", code)
+	}
+	if f.ServerGone(f.now) || len(f.Crashes(f.now, 0)) > 0 {
+		t.Error("a backend server that had started nothing was reported as crashed")
+	}
+}
+
 // Guards against an unnoticed crash of a backend server that is back before its lease has passed.
 func TestNewIncarnationReportsCrash(t *testing.T) {
 	f := newFixture(t)
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -140,8 +140,8 @@
 	crashes         []Crash       // within crashRetention, by number
 	lastCrash       uint64        // number of the newest crash
 	starts          StartRates    // on all incarnations of the backend server
-	// crashedIncarnation is the incarnation of the newest crash.
-	crashedIncarnation int64
+	// silent is the crash that the backend server may have had, nil while it responds.
+	silent *Crash
 }
 
 // New returns the table of an agent that has just started. It accepts no orders until the backend
@@ -253,7 +253,9 @@
 	}
 	first := t.incarnation == 0
 	if !first {
-		t.recordCrash(t.clock.readAt)
+		t.noteSilence(t.clock.readAt)
+		t.recordCrash()
+		t.silent = nil
 	}
 	t.incarnation = incarnation
 	t.incarnationSince = now
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -99,7 +99,7 @@
 		t.hasSnapshot = false
 	}
 	if passed && !t.Responding(now) {
-		t.recordCrash(t.clock.readAt)
+		t.noteSilence(t.clock.readAt)
 	}
 	how := ending{basis: EndLeasePassed, kind: run.Stopped, code: result.ServerLost, clockMS: t.latestPossibleLease()}
 	var events []Event
@@ -118,6 +118,9 @@
 	}
 	events := t.setIncarnation(now, snapshot.Incarnation)
 	t.useRestored()
+	if t.silent != nil && snapshot.Requested.After(t.silent.At) {
+		t.silent = nil
+	}
 	fresh := !t.clock.known || snapshot.ClockMS >= t.clock.ms
 	t.clock.observe(now, snapshot.ClockMS)
 	events = append(events, t.processEnds(now, snapshot.Ended)...)
