Keep the admission rate and retry schedule of confined kinds apart, and use standard terms for crashes

A late job of a confined kind was rejected for the load of the whole service, set against the bulkhead's throughput, and its retry advice shared seconds with jobs of the other kinds (found by review). Both are now kept for the backend servers that a job shares. The scores of the bulkhead's hash are computed once for each choice. Names: cause, share and burst instead of culprit, blame and storm.

--- a/dispatch/jobs/bulkhead.go
+++ b/dispatch/jobs/bulkhead.go
@@ -15,10 +15,10 @@
 	// simultaneousCrashes is the time within which crashes count as one: they have a cause outside the tasks,
 	// such as a rack that lost power.
 	simultaneousCrashes = 30 * time.Millisecond
-	// stormCrashes within stormWindow make a storm, after which the kind of request that most likely causes it is
+	// burstCrashes within burstWindow make a burst, after which the kind of request that most likely causes it is
 	// confined to a part of the backend servers. Two crashes suffice if both had the same task.
-	stormCrashes  = 3
-	stormWindow   = 3 * time.Second
+	burstCrashes  = 3
+	burstWindow   = 3 * time.Second
 	repeatCrashes = 2
 	// bulkheadShare is the share of the backend servers of a service to which kinds are confined.
 	bulkheadShare = 0.25
@@ -52,7 +52,7 @@
 // serviceCrashes is what is known of the crashes and kinds of request of a service.
 type serviceCrashes struct {
 	kinds  map[string]*kindState // by the name of the queue
-	recent []stormCrash          // within stormWindow
+	recent []recentCrash         // within burstWindow
 	// active is set while some backend servers are set apart for confined kinds.
 	active bool
 }
@@ -83,12 +83,12 @@
 
 // addCrash records a crash at the given time and returns the kind that is confined because of it, or "".
 // Reports of crashes need not come in order of time.
-func (b *bulkheads) addCrash(now time.Time, service string, crash stormCrash) string {
+func (b *bulkheads) addCrash(now time.Time, service string, crash recentCrash) string {
 	c := b.service(service)
-	if now.Sub(crash.at) > stormWindow || c.explains(crash) {
+	if now.Sub(crash.at) > burstWindow || c.explains(crash) {
 		return ""
 	}
-	c.recent = slices.DeleteFunc(c.recent, func(s stormCrash) bool { return now.Sub(s.at) > stormWindow })
+	c.recent = slices.DeleteFunc(c.recent, func(s recentCrash) bool { return now.Sub(s.at) > burstWindow })
 	for i := range c.recent {
 		if c.recent[i].at.Sub(crash.at).Abs() <= simultaneousCrashes {
 			c.recent[i].merge(crash)
@@ -96,11 +96,11 @@
 		}
 	}
 	c.recent = append(c.recent, crash)
-	name := c.culprit()
+	name := c.likelyCause()
 	if name == "" || c.kind(name).confined || !c.hasOthers(now, name) {
 		return ""
 	}
-	c.releaseInnocent()
+	c.releaseOthers()
 	*c.kind(name) = kindState{arrived: c.kind(name).arrived, confined: true}
 	c.recent = nil
 	return name
@@ -108,25 +108,25 @@
 
 // explains reports whether a confined kind had a run on the backend server that crashed. The crash is then no
 // evidence against others. It is held against the confined kind that caused it most likely.
-func (c *serviceCrashes) explains(crash stormCrash) bool {
-	var culprit *kindState
+func (c *serviceCrashes) explains(crash recentCrash) bool {
+	var cause *kindState
 	best := 0.0
 	for name, k := range c.kinds {
-		if crash.present[name] && k.isConfined() && (culprit == nil || crash.evidence[name] > best) {
-			culprit, best = k, crash.evidence[name]
+		if crash.present[name] && k.isConfined() && (cause == nil || crash.evidence[name] > best) {
+			cause, best = k, crash.evidence[name]
 		}
 	}
-	if culprit == nil {
+	if cause == nil {
 		return false
 	}
-	culprit.served, culprit.completed = 0, 0
-	culprit.crashed++
+	cause.served, cause.completed = 0, 0
+	cause.crashed++
 	return true
 }
 
-// releaseInnocent releases the kinds that have crashed nothing since they were confined: another kind has caused
+// releaseOthers releases the kinds that have crashed nothing since they were confined: another kind has caused
 // the crashes.
-func (c *serviceCrashes) releaseInnocent() {
+func (c *serviceCrashes) releaseOthers() {
 	for _, k := range c.kinds {
 		if k.crashed == 0 {
 			k.confined = false
@@ -299,11 +299,14 @@
 	if !active || len(members) < 2 {
 		return
 	}
-	score := func(v *server) uint64 { return rendezvous.Score(v.agent, []byte(service)) }
-	sort.Slice(members, func(i, j int) bool { return score(members[i]) > score(members[j]) })
+	scores := make(map[*server]uint64, len(members))
+	for _, v := range members {
+		scores[v] = rendezvous.Score(v.agent, []byte(service))
+	}
+	sort.Slice(members, func(i, j int) bool { return scores[members[i]] > scores[members[j]] })
 	size := max(1, int(math.Round(bulkheadShare*float64(len(members)))))
 	for i, v := range members {
-		above := float64(score(v)) >= (1-bulkheadShare)*math.MaxUint64
+		above := float64(scores[v]) >= (1-bulkheadShare)*math.MaxUint64
 		v.inBulkhead = i == 0 || s.partial && above || !s.partial && i < size
 	}
 }
--- a/dispatch/jobs/bulkhead_test.go
+++ b/dispatch/jobs/bulkhead_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,3 +68,18 @@
 		t.Errorf("the job was refused: %+v", h.outcomes["j"])
 	}
 }
+
+// Guards against rejecting late jobs of a confined kind for the load of the other kinds, which use other servers.
+func TestConfinedKindHasItsOwnAdmissionRate(t *testing.T) {
+	h := newHarness(t, 8, 10_000)
+	h.submit("before", 1, 3000, 50*time.Millisecond)
+	h.confine()
+	for i := range 20 {
+		h.submitTo(otherQueue, fmt.Sprint("other-", i), 8, 3000, 50*time.Millisecond)
+	}
+	h.submit("confined", 1, 3000, 50*time.Millisecond)
+	confined := h.admissionRates[loadKey{service: "svc", confined: true}]
+	if confined == nil || confined.rate(h.now) > 3000*0.05/admissionWindow.Seconds()+1 {
+		t.Errorf("admission rate of the confined kind %+v, want that of its own job", confined)
+	}
+}
--- a/dispatch/jobs/capacity_test.go
+++ b/dispatch/jobs/capacity_test.go
@@ -154,7 +154,7 @@
 			h.reportCapacity("a0", capacity)
 			j := newJob(Job{ID: "x", Queue: testQueue, Arrived: h.now, Steps: []Step{{Count: 1, Demand: largeDemand, Estimate: time.Second}}})
 			task := j.tasks[0]
-			for range minBlamedCrashes {
+			for range minLikelyCrashes {
 				h.Scheduler.crashes.addTask(h.now, task.name, "i", 0)
 			}
 			if !h.mustRunAlone(j, task) {
--- a/dispatch/jobs/culprit.go
+++ b/dispatch/jobs/cause.go
@@ -25,8 +25,8 @@
 	minServerStarts = 1.0
 )
 
-// stormCrash is one crash, or several at the same time, of the backend servers of a service.
-type stormCrash struct {
+// recentCrash is one crash, or several at the same time, of the backend servers of a service.
+type recentCrash struct {
 	at time.Time
 	// evidence is the logarithm of the likelihood of the ages of the kind's runs if it causes the crash, divided
 	// by that if it does not.
@@ -36,7 +36,7 @@
 }
 
 // merge adds a crash at the same time: the evidence becomes the mean.
-func (s *stormCrash) merge(o stormCrash) {
+func (s *recentCrash) merge(o recentCrash) {
 	for name := range s.evidence {
 		s.evidence[name] = (s.evidence[name] + o.evidence[name]) / 2
 	}
@@ -60,9 +60,9 @@
 	return density
 }
 
-// culprit returns the kind that most likely causes a storm of crashes, or "" if there is no storm or no such
+// likelyCause returns the kind that most likely causes a burst of crashes, or "" if there is no burst or no such
 // kind.
-func (c *serviceCrashes) culprit() string {
+func (c *serviceCrashes) likelyCause() string {
 	repeated := false
 	evidence := map[string]float64{}
 	for _, crash := range c.recent {
@@ -71,14 +71,14 @@
 			evidence[name] += e
 		}
 	}
-	if len(c.recent) < repeatCrashes || len(c.recent) < stormCrashes && !repeated {
+	if len(c.recent) < repeatCrashes || len(c.recent) < burstCrashes && !repeated {
 		return ""
 	}
-	culprit, best, second := "", 0.0, 0.0
+	cause, best, second := "", 0.0, 0.0
 	for name, e := range evidence {
 		switch {
 		case e > best:
-			culprit, best, second = name, e, best
+			cause, best, second = name, e, best
 		case e > second:
 			second = e
 		}
@@ -86,5 +86,5 @@
 	if best-second < minLead {
 		return ""
 	}
-	return culprit
+	return cause
 }
--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -13,13 +13,13 @@
 const (
 	// maxTaskCrashes is the number of backend servers that may crash under a task before its job fails.
 	maxTaskCrashes = 3
-	// minBlamedCrashes is that number for a task that most likely caused the crashes: the sum of its shares
-	// of the blame is at least certainBlame.
-	minBlamedCrashes = 2
-	certainBlame     = 1.0
-	// blameHalfLife is the age of a run at which its share of the blame for a crash is half that of a run
+	// minLikelyCrashes is that number for a task that most likely caused the crashes: the sum of its shares
+	// is at least certainShare.
+	minLikelyCrashes = 2
+	certainShare     = 1.0
+	// shareHalfLife is the age of a run at which its share in the cause of a crash is half that of a run
 	// that has just started: a task that crashes its backend server does so soon after its start.
-	blameHalfLife = 25 * time.Millisecond
+	shareHalfLife = 25 * time.Millisecond
 	// crashMemory is how long crashes are remembered. Callers wait for a few seconds.
 	crashMemory = time.Minute
 	// maxCrashedTasks bounds the number of tasks whose crashes are remembered.
@@ -29,8 +29,8 @@
 // taskCrashes records the crashes of backend servers that had a run of a task.
 type taskCrashes struct {
 	count int
-	// blame is the sum over the crashes of the task's share of the blame: 1 if its job alone ran there.
-	blame  float64
+	// share is the sum over the crashes of the task's share in the cause: 1 if its job alone ran there.
+	share  float64
 	newest time.Time
 	// instance is the process of the newest crash, or "" if its agent has reported none.
 	instance string
@@ -38,7 +38,7 @@
 
 // exhausted reports whether the task must not start again.
 func (c *taskCrashes) exhausted() bool {
-	return c.count >= maxTaskCrashes || c.count >= minBlamedCrashes && c.blame >= certainBlame
+	return c.count >= maxTaskCrashes || c.count >= minLikelyCrashes && c.share >= certainShare
 }
 
 // crashLog remembers the crashes of backend servers and the tasks that ran there.
@@ -62,7 +62,7 @@
 }
 
 // addTask records that a process of a backend server crashed while it had a run of the task.
-func (l *crashLog) addTask(now time.Time, name, instance string, blame float64) *taskCrashes {
+func (l *crashLog) addTask(now time.Time, name, instance string, share float64) *taskCrashes {
 	c := l.tasks[name]
 	if c == nil {
 		if len(l.tasks) >= maxCrashedTasks {
@@ -72,7 +72,7 @@
 		l.tasks[name] = c
 	}
 	c.count++
-	c.blame += blame
+	c.share += share
 	c.newest = now
 	c.instance = instance
 	return c
@@ -99,14 +99,14 @@
 	}
 }
 
-// blameShares returns the share of each suspect in the blame for a crash. The shares add up to 1, except
+// causeShares returns the share of each suspect in the cause of a crash. The shares add up to 1, except
 // that each run of a job that was alone on the backend server has all of it.
-func blameShares(suspects []run.Suspect) []float64 {
+func causeShares(suspects []run.Suspect) []float64 {
 	shares := make([]float64, len(suspects))
 	sum := 0.0
 	single := true
 	for i, s := range suspects {
-		shares[i] = math.Exp2(-float64(s.Age) / float64(blameHalfLife))
+		shares[i] = math.Exp2(-float64(s.Age) / float64(shareHalfLife))
 		sum += shares[i]
 		single = single && jobOf(s.Task) == jobOf(suspects[0].Task)
 	}
@@ -133,7 +133,7 @@
 	if !s.crashes.addInstance(at, fmt.Sprintf("%s#%d", c.Instance, c.Number)) {
 		return
 	}
-	shares := blameShares(c.Suspects)
+	shares := causeShares(c.Suspects)
 	s.recordDecision(Decision{Kind: Crashed, Agent: agent, Suspects: len(c.Suspects)})
 	repeated := map[string]bool{} // kinds of tasks that were young in an earlier crash too
 	for i, suspect := range c.Suspects {
@@ -144,7 +144,7 @@
 		s.crashes.addTask(at, suspect.Task, c.Instance, shares[i])
 	}
 	if v := s.servers[agent]; v != nil {
-		s.blameKind(now, at, v, c, repeated)
+		s.addEvidence(now, at, v, c, repeated)
 	}
 	for _, suspect := range c.Suspects {
 		if j := s.jobs[jobOf(suspect.Task)]; j != nil && s.exhausted(j) {
@@ -153,11 +153,11 @@
 	}
 }
 
-// blameKind adds a crash of the agent's backend server to the evidence against the kinds of request, and confines
+// addEvidence adds a crash of the agent's backend server to the evidence against the kinds of request, and confines
 // one if it is sufficient. All entries that get the same reports come to the same result.
-func (s *Scheduler) blameKind(now, at time.Time, v *server, c run.Crash, repeated map[string]bool) {
+func (s *Scheduler) addEvidence(now, at time.Time, v *server, c run.Crash, repeated map[string]bool) {
 	service := v.state.Service
-	crash := stormCrash{at: at, repeated: len(repeated) > 0, present: map[string]bool{}, evidence: evidenceOf(c, s.bulkheads.service(service).kinds)}
+	crash := recentCrash{at: at, repeated: len(repeated) > 0, present: map[string]bool{}, evidence: evidenceOf(c, s.bulkheads.service(service).kinds)}
 	for _, suspect := range c.Suspects {
 		crash.present[suspect.Kind] = true
 	}
@@ -199,7 +199,7 @@
 		return false
 	}
 	c := s.crashes.tasks[t.name]
-	return c != nil && (c.count >= minBlamedCrashes || s.confined(j))
+	return c != nil && (c.count >= minLikelyCrashes || s.confined(j))
 }
 
 // hasSuspects reports whether a waiting task of the job must run alone.
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -53,16 +53,16 @@
 // Guards against a task that crashes one backend server after the other.
 func TestTaskUnderWhichServersCrashIsGivenUp(t *testing.T) {
 	h := newHarness(t, 5, 10_000)
-	h.submit("deadly", 1, 3000, 60*time.Millisecond)
-	task, crashes := "deadly.0.0.0", 0
+	h.submit("crashing", 1, 3000, 60*time.Millisecond)
+	task, crashes := "crashing.0.0.0", 0
 	for h.agentOf(task) != "" && crashes < 10 {
 		crashes++
 		h.crashServer(h.agentOf(task), task)
 	}
-	if crashes != minBlamedCrashes {
-		t.Errorf("%d backend servers crashed under the task, want %d", crashes, minBlamedCrashes)
+	if crashes != minLikelyCrashes {
+		t.Errorf("%d backend servers crashed under the task, want %d", crashes, minLikelyCrashes)
 	}
-	if o := h.outcomes["deadly"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
+	if o := h.outcomes["crashing"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
 		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
 	}
 }
@@ -73,9 +73,9 @@
 	long := testQueue
 	long.Latency = 10 * time.Second
 	h.submitTo(long, "innocent", 1, 3000, 900*time.Millisecond)
-	h.submitTo(long, "deadly", 1, 3000, 900*time.Millisecond)
-	for range minBlamedCrashes {
-		h.crashServer("a0", "deadly.0.0.0")
+	h.submitTo(long, "crashing", 1, 3000, 900*time.Millisecond)
+	for range minLikelyCrashes {
+		h.crashServer("a0", "crashing.0.0.0")
 	}
 	if o, ended := h.outcomes["innocent"]; ended {
 		t.Fatalf("the neighbour ended: %+v", o)
@@ -90,14 +90,14 @@
 // servers.
 func TestResubmittedCrashingJobIsGivenUpByAnotherEntry(t *testing.T) {
 	h := newHarness(t, 2, 10_000)
-	for i := range minBlamedCrashes {
-		suspects := []run.Suspect{{Task: "deadly.0.0.0", Kind: "q", Age: 10 * time.Millisecond}}
+	for i := range minLikelyCrashes {
+		suspects := []run.Suspect{{Task: "crashing.0.0.0", Kind: "q", Age: 10 * time.Millisecond}}
 		h.ServerCrashed(h.now, "a0", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
 	}
-	if h.submit("deadly", 1, 3000, 60*time.Millisecond) {
+	if h.submit("crashing", 1, 3000, 60*time.Millisecond) {
 		t.Fatal("the job was admitted")
 	}
-	if o := h.outcomes["deadly"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
+	if o := h.outcomes["crashing"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
 		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
 	}
 }
@@ -117,8 +117,8 @@
 // Guards against unlimited starts beside agents of an earlier version, which report lost runs but no crashes.
 func TestCrashesAtAgentsOfEarlierVersionCount(t *testing.T) {
 	h := newHarness(t, 5, 10_000)
-	h.submit("deadly", 1, 3000, 60*time.Millisecond)
-	task, starts := "deadly.0.0.0", 0
+	h.submit("crashing", 1, 3000, 60*time.Millisecond)
+	task, starts := "crashing.0.0.0", 0
 	for h.agentOf(task) != "" && starts < 10 {
 		starts++
 		agent := h.agentOf(task)
@@ -136,8 +136,8 @@
 // confine makes jobs of testQueue crash three backend servers, so that the queue is confined.
 func (h *harness) confine() {
 	h.submitTo(otherQueue, "bystander", 1, 100, 50*time.Millisecond)
-	for i := range stormCrashes {
-		task := fmt.Sprintf("deadly-%d.0.0.0", i)
+	for i := range burstCrashes {
+		task := fmt.Sprintf("crashing-%d.0.0.0", i)
 		suspects := []run.Suspect{{Task: task, Kind: testQueue.Name, Age: 10 * time.Millisecond}, {Task: "x.0.0.0", Kind: otherQueue.Name, Age: time.Second}}
 		h.ServerCrashed(h.now, "a0", run.Crash{Instance: task, Suspects: suspects}, 0)
 		h.advance(100 * time.Millisecond)
@@ -207,7 +207,7 @@
 	}
 }
 
-// Guards against confining an innocent kind together with the culprit: it is released when crashes without its runs
+// Guards against confining an innocent kind together with the cause: it is released when crashes without its runs
 // convict another one.
 func TestKindConfinedWronglyIsReleased(t *testing.T) {
 	h := newHarness(t, 8, 10_000)
@@ -215,7 +215,7 @@
 	h.submitTo(otherQueue, "another bystander", 1, 100, 50*time.Millisecond)
 	third := route.Queue{Name: "third", Service: "svc", Attempts: 2, Stretch: 1.6, Latency: 60 * time.Millisecond}
 	h.submitTo(third, "third", 1, 100, 50*time.Millisecond)
-	for i := range stormCrashes {
+	for i := range burstCrashes {
 		suspects := []run.Suspect{{Task: fmt.Sprintf("third-%d.0.0.0", i), Kind: third.Name, Age: 10 * time.Millisecond}}
 		h.ServerCrashed(h.now, "a1", run.Crash{Instance: fmt.Sprint("third ", i), Suspects: suspects}, 0)
 		h.advance(100 * time.Millisecond)
@@ -274,8 +274,8 @@
 	h.connect("large", 10_000)
 	h.connect("small", 2000)
 	h.submit("filler", 1, 1000, 50*time.Millisecond)
-	for i := range minBlamedCrashes {
-		suspects := []run.Suspect{{Task: "j.0.0.0", Kind: "q", Age: time.Second}, {Task: "deadly.0.0.0", Kind: "q"}}
+	for i := range minLikelyCrashes {
+		suspects := []run.Suspect{{Task: "j.0.0.0", Kind: "q", Age: time.Second}, {Task: "crashing.0.0.0", Kind: "q"}}
 		h.ServerCrashed(h.now, "large", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
 	}
 	if !h.submit("j", 1, 3000, 50*time.Millisecond) {
@@ -291,15 +291,15 @@
 func TestWaitingJobGivenUpAfterCrashesCountsAsRun(t *testing.T) {
 	h := newHarness(t, 1, 10_000)
 	h.submit("filler", 1, 10_000, 50*time.Millisecond)
-	if !h.submit("deadly", 1, 3000, 10*time.Millisecond) {
-		t.Fatalf("the job was refused: %+v", h.outcomes["deadly"])
+	if !h.submit("crashing", 1, 3000, 10*time.Millisecond) {
+		t.Fatalf("the job was refused: %+v", h.outcomes["crashing"])
 	}
 	for i := range maxTaskCrashes {
-		suspects := []run.Suspect{{Task: "deadly.0.0.0", Kind: "q"}, {Task: "x.0.0.0", Kind: "q"}}
+		suspects := []run.Suspect{{Task: "crashing.0.0.0", Kind: "q"}, {Task: "x.0.0.0", Kind: "q"}}
 		h.ServerCrashed(h.now, "a1", run.Crash{Instance: fmt.Sprint(i), Suspects: suspects}, time.Second)
 	}
 	h.take()
-	if o := h.outcomes["deadly"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
+	if o := h.outcomes["crashing"]; o.Code != result.ServerCrashes || o.Effect != result.Run {
 		t.Errorf("outcome %+v, want code %d, run", o, result.ServerCrashes)
 	}
 }
@@ -334,9 +334,9 @@
 		h.ServerCrashed(h.now, fmt.Sprintf("a%d", i), run.Crash{Instance: fmt.Sprintf("i-a%d", i), Suspects: suspects}, 0)
 	}
 	h.advance(2 * time.Second)
-	h.submit("deadly", 1, 3000, 60*time.Millisecond)
+	h.submit("crashing", 1, 3000, 60*time.Millisecond)
 	starts := 0
-	for agent := h.agentOf("deadly.0.0.0"); agent != ""; agent = h.agentOf("deadly.0.0.0") {
+	for agent := h.agentOf("crashing.0.0.0"); agent != ""; agent = h.agentOf("crashing.0.0.0") {
 		starts++
 		h.crashes[agent]++
 		h.endRun(agent, h.orders[agent][0].Ref, run.Stopped, result.ServerLost)
--- a/dispatch/jobs/retry.go
+++ b/dispatch/jobs/retry.go
@@ -61,10 +61,10 @@
 func (s *Scheduler) rejection(now time.Time, j *job, wait time.Duration) Outcome {
 	o := Outcome{Job: j.ID, Code: result.DeadlineUnmet, Effect: result.NotRun, RetryAfter: retryHorizon}
 	o.Free, o.Capacity = s.Capacity()
-	schedule := s.retrySchedules[j.Queue.Service]
+	schedule := s.retrySchedules[s.loadKey(j)]
 	if schedule == nil {
 		schedule = &retrySchedule{}
-		s.retrySchedules[j.Queue.Service] = schedule
+		s.retrySchedules[s.loadKey(j)] = schedule
 	}
 	schedule.advance(now)
 	share := max(minRetryShare, 1-retrySharePerPriority*float64(j.Queue.Priority))
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -26,10 +26,10 @@
 	suspended      map[string]*health.Server
 	outcomes       []Outcome
 	decisions      []Decision
-	dirty          map[string]*server        // servers with a batch to send, by agent
-	leaving        bool                      // the entry stops and takes no more jobs
-	admissionRates map[string]*admissionRate // by service
-	retrySchedules map[string]*retrySchedule // by service
+	dirty          map[string]*server // servers with a batch to send, by agent
+	leaving        bool               // the entry stops and takes no more jobs
+	admissionRates map[loadKey]*admissionRate
+	retrySchedules map[loadKey]*retrySchedule
 	crashes        *crashLog
 	bulkheads      *bulkheads
 	expected       expectation
@@ -61,8 +61,8 @@
 		slowdowns:      map[string]serviceSlowdowns{},
 		declaredErrors: map[string]*declaredError{},
 		dirty:          map[string]*server{},
-		admissionRates: map[string]*admissionRate{},
-		retrySchedules: map[string]*retrySchedule{},
+		admissionRates: map[loadKey]*admissionRate{},
+		retrySchedules: map[loadKey]*retrySchedule{},
 		crashes:        newCrashLog(),
 		bulkheads:      newBulkheads(),
 	}
--- a/dispatch/jobs/throughput.go
+++ b/dispatch/jobs/throughput.go
@@ -31,7 +31,7 @@
 // so late jobs get only the throughput that new jobs leave, which the admission rate estimates.
 func (s *Scheduler) expectedLateWait(now time.Time, j *job) time.Duration {
 	wait := s.expectedWait(now, j, s.onTime, s.late)
-	admitted := s.admissionRates[j.Queue.Service]
+	admitted := s.admissionRates[s.loadKey(j)]
 	throughput := s.throughput(now, j.Queue.Service, s.poolOf(j))
 	if admitted == nil || throughput <= 0 {
 		return wait
@@ -40,12 +40,23 @@
 	return time.Duration(float64(wait) / left)
 }
 
-// recordAdmission adds the work of an admitted job to the admission rate of its service.
+// loadKey identifies the backend servers whose load the job shares: those of its service, or of the bulkhead.
+func (s *Scheduler) loadKey(j *job) loadKey {
+	return loadKey{service: j.Queue.Service, confined: s.confined(j)}
+}
+
+// loadKey is the service of a job and whether its kind is confined.
+type loadKey struct {
+	service  string
+	confined bool
+}
+
+// recordAdmission adds the work of an admitted job to the admission rate of the backend servers that it shares.
 func (s *Scheduler) recordAdmission(now time.Time, j *job) {
-	admitted := s.admissionRates[j.Queue.Service]
+	admitted := s.admissionRates[s.loadKey(j)]
 	if admitted == nil {
 		admitted = &admissionRate{}
-		s.admissionRates[j.Queue.Service] = admitted
+		s.admissionRates[s.loadKey(j)] = admitted
 	}
 	admitted.add(now, j.cpuTime())
 }
