--- a/dispatch/jobs/bulkhead.go
+++ b/dispatch/jobs/bulkhead.go
@@ -60,6 +60,7 @@
 // bulkheads confines the kinds of request that crash backend servers, so that the other kinds keep the rest.
 type bulkheads struct {
 	services map[string]*serviceCrashes
+	active   bool      // a kind of some service is confined
 	at       time.Time // time of the newest update
 }
 
@@ -233,7 +234,7 @@
 
 // confined reports whether the job's kind is confined.
 func (s *Scheduler) confined(j *job) bool {
-	return s.bulkheads.isConfined(j.Queue.Service, j.Queue.Name)
+	return s.bulkheads.active && s.bulkheads.isConfined(j.Queue.Service, j.Queue.Name)
 }
 
 // updateBulkheads releases kinds, and chooses the backend servers of each bulkhead.
@@ -241,6 +242,7 @@
 	b := s.bulkheads
 	elapsed := now.Sub(b.at)
 	b.at = now
+	b.active = false
 	s.crashes.sweep(now)
 	for service, c := range b.services {
 		c.confineByOthers(now)
@@ -249,6 +251,7 @@
 			s.chooseBulkhead(service, confined)
 		}
 		c.active = confined
+		b.active = b.active || confined
 		if !confined {
 			continue
 		}
