--- a/dispatch/runtable/crash.go
+++ b/dispatch/runtable/crash.go
@@ -34,14 +34,14 @@
 }
 
 // noteSilence remembers the runs that the backend server had when it was last known to run, in case it has
-// crashed. Only runs that it has started can have caused a crash.
+// crashed. Only runs that this incarnation has started can have caused a crash.
 func (t *Table) noteSilence(at time.Time) {
 	if t.silent != nil || t.serverLeft {
 		return
 	}
 	c := &Crash{Crash: run.Crash{Instance: t.server.Instance, Starts: t.starts.PerSecond(at)}, At: at}
 	for _, r := range t.runs {
-		if r.accepted {
+		if r.accepted && !r.unsettled {
 			c.Suspects = append(c.Suspects, run.Suspect{Task: r.ref.Task, Kind: r.kind, Age: max(0, at.Sub(r.runningSince))})
 		}
 	}
--- a/dispatch/runtable/crash_test.go
+++ b/dispatch/runtable/crash_test.go
@@ -164,3 +164,20 @@
 		t.Errorf("crashes %+v, want one", crashes)
 	}
 }
+
+// Guards against counting one crash twice under a task: a run that may have been lost with the former incarnation stays in
+// the table until a stop is answered, and the new one may refuse connections or crash meanwhile.
+func TestCrashCountsOnceForUnsettledRun(t *testing.T) {
+	f := newFixture(t)
+	f.startRun("j.0.0.0")
+	f.advance(2 * time.Millisecond)
+	f.Announce(f.now, testServer, testIncarnation+1)
+	if f.Len() != 1 {
+		t.Fatal("the run was ended, want it unsettled")
+	}
+	f.advance(10 * time.Millisecond)
+	f.ServerGone(f.now)
+	if n := len(f.Crashes(f.now, 0)); n != 1 {
+		t.Errorf("%d crashes reported, want 1", n)
+	}
+}
