--- a/dispatch/jobs/bulkhead_test.go
+++ b/dispatch/jobs/bulkhead_test.go
@@ -83,3 +83,17 @@
 		t.Errorf("admission rate of the confined kind %+v, want that of its own job", confined)
 	}
 }
+
+// Guards against a task that must run alone withholding the free capacity of every backend server from other entries:
+// a part of a server is no use to it.
+func TestTaskThatRunsAloneReservesNoCapacity(t *testing.T) {
+	h := newHarness(t, 1, 10_000)
+	h.submit("running", 1, 3000, 50*time.Millisecond)
+	for range minLikelyCrashes {
+		h.Scheduler.crashes.addTask(h.now, "waiting.0.0.0", "i", 0)
+	}
+	h.submit("waiting", 1, 3000, 50*time.Millisecond)
+	if want := h.WaitingDemand(h.now, "a0"); want.Demand.CPU > 0 {
+		t.Errorf("the waiting task asks for %d CPU, want none", want.Demand.CPU)
+	}
+}
