--- a/daemon/event/async.go
+++ b/daemon/event/async.go
@@ -10,6 +10,8 @@
 const (
 	// maxQueuedLines bounds how many lines wait to be written.
 	maxQueuedLines = 1024
+	// maxQueuedTraceLines is the same for a logger with tracing, which writes several lines for each task.
+	maxQueuedTraceLines = 16 * 1024
 	// maxLinesPerSecond bounds the lines logged by Logger.InfoLimited in each second, so that logging a
 	// burst of decisions does not take the processor time that the work needs. All other lines, such as
 	// warnings and errors, are not counted.
@@ -29,8 +31,10 @@
 }
 
 // NewAsyncWriter returns a writer that passes lines on to out and starts its goroutine. Close ends it.
-func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	a := &AsyncWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+func NewAsyncWriter(out io.Writer) *AsyncWriter { return newAsyncWriter(out, maxQueuedLines) }
+
+func newAsyncWriter(out io.Writer, queued int) *AsyncWriter {
+	a := &AsyncWriter{out: out, lines: make(chan []byte, queued), done: make(chan struct{})}
 	go a.run()
 	return a
 }
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -17,9 +17,10 @@
 
 // Logger logs numbered events. The zero value is not usable; use New, NewBounded or Open.
 type Logger struct {
-	log    log.Interface
-	output *AsyncWriter
-	limit  rateLimiter
+	log     log.Interface
+	output  *AsyncWriter
+	limit   rateLimiter
+	tracing bool // log every step of every run
 }
 
 // New returns a logger that writes through l.
@@ -27,14 +28,20 @@
 
 // NewBounded returns a logger for a process under load. It writes JSON lines of level info and above to
 // out in the background, never blocks, and leaves lines out when out does not keep up. ReportLeftOut
-// logs how many. Close ends it.
-func NewBounded(out io.Writer) (*Logger, error) {
-	writer := NewAsyncWriter(out)
+// logs how many. With tracing, it also writes the events of Trace and does not limit those of
+// InfoLimited. Close ends it.
+func NewBounded(out io.Writer, tracing bool) (*Logger, error) {
+	queued := maxQueuedLines
+	if tracing {
+		queued = maxQueuedTraceLines
+	}
+	writer := newAsyncWriter(out, queued)
 	l, err := open("info", FormatJSON, writer)
 	if err != nil {
 		return nil, err
 	}
 	l.output = writer
+	l.tracing = tracing
 	return l, nil
 }
 
@@ -44,11 +51,21 @@
 // InfoLimited logs an event of normal operation that may occur very often. Events above maxLinesPerSecond are
 // left out.
 func (l *Logger) InfoLimited(id ID, f Fields) {
-	if l.limit.allow(time.Now()) {
+	if l.tracing || l.limit.allow(time.Now()) {
+		l.Info(id, f)
+	}
+}
+
+// Trace logs one step of a run or a job, if the logger was made with tracing.
+func (l *Logger) Trace(id ID, f Fields) {
+	if l.tracing {
 		l.Info(id, f)
 	}
 }
 
+// Tracing reports whether Trace logs its events, so that callers can avoid the cost of their fields.
+func (l *Logger) Tracing() bool { return l.tracing }
+
 // ReportLeftOut logs how many lines were left out since the last call, if any.
 func (l *Logger) ReportLeftOut() {
 	n := l.limit.takeSkipped()
--- a/daemon/event/event_test.go
+++ b/daemon/event/event_test.go
@@ -114,3 +114,30 @@
 		}
 	}
 }
+
+// Guards against traces that leave out steps of a run, and against steps in the log of a process that does not
+// trace: they would take the processor time that its work needs.
+func TestTraceLogsEveryStepOnlyWithTracing(t *testing.T) {
+	const steps = 3 * maxLinesPerSecond
+	for _, tracing := range []bool{false, true} {
+		var out bytes.Buffer
+		l, err := NewBounded(&out, tracing)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range steps {
+			l.Trace(OrderAccepted, nil)
+			l.InfoLimited(TaskPlaced, nil)
+		}
+		l.Close()
+		traced := strings.Count(out.String(), Text(OrderAccepted))
+		limited := strings.Count(out.String(), Text(TaskPlaced))
+		if tracing && (traced != steps || limited != steps) {
+			t.Errorf("with tracing: %d and %d lines of %d", traced, limited, steps)
+		}
+		// The lines may be logged in two seconds.
+		if !tracing && (traced != 0 || limited > 2*maxLinesPerSecond) {
+			t.Errorf("without tracing: %d and %d lines", traced, limited)
+		}
+	}
+}
--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -22,6 +22,8 @@
 	AnnouncementRestored  ID = 616
 
 	EndedRunListed ID = 617
+	OrderAccepted  ID = 618
+	ClaimAnswered  ID = 619
 
 	JobEnded                 ID = 650
 	JobAbandoned             ID = 651
@@ -50,6 +52,7 @@
 	ServerCrashed            ID = 674
 	KindConfined             ID = 675
 	KindReleased             ID = 676
+	JobAdmitted              ID = 677
 )
 
 var runTexts = map[ID]string{
@@ -64,7 +67,7 @@
 	StartRefused:             "backend server refused a start, not run",
 	StartUnanswered:          "backend server did not answer a start; it can begin until its expiry",
 	StopUnanswered:           "backend server did not answer a stop; it is repeated",
-	RunEnded:                 "run ended without success",
+	RunEnded:                 "run ended",
 	RunsClaimed:              "entry claimed its runs after a new link",
 	AnnouncementNotSaved:     "announcement of the backend server was not saved; saving is retried",
 	AnnouncementNotLoaded:    "saved announcement of the backend server was not loaded; loading is retried for a short time",
@@ -97,4 +100,7 @@
 	ServerCrashed:            "backend server crashed while it had runs",
 	KindConfined:             "kind of request is confined to some backend servers because it crashes them",
 	KindReleased:             "confined kind of request may use all backend servers again",
+	OrderAccepted:            "order accepted",
+	ClaimAnswered:            "claim of a run answered",
+	JobAdmitted:              "job admitted",
 }
--- a/daemon/link/link.go
+++ b/daemon/link/link.go
@@ -104,6 +104,9 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
+// Local returns the address of this side.
+func (c *Conn) Local() string { return c.conn.LocalAddr().String() }
+
 // Remote returns the peer's address.
 func (c *Conn) Remote() string { return c.conn.RemoteAddr().String() }
 
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -216,7 +216,7 @@
 		delete(a.specs, e.Ref)
 		delete(a.stops, e.Ref)
 		a.counters.countEndedRun(e.Kind)
-		if e.Kind != run.Done {
+		if e.Kind != run.Done || a.Log.Tracing() {
 			a.Log.InfoLimited(event.RunEnded, event.Fields{
 				"task": e.Ref.Task, "run": e.Ref.Run, "entry": e.Owner, "kind": e.Kind.String(), "code": uint32(e.Reason),
 				"basis": e.Basis.String(),
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -171,6 +171,9 @@
 		return run.Event{Ref: ref, Kind: run.NotRun, Reason: code}, false
 	}
 	a.counters.orders.Inc()
+	a.Log.Trace(event.OrderAccepted, event.Fields{
+		"task": ref.Task, "run": ref.Run, "entry": s.entry, "peer": s.conn.Remote(), "frame": s.lastSeq, "expiry_ms": a.table.Expiry(ref),
+	})
 	a.specs[ref] = startSpec{text: o.GetSpec(), checkpoint: o.GetCheckpoint(), instance: o.GetServer()}
 	go a.startRun(ctx, ref)
 	return run.Event{}, true
@@ -188,7 +191,11 @@
 			continue
 		}
 		ordered := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
-		events = append(events, a.table.Claim(s.entry, ref, link.DemandFromProto(c.GetDemand()), now, ordered))
+		e := a.table.Claim(s.entry, ref, link.DemandFromProto(c.GetDemand()), now, ordered)
+		a.Log.Trace(event.ClaimAnswered, event.Fields{
+			"task": ref.Task, "run": ref.Run, "entry": s.entry, "peer": s.conn.Remote(), "age_ms": c.GetAgeMs(), "kind": e.Kind.String(), "code": uint32(e.Reason),
+		})
+		events = append(events, e)
 	}
 	s.claims = waiting
 	if len(events) == 0 {
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -124,7 +124,7 @@
 	a.probeSent = time.Time{}
 	e.scheduler.AgentConnected(boottime.Now(), a.id)
 	e.flush()
-	e.Log.Info(event.LinkOpened, event.Fields{"agent": a.id, "address": a.addr})
+	e.Log.Info(event.LinkOpened, event.Fields{"agent": a.id, "address": a.addr, "local": conn.Local()})
 	return true
 }
 
--- a/daemon/runentry/submit.go
+++ b/daemon/runentry/submit.go
@@ -56,6 +56,7 @@
 		}
 	}
 	e.waiters[j.ID] = append(e.waiters[j.ID], done)
+	e.Log.Trace(event.JobAdmitted, event.Fields{"job": j.ID, "queue": j.Queue.Name, "caller": j.Caller, "callers": len(e.waiters[j.ID])})
 	e.flush()
 	return jobs.Outcome{}, true
 }
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -33,6 +33,8 @@
 type Job struct {
 	ID    string
 	Queue route.Queue
+	// Caller is the network address of the caller, for logs only.
+	Caller string
 	// Spec is passed to the backend servers without interpretation.
 	Spec    string
 	Steps   []Step
