Let one entry at a time own a job

Cause: nothing but time kept two entries from holding one job. The sums assume that a caller comes back 1,300 ms after its connection broke. A caller that takes its request for undelivered comes back at once, while the runs of the first entry still take up to 50 ms to stop. The same holds for a job that comes back to the same entry, and for a request that an entry reads long after its caller has left.

Change: an entry orders tasks of a job only while it owns the job. Two agents of eight that all entries choose alike, the registrars, record the owner (dispatch/owner); the first reachable one decides, the second one keeps the record while the first is away. The entry releases a job when it has ended there and none of its runs is left, so the next owner begins after the last of them. Requests are withdrawn at later registrars while an earlier one has another owner, so that no two entries wait for each other. Agents of earlier versions record nothing, and entries that know only such agents begin at once.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -24,6 +24,8 @@
 	EndedRunListed ID = 617
 	OrderAccepted  ID = 618
 	ClaimAnswered  ID = 619
+	OwnerAnswered  ID = 620
+	OwnerConflict  ID = 621
 
 	JobEnded                 ID = 650
 	JobAbandoned             ID = 651
@@ -102,5 +104,7 @@
 	KindReleased:             "confined kind of request may use all backend servers again",
 	OrderAccepted:            "order accepted",
 	ClaimAnswered:            "claim of a run answered",
+	OwnerAnswered:            "request to own a job answered",
+	OwnerConflict:            "two entries say that they own one job",
 	JobAdmitted:              "job admitted",
 }
--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -6,6 +6,7 @@
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 )
@@ -129,5 +130,24 @@
 	for _, c := range b.Claims {
 		f.Claims = append(f.Claims, &peerv1.RunClaim{Ref: RefToProto(c.Ref), Demand: DemandToProto(c.Demand), AgeMs: uint32(c.Age.Milliseconds())})
 	}
+	for _, r := range b.Requests {
+		f.Requests = append(f.Requests, &peerv1.JobRequest{Job: r.Job, Number: r.Number})
+	}
+	f.Releases, f.Owned = b.Releases, b.Owned
 	return f
 }
+
+// RequestFromProto converts a protobuf message to a request for a job.
+func RequestFromProto(r *peerv1.JobRequest) owner.Request {
+	return owner.Request{Job: r.GetJob(), Number: r.GetNumber()}
+}
+
+// AnswerToProto converts the answer to a request for a job to its protobuf message.
+func AnswerToProto(a owner.Answer) *peerv1.JobAnswer {
+	return &peerv1.JobAnswer{Job: a.Job, Number: a.Number, Granted: a.Granted}
+}
+
+// AnswerFromProto converts a protobuf message to the request for a job that it answers, and whether that is granted.
+func AnswerFromProto(a *peerv1.JobAnswer) (in owner.Request, granted bool) {
+	return owner.Request{Job: a.GetJob(), Number: a.GetNumber()}, a.GetGranted()
+}
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -15,6 +15,7 @@
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/link"
+	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/run"
 	"poplargw.example/dispatch/runtable"
 )
@@ -28,8 +29,11 @@
 	// this.
 	Announcements AnnouncementStore
 	Limits        runtable.Limits
-	Log           *event.Logger
-	Metrics       *metrics.Set
+	// OwnerLostAfter is the time since the newest message of an entry after which all its runs have certainly ended, on
+	// every backend server.
+	OwnerLostAfter time.Duration
+	Log            *event.Logger
+	Metrics        *metrics.Set
 }
 
 // Agent forwards orders to one backend server and reports on its runs. Create one with New. Its methods may
@@ -41,6 +45,7 @@
 
 	mu               sync.Mutex
 	table            *runtable.Table
+	owners           *owner.Table        // which entry owns which job
 	sessions         map[string]*session // by entry, as ID/incarnation
 	speeds           *runtable.Speeds    // by entry, as in sessions
 	specs            map[run.Ref]startSpec
@@ -62,6 +67,7 @@
 		Options:   o,
 		startedAt: now,
 		table:     runtable.New(now, o.Limits),
+		owners:    owner.New(now, ownerLimits(o)),
 		sessions:  map[string]*session{},
 		speeds:    runtable.NewSpeeds(),
 		specs:     map[run.Ref]startSpec{},
@@ -286,6 +292,7 @@
 		a.stopRun(ctx, ref)
 	}
 	a.forgetStops(now)
+	a.expireOwners(now)
 	server := a.table.Server(now)
 	for _, s := range a.sessions {
 		s.respondToClaims(a, now)
--- /dev/null
+++ b/daemon/runagent/ownership.go
@@ -0,0 +1,75 @@
+package runagent
+
+import (
+	"time"
+
+	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/link"
+	"poplargw.example/dispatch/owner"
+)
+
+// maxSweepGap is the longest time between two sweeps of an agent that runs, even if it is short of processor time. A
+// longer one is a pause of the process.
+const maxSweepGap = 5 * sweepInterval
+
+// restoreWindow is how long a restarted agent grants no ownership. Entries that own jobs by its record dial again
+// within 90 ms, and an attempt that was begun while the VM was down takes 250 ms at most.
+const restoreWindow = 350 * time.Millisecond
+
+// ownerLimits returns the limits of the record of owners.
+func ownerLimits(o Options) owner.Limits {
+	return owner.Limits{LostAfter: o.OwnerLostAfter, RestoreWindow: restoreWindow, MaxTickGap: maxSweepGap}
+}
+
+// handleOwnership processes the parts of a frame that concern the ownership of jobs. The caller must hold a.mu.
+func (a *Agent) handleOwnership(now time.Time, s *session, f *peerv1.EntryFrame) {
+	a.owners.Contact(now, s.entry)
+	if f.GetHello() != nil {
+		grants, conflicts := a.owners.Restore(now, s.entry, f.GetOwned())
+		a.queueGrants(grants)
+		for _, job := range conflicts {
+			a.Log.Error(event.OwnerConflict, event.Fields{"job": job, "entry": s.entry, "owner": a.owners.Owner(job)})
+		}
+	}
+	for _, job := range f.GetReleases() {
+		if grant, ok := a.owners.Release(now, s.entry, job); ok {
+			a.queueGrants([]owner.Answer{grant})
+		}
+	}
+	for _, r := range f.GetRequests() {
+		answer, ok := a.owners.Request(now, s.entry, link.RequestFromProto(r))
+		if !ok {
+			continue
+		}
+		a.Log.Trace(event.OwnerAnswered, event.Fields{"job": answer.Job, "entry": s.entry, "granted": answer.Granted, "owner": a.owners.Owner(answer.Job)})
+		s.answers = append(s.answers, answer)
+	}
+	a.sendGrants(s)
+}
+
+// queueGrants adds grants to the answers for their entries. An entry without a link repeats its request over a new one.
+// The caller must hold a.mu.
+func (a *Agent) queueGrants(grants []owner.Answer) {
+	for _, g := range grants {
+		a.Log.Trace(event.OwnerAnswered, event.Fields{"job": g.Job, "entry": g.Entry, "granted": g.Granted, "owner": g.Entry})
+		if s := a.sessions[g.Entry]; s != nil {
+			s.answers = append(s.answers, g)
+		}
+	}
+}
+
+// sendGrants sends the queued answers of all sessions but the given one. The caller must hold a.mu.
+func (a *Agent) sendGrants(except *session) {
+	for _, s := range a.sessions {
+		if s != except && len(s.answers) > 0 {
+			s.send(a, nil)
+		}
+	}
+}
+
+// expireOwners ends the ownerships of lost entries. The caller must hold a.mu.
+func (a *Agent) expireOwners(now time.Time) {
+	a.queueGrants(a.owners.Tick(now))
+	a.sendGrants(nil)
+}
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -9,6 +9,7 @@
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/link"
+	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 	"poplargw.example/dispatch/runtable"
@@ -31,6 +32,7 @@
 	sentServer             run.Server         // as last sent to the entry
 	sentCrash              uint64             // number of the newest crash sent to the entry
 	confined               []string           // kinds of request that the entry confines
+	answers                []owner.Answer     // answers to requests for jobs, not yet sent
 }
 
 // minResponseInterval is the time after a frame to the entry during which a frame with orders gets no
@@ -129,6 +131,7 @@
 	s.confirmedSeq = max(s.confirmedSeq, f.GetAck())
 	a.table.Request(now, s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandFromProto(f.GetWant()))
 	a.table.Confirmed(s.entry, token)
+	a.handleOwnership(now, s, f)
 	a.speeds.Set(s.entry, link.SlowdownFromProto(f.GetSlowdownPermille()))
 	if out := f.GetOut(); out != nil {
 		a.table.SetDomainsOut(out.GetRevision(), out.GetDomains())
@@ -147,7 +150,7 @@
 		}
 	}
 	updates := map[string][]run.Event{}
-	if len(f.GetOrders()) == 0 || len(refusals) > 0 || now.Sub(s.lastSent) >= minResponseInterval {
+	if len(f.GetOrders()) == 0 || len(refusals) > 0 || len(s.answers) > 0 || now.Sub(s.lastSent) >= minResponseInterval {
 		updates[s.entry] = refusals
 	}
 	a.sendUpdates(now, updates)
@@ -236,6 +239,11 @@
 	}
 	f.Confined = a.confinedByOthers(now, s)
 	f.ReportsCrashes = true
+	f.RecordsOwners = true
+	for _, answer := range s.answers {
+		f.Answers = append(f.Answers, link.AnswerToProto(answer))
+	}
+	s.answers = nil
 	s.conn.Send(f)
 }
 
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -69,7 +69,7 @@
 		conn, err := link.Dial(ctx, a.addr, e.LinkTLS, dialTimeout)
 		if err != nil {
 			boottime.Sleep(ctx, jitter(delay))
-			delay = nextRedialDelay(delay, e.hasRuns(a.id))
+			delay = nextRedialDelay(delay, e.isBusy(a.id))
 			continue
 		}
 		delay = minRedialDelay
@@ -77,8 +77,7 @@
 	}
 }
 
-// nextRedialDelay returns the delay that follows the given one. busy tells whether the agent has runs of this
-// entry.
+// nextRedialDelay returns the delay that follows the given one. busy is the result of Entry.isBusy.
 func nextRedialDelay(delay time.Duration, busy bool) time.Duration {
 	if busy {
 		return min(2*delay, busyRedialDelay)
@@ -86,11 +85,11 @@
 	return min(2*delay, maxRedialDelay)
 }
 
-// hasRuns reports whether the agent may have runs of this entry.
-func (e *Entry) hasRuns(agent string) bool {
+// isBusy reports whether the agent may have runs of this entry or record it as the owner of jobs.
+func (e *Entry) isBusy(agent string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.scheduler.HasRuns(agent)
+	return e.scheduler.HasRuns(agent) || e.scheduler.HasOwnerships(agent)
 }
 
 // serveLink registers a new connection and handles its frames until it ends.
@@ -163,6 +162,10 @@
 		crash, ago := link.CrashFromProto(c)
 		e.scheduler.ServerCrashed(now, a.id, crash, ago)
 	}
+	for _, v := range f.GetAnswers() {
+		in, granted := link.AnswerFromProto(v)
+		e.scheduler.JobAnswered(now, a.id, in, granted)
+	}
 	for _, v := range f.GetEvents() {
 		e.scheduler.Event(now, a.id, link.EventFromProto(v))
 	}
@@ -172,6 +175,7 @@
 	e.scheduler.Report(now, a.id, jobs.Report{
 		Server: a.server, Free: link.DemandFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(f.GetEntries()),
 		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(), ReportsCrashes: f.GetReportsCrashes(),
+		RecordsOwners: f.GetRecordsOwners(),
 	})
 	e.flush()
 	// The agent reserves capacity for entries with waiting tasks, so tell it immediately when this changes.
--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
+	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/partner"
 )
 
@@ -39,7 +42,9 @@
 		}
 		a.listed = ok
 	}
-	e.partners.SetFleet(fleet)
+	registrars := jobs.Registrars(slices.Collect(maps.Keys(e.fleet)))
+	e.scheduler.SetRegistrars(registrars)
+	e.partners.SetFleet(fleet, registrars...)
 	e.updatePartners(now)
 	e.scheduler.SetExpectedAgents(now, e.partners.Len())
 	e.Log.Info(event.AgentsChanged, event.Fields{"listed": len(list), "partners": e.partners.Len()})
--- a/dispatch/jobs/attempt.go
+++ b/dispatch/jobs/attempt.go
@@ -65,6 +65,7 @@
 		Expected: time.Duration(float64(j.expectedRunTime(t)) * a.slowdown()),
 	})
 	v.runs[a.ref] = a
+	s.runOrdered(j.ID)
 	v.lastOrder = now
 	v.probes = s.nextProbeCount(v)
 	v.unacked = append(v.unacked, a)
@@ -79,7 +80,7 @@
 }
 
 // removeRun drops a run that has certainly ended.
-func (s *Scheduler) removeRun(a *attempt) {
+func (s *Scheduler) removeRun(now time.Time, a *attempt) {
 	delete(a.server.runs, a.ref)
 	kept := a.server.unacked[:0]
 	for _, o := range a.server.unacked {
@@ -92,6 +93,7 @@
 	if a.task.run == a {
 		a.task.run = nil
 	}
+	s.runEnded(now, a.job.ID)
 }
 
 // markWaiting returns a task to the waiting state and keeps the newest checkpoint of its last run.
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -41,6 +41,7 @@
 			b.Stops = append(b.Stops, a.ref)
 		}
 	}
+	s.restoreOwnerships(agent, b)
 }
 
 // AgentDisconnected records the end of the link to an agent. Its runs keep their places until they are
@@ -73,6 +74,7 @@
 	v.entries = r.Entries
 	v.othersSlowdown = r.OthersSlowdown
 	v.reportsCrashes = r.ReportsCrashes
+	v.recordsOwners = r.RecordsOwners
 	if s.bulkheads.recordOthers(now, r.Server.Service, r.OthersConfined) {
 		s.updateBulkheads(now)
 	}
@@ -124,7 +126,7 @@
 	if a == nil || e.Kind == run.Running {
 		return
 	}
-	s.removeRun(a)
+	s.removeRun(now, a)
 	s.handleRunEnd(now, a, e)
 	s.dispatchJob(now, a.job)
 }
@@ -268,6 +270,7 @@
 // that cannot finish in time, and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time) {
 	s.endLostRuns(now)
+	s.advanceOwnerships(now)
 	s.updateBulkheads(now)
 	s.moveStragglers(now)
 	s.updateSlowdowns()
@@ -284,7 +287,7 @@
 		}
 		s.recordDecision(Decision{Kind: Lost, Agent: v.agent, Age: now.Sub(v.lastContact)})
 		for _, a := range v.runsInOrder() {
-			s.removeRun(a)
+			s.removeRun(now, a)
 			s.handleRunEnd(now, a, run.Event{Ref: a.ref, Kind: run.Stopped, Reason: result.AgentLost})
 		}
 		s.remove(v)
--- /dev/null
+++ b/dispatch/jobs/ownership.go
@@ -0,0 +1,283 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"poplargw.example/dispatch/owner"
+	"poplargw.example/dispatch/rendezvous"
+)
+
+// An entry orders tasks of a job only while it owns the job: a caller may submit a job to another entry, or once
+// more to this one, while runs of its former submission are still being stopped. Two agents, the registrars of the
+// job, record which entry owns it; see package owner. All entries choose the same ones. An entry requests the job
+// from both, and releases it when the job has ended here and none of its runs is left.
+
+const (
+	// registrarsPerJob is the number of agents that record the owner of a job. The second one keeps the record
+	// while the first one is away.
+	registrarsPerJob = 2
+	// MaxRegistrars bounds the number of agents that record owners, because each entry needs a link to all of them.
+	MaxRegistrars = 8
+)
+
+// requestState is the state of the request for a job at one registrar.
+type requestState int
+
+const (
+	requested requestState = iota
+	granted
+	held      // another entry owns the job
+	withdrawn // released because an earlier registrar in the order has another owner
+)
+
+// request is the request for a job at one registrar.
+type request struct {
+	agent  string
+	number uint64
+	state  requestState
+}
+
+// ownership is what the entry knows of the owner of one job.
+type ownership struct {
+	job      string
+	order    []string // registrars, the same order at all entries
+	requests []*request
+	// owned is set once the registrars have granted the job. It stays set until the release.
+	owned bool
+	since time.Time // of the first request
+	// runs is the number of runs of the job that may not have ended, of all its submissions to this entry.
+	runs int
+}
+
+func (o *ownership) request(agent string) *request {
+	for _, r := range o.requests {
+		if r.agent == agent {
+			return r
+		}
+	}
+	return nil
+}
+
+// SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
+// MaxRegistrars. Without registrars, an entry owns each job that it admits.
+func (s *Scheduler) SetRegistrars(agents []string) { s.registrars = slices.Clone(agents) }
+
+// Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
+func Registrars(fleet []string) []string {
+	list := rankFor("registrars", fleet)
+	return list[:min(MaxRegistrars, len(list))]
+}
+
+// rankFor returns the agents by their rendezvous scores for a key, highest first.
+func rankFor(key string, agents []string) []string {
+	scores := make(map[string]uint64, len(agents))
+	for _, a := range agents {
+		scores[a] = rendezvous.Score(a, []byte(key))
+	}
+	list := slices.Clone(agents)
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
+	})
+	return list
+}
+
+// own requests the ownership of a job that has been admitted, unless the entry has it from a former submission.
+func (s *Scheduler) own(now time.Time, j *job) {
+	if s.ownerships[j.ID] == nil {
+		s.ownerships[j.ID] = &ownership{job: j.ID, order: rankFor(j.ID, s.registrars), since: now}
+	}
+	s.advance(now, s.ownerships[j.ID])
+}
+
+// advance sends the requests that are due and lets the job begin if the entry owns it by now.
+func (s *Scheduler) advance(now time.Time, o *ownership) {
+	s.sendRequests(o)
+	o.owned = o.owned || s.conceded(now, o)
+	j := s.jobs[o.job]
+	if j == nil || j.mayOrder || !o.owned || o.runs > 0 {
+		return
+	}
+	j.mayOrder = true
+	s.dispatchJob(now, j)
+}
+
+// reachable reports whether the agent records owners and has answered over the present link.
+func (s *Scheduler) reachable(agent string) bool {
+	v := s.servers[agent]
+	return v != nil && v.linked && v.reported && v.recordsOwners
+}
+
+// sendRequests requests the job from the first registrars that are reachable, unless one of them has another owner. For
+// a job that the entry owns, it keeps that number of records when a registrar is lost.
+func (s *Scheduler) sendRequests(o *ownership) {
+	if s.heldElsewhere(o) {
+		return
+	}
+	o.requests = slices.DeleteFunc(o.requests, func(r *request) bool { return r.state == withdrawn })
+	n := 0
+	for _, agent := range o.order {
+		if n == registrarsPerJob {
+			return
+		}
+		if !s.reachable(agent) {
+			continue
+		}
+		n++
+		if o.request(agent) == nil {
+			r := &request{agent: agent}
+			o.requests = append(o.requests, r)
+			s.sendRequest(o, r, s.batch(s.servers[agent]))
+		}
+	}
+}
+
+// heldElsewhere reports whether a reachable registrar has another owner.
+func (s *Scheduler) heldElsewhere(o *ownership) bool {
+	return slices.ContainsFunc(o.requests, func(r *request) bool { return r.state == held && s.reachable(r.agent) })
+}
+
+// sendRequest adds a request to a batch for the registrar.
+func (s *Scheduler) sendRequest(o *ownership, r *request, b *Batch) {
+	s.lastRequest++
+	r.number, r.state = s.lastRequest, requested
+	b.Requests = append(b.Requests, owner.Request{Job: o.job, Number: r.number})
+}
+
+// conceded reports whether the entry owns the job: the first reachable registrar has granted it, and none has another
+// owner. Without a reachable registrar the job begins if there are none, or once every run from before the submission
+// has certainly ended.
+func (s *Scheduler) conceded(now time.Time, o *ownership) bool {
+	if s.heldElsewhere(o) {
+		return false
+	}
+	for _, agent := range o.order {
+		if s.reachable(agent) {
+			r := o.request(agent)
+			return r != nil && r.state == granted
+		}
+	}
+	return s.withoutRegistrars(o) || now.Sub(o.since) > s.limits.ResubmitAfter
+}
+
+// withoutRegistrars reports whether no agent records owners, as far as the entry knows: there are none, or those that
+// it has reports of are of an earlier version.
+func (s *Scheduler) withoutRegistrars(o *ownership) bool {
+	if len(o.order) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(o.order, func(agent string) bool {
+		v := s.servers[agent]
+		return v != nil && v.linked && v.reported && !v.recordsOwners
+	})
+}
+
+// JobAnswered records the answer of a registrar to a request. Answers to requests that were withdrawn or repeated
+// since are ignored.
+func (s *Scheduler) JobAnswered(now time.Time, agent string, in owner.Request, isGranted bool) {
+	o := s.ownerships[in.Job]
+	if o == nil {
+		return
+	}
+	r := o.request(agent)
+	if r == nil || r.number != in.Number || r.state == withdrawn {
+		return
+	}
+	if isGranted {
+		r.state = granted
+	} else if r.state = held; !o.owned {
+		s.withdrawAfter(o, agent)
+	}
+	s.advance(now, o)
+}
+
+// withdrawAfter withdraws the requests at the registrars that come after the given one, which has another owner, so
+// that two entries never wait for each other.
+func (s *Scheduler) withdrawAfter(o *ownership, agent string) {
+	for _, r := range o.requests {
+		if r.state != withdrawn && slices.Index(o.order, r.agent) > slices.Index(o.order, agent) {
+			r.state = withdrawn
+			s.releaseAt(r.agent, o.job)
+		}
+	}
+}
+
+// releaseAt tells a registrar that the entry does not own or want a job.
+func (s *Scheduler) releaseAt(agent, id string) {
+	if v := s.servers[agent]; v != nil && v.linked {
+		s.batch(v).Releases = append(s.batch(v).Releases, id)
+	}
+}
+
+// runOrdered and runEnded count the runs of a job that may not have ended.
+func (s *Scheduler) runOrdered(id string) {
+	if o := s.ownerships[id]; o != nil {
+		o.runs++
+	}
+}
+
+func (s *Scheduler) runEnded(now time.Time, id string) {
+	o := s.ownerships[id]
+	if o == nil {
+		return
+	}
+	o.runs--
+	s.advance(now, o)
+	s.release(o)
+}
+
+// release gives up a job that has ended here, once none of its runs is left.
+func (s *Scheduler) release(o *ownership) {
+	if s.jobs[o.job] != nil || o.runs > 0 {
+		return
+	}
+	delete(s.ownerships, o.job)
+	for _, r := range o.requests {
+		if r.state != withdrawn {
+			s.releaseAt(r.agent, o.job)
+		}
+	}
+}
+
+// restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record,
+// and the requests that have no grant yet.
+func (s *Scheduler) restoreOwnerships(agent string, b *Batch) {
+	for _, o := range s.ownershipsByJob() {
+		r := o.request(agent)
+		switch {
+		case r == nil || r.state == withdrawn:
+		case o.owned:
+			b.Owned = append(b.Owned, o.job)
+		default:
+			s.sendRequest(o, r, b)
+		}
+	}
+}
+
+// HasOwnerships reports whether the agent records this entry as the owner of a job, or may do so.
+func (s *Scheduler) HasOwnerships(agent string) bool {
+	for _, o := range s.ownerships {
+		if o.request(agent) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// ownershipsByJob returns the ownerships ordered by job, so that decisions are deterministic.
+func (s *Scheduler) ownershipsByJob() []*ownership {
+	list := make([]*ownership, 0, len(s.ownerships))
+	for _, o := range s.ownerships {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b *ownership) int { return cmp.Compare(a.job, b.job) })
+	return list
+}
+
+// advanceOwnerships repeats what depends on time or on the links to registrars.
+func (s *Scheduler) advanceOwnerships(now time.Time) {
+	for _, o := range s.ownershipsByJob() {
+		s.advance(now, o)
+	}
+}
--- /dev/null
+++ b/dispatch/jobs/ownership_test.go
@@ -0,0 +1,332 @@
+package jobs
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"poplargw.example/dispatch/owner"
+	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
+)
+
+var ownerLimits = owner.Limits{LostAfter: testLimits.LostAfter, RestoreWindow: 350 * time.Millisecond, MaxTickGap: 100 * time.Millisecond}
+
+// ownerEntry is one entry of an ownerFleet.
+type ownerEntry struct {
+	*Scheduler
+	name string
+	// frames and answers are on their way to and from each agent, in order.
+	frames  map[string][]Batch
+	answers map[string][]owner.Answer
+	running map[run.Ref]string // agents of the runs that may not have ended
+}
+
+// ownerFleet joins entries with the records of owners of several agents, over links that delay frames and may be reset.
+type ownerFleet struct {
+	now     time.Time
+	agents  []string
+	tables  map[string]*owner.Table
+	entries []*ownerEntry
+}
+
+func newOwnerFleet(entries, agents int) *ownerFleet {
+	f := &ownerFleet{now: time.Unix(1000, 0), tables: map[string]*owner.Table{}}
+	for i := range agents {
+		agent := fmt.Sprintf("a%d", i)
+		f.agents = append(f.agents, agent)
+		f.tables[agent] = owner.New(f.now.Add(-time.Second), ownerLimits)
+		f.tables[agent].Tick(f.now)
+	}
+	for i := range entries {
+		e := &ownerEntry{Scheduler: New(testLimits), name: fmt.Sprintf("e%d", i), frames: map[string][]Batch{}, answers: map[string][]owner.Answer{}, running: map[run.Ref]string{}}
+		e.SetRegistrars(f.agents)
+		f.entries = append(f.entries, e)
+		for _, agent := range f.agents {
+			f.connect(e, agent)
+		}
+		f.deliverAll()
+	}
+	return f
+}
+
+// connect opens a link, or replaces the open one; frames and answers that are on their way are lost.
+func (f *ownerFleet) connect(e *ownerEntry, agent string) {
+	e.frames[agent], e.answers[agent] = nil, nil
+	e.AgentConnected(f.now, agent)
+	f.take(e)
+	e.Report(f.now, agent, Report{Server: serverOf(agent, 64000), Free: run.Demand{CPU: 64000, MemoryMB: 1 << 20}, RecordsOwners: true})
+	f.take(e)
+}
+
+// disconnect ends the links of all entries to an agent.
+func (f *ownerFleet) disconnect(agent string) {
+	for _, e := range f.entries {
+		e.frames[agent], e.answers[agent] = nil, nil
+		e.AgentDisconnected(agent)
+	}
+}
+
+// take puts the batches of an entry on their way.
+func (f *ownerFleet) take(e *ownerEntry) {
+	_, batches := e.Take()
+	for _, b := range batches {
+		e.frames[b.Agent] = append(e.frames[b.Agent], b)
+		for _, o := range b.Orders {
+			e.running[o.Ref] = b.Agent
+		}
+	}
+}
+
+// deliverFrame delivers the next frame of an entry to an agent.
+func (f *ownerFleet) deliverFrame(e *ownerEntry, agent string) {
+	if len(e.frames[agent]) == 0 {
+		return
+	}
+	b, table := e.frames[agent][0], f.tables[agent]
+	e.frames[agent] = e.frames[agent][1:]
+	table.Contact(f.now, e.name)
+	if b.Seq == 1 {
+		grants, _ := table.Restore(f.now, e.name, b.Owned)
+		f.queue(agent, grants...)
+	}
+	for _, job := range b.Releases {
+		if a, ok := table.Release(f.now, e.name, job); ok {
+			f.queue(agent, a)
+		}
+	}
+	for _, r := range b.Requests {
+		if a, ok := table.Request(f.now, e.name, r); ok {
+			f.queue(agent, a)
+		}
+	}
+}
+
+func (f *ownerFleet) queue(agent string, answers ...owner.Answer) {
+	for _, a := range answers {
+		for _, e := range f.entries {
+			if e.name == a.Entry {
+				e.answers[agent] = append(e.answers[agent], a)
+			}
+		}
+	}
+}
+
+// deliverAnswer delivers the next answer of an agent to an entry.
+func (f *ownerFleet) deliverAnswer(e *ownerEntry, agent string) {
+	if len(e.answers[agent]) == 0 {
+		return
+	}
+	a := e.answers[agent][0]
+	e.answers[agent] = e.answers[agent][1:]
+	e.JobAnswered(f.now, agent, a.Request, a.Granted)
+	f.take(e)
+}
+
+// deliverAll delivers all frames and answers until none is on its way.
+func (f *ownerFleet) deliverAll() {
+	for busy := true; busy; {
+		busy = false
+		for _, e := range f.entries {
+			for _, agent := range f.agents {
+				busy = busy || len(e.frames[agent])+len(e.answers[agent]) > 0
+				f.deliverFrame(e, agent)
+				f.deliverAnswer(e, agent)
+			}
+		}
+	}
+}
+
+// advance moves the time. Agents and entries run, and entries send heartbeats.
+func (f *ownerFleet) advance(d time.Duration) {
+	f.now = f.now.Add(d)
+	for _, agent := range f.agents {
+		for _, e := range f.entries {
+			f.tables[agent].Contact(f.now, e.name)
+			e.RecordMessage(f.now, agent)
+		}
+		f.queue(agent, f.tables[agent].Tick(f.now)...)
+	}
+	for _, e := range f.entries {
+		e.Tick(f.now)
+		f.take(e)
+	}
+}
+
+// submit submits the job to an entry unless that has it.
+func (f *ownerFleet) submit(e *ownerEntry, id string) {
+	if held, _ := e.Has(id); held {
+		return
+	}
+	e.Submit(f.now, Job{
+		ID: id, Queue: testQueue, Arrived: f.now, Deadline: f.now.Add(time.Hour),
+		Steps: []Step{{Count: 2, Demand: run.Demand{CPU: 1000, MemoryMB: 1}, Estimate: time.Second}},
+	})
+	f.take(e)
+}
+
+// endRun reports the end of one run of the entry, if it has any.
+func (f *ownerFleet) endRun(e *ownerEntry, kind run.EventKind) {
+	refs := make([]run.Ref, 0, len(e.running))
+	for ref := range e.running {
+		refs = append(refs, ref)
+	}
+	if len(refs) == 0 {
+		return
+	}
+	slices.SortFunc(refs, func(a, b run.Ref) int { return int(int64(a.Run) - int64(b.Run)) })
+	agent := e.running[refs[0]]
+	delete(e.running, refs[0])
+	e.Event(f.now, agent, run.Event{Ref: refs[0], Kind: kind, Reason: result.ServerLost})
+	f.take(e)
+}
+
+// concurrent returns the tasks that have more than one run that may not have ended.
+func (f *ownerFleet) concurrent() []string {
+	count := map[string]int{}
+	for _, e := range f.entries {
+		for ref := range e.running {
+			count[ref.Task]++
+		}
+	}
+	var tasks []string
+	for task, n := range count {
+		if n > 1 {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks
+}
+
+func (f *ownerFleet) runs(e *ownerEntry) int { return len(e.running) }
+
+// Guards against two runs of a task when a caller submits its job again at once: the second entry waits until no run
+// of the first one is left, and then runs the job.
+func TestJobSubmittedToSecondEntryWaitsForRunsOfFirst(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	f.submit(first, "j")
+	f.deliverAll()
+	if f.runs(first) != 2 {
+		t.Fatalf("%d runs at the first entry", f.runs(first))
+	}
+	first.Abandon("j")
+	f.take(first)
+	f.submit(second, "j")
+	f.deliverAll()
+	f.endRun(first, run.Stopped)
+	f.deliverAll()
+	if f.runs(second) != 0 {
+		t.Fatal("the second entry ordered tasks while a run of the first one is left")
+	}
+	f.endRun(first, run.Stopped)
+	f.deliverAll()
+	if f.runs(second) != 2 {
+		t.Errorf("%d runs at the second entry", f.runs(second))
+	}
+}
+
+// Guards against two runs of a task when the job comes back to the same entry while its former runs are being stopped.
+func TestJobSubmittedToSameEntryWaitsForItsFormerRuns(t *testing.T) {
+	f := newOwnerFleet(1, 4)
+	e := f.entries[0]
+	f.submit(e, "j")
+	f.deliverAll()
+	e.Abandon("j")
+	f.submit(e, "j")
+	f.deliverAll()
+	if f.runs(e) != 2 {
+		t.Fatalf("%d runs while the former ones are being stopped", f.runs(e))
+	}
+	f.endRun(e, run.Stopped)
+	f.endRun(e, run.Stopped)
+	f.deliverAll()
+	if f.runs(e) != 2 {
+		t.Errorf("%d runs after the former ones have ended", f.runs(e))
+	}
+}
+
+// Guards against jobs that never begin, or have no record of their owner, because an agent that records owners is away.
+func TestJobBeginsWithoutItsFirstRegistrar(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverFrame(first, order[1])
+	f.deliverAnswer(first, order[1])
+	if f.runs(first) != 0 {
+		t.Fatal("tasks ordered before the first registrar has answered")
+	}
+	f.disconnect(order[0])
+	f.advance(20 * time.Millisecond)
+	if f.runs(first) != 2 {
+		t.Fatalf("%d runs although the second registrar has granted the job", f.runs(first))
+	}
+	f.deliverAll()
+	f.disconnect(order[1])
+	f.advance(20 * time.Millisecond)
+	f.deliverAll()
+	first.Abandon("j")
+	f.take(first)
+	f.submit(second, "j")
+	f.deliverAll()
+	if f.runs(second) != 0 {
+		t.Error("the second entry ordered tasks after both first registrars were lost one after the other")
+	}
+}
+
+// Guards against jobs that wait for agents of an earlier version, which do not record owners.
+func TestJobBeginsWithoutAgentsThatRecordOwners(t *testing.T) {
+	h := newHarness(t, 3, 8000)
+	h.SetRegistrars([]string{"a0", "a1", "a2"})
+	h.submit("j", 2, 1000, 100*time.Millisecond)
+	if h.placed() != 2 {
+		t.Errorf("%d tasks placed", h.placed())
+	}
+}
+
+// Guards against two entries with runs of one task, whatever is reset between a request, its answer, the release and the
+// repetition of a request: callers come back at once, links lose what is on its way, agents restart.
+func TestOwnershipModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newOwnerFleet(3, 3)
+		restartedAt := f.now
+		entry := func() *ownerEntry { return rapid.SampledFrom(f.entries).Draw(t, "entry") }
+		agent := func() string { return rapid.SampledFrom(f.agents).Draw(t, "agent") }
+		job := func() string { return rapid.SampledFrom([]string{"j", "k"}).Draw(t, "job") }
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  func(*rapid.T) { f.submit(entry(), job()) },
+			"abandon": func(*rapid.T) { e := entry(); e.Abandon(job()); f.take(e) },
+			"frame":   func(*rapid.T) { f.deliverFrame(entry(), agent()) },
+			"answer":  func(*rapid.T) { f.deliverAnswer(entry(), agent()) },
+			"deliver": func(*rapid.T) { f.deliverAll() },
+			"stopped": func(*rapid.T) { f.endRun(entry(), run.Stopped) },
+			"done":    func(*rapid.T) { f.endRun(entry(), run.Done) },
+			"reset":   func(*rapid.T) { f.connect(entry(), agent()) },
+			"time":    func(*rapid.T) { f.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "ms")) * time.Millisecond) },
+			"restart": func(t *rapid.T) {
+				// Two agents that restart at about the same time lose both records of a job.
+				if f.now.Sub(restartedAt) < 2*ownerLimits.RestoreWindow {
+					t.Skip("another agent has just restarted")
+				}
+				restartedAt = f.now
+				a := agent()
+				f.tables[a] = owner.New(f.now, ownerLimits)
+				for _, e := range f.entries {
+					f.connect(e, a)
+					for len(e.frames[a]) > 0 {
+						f.deliverFrame(e, a)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				if tasks := f.concurrent(); len(tasks) > 0 {
+					t.Fatalf("two runs of %v", tasks)
+				}
+			},
+		})
+	})
+}
--- a/dispatch/jobs/place.go
+++ b/dispatch/jobs/place.go
@@ -106,6 +106,9 @@
 
 // placeJob places the job's runnable tasks on the backend servers of the pass.
 func (s *Scheduler) placeJob(p *pass, j *job) placement {
+	if !j.mayOrder {
+		return nonePlaced
+	}
 	started, all := j.startedAt, true
 	blockedStep := -1 // the step of which no more tasks can be placed
 	for _, t := range j.tasks {
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -59,7 +59,7 @@
 // if it had free capacity.
 func (s *Scheduler) wantedDemand(now time.Time, j *job, v *server) run.Demand {
 	var sum run.Demand
-	if j.Queue.Service != v.state.Service {
+	if !j.mayOrder || j.Queue.Service != v.state.Service {
 		return sum
 	}
 	for _, t := range j.tasks {
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -38,6 +38,9 @@
 	jobRefused     bool                        // a job was refused because it fits on no known backend server
 	slowdowns      map[string]serviceSlowdowns // by service
 	declaredErrors map[string]*declaredError   // by service
+	registrars     []string                    // agents that may record owners of jobs
+	ownerships     map[string]*ownership       // by job
+	lastRequest    uint64                      // number of the newest request for a job
 	singleServer   [1]*server                  // argument of dispatchTo, kept to avoid an allocation
 }
 
@@ -65,6 +68,7 @@
 		retrySchedules: map[loadKey]*retrySchedule{},
 		crashes:        newCrashLog(),
 		bulkheads:      newBulkheads(),
+		ownerships:     map[string]*ownership{},
 	}
 }
 
@@ -190,7 +194,7 @@
 	j.arrivalNumber = s.arrivals
 	s.jobs[j.ID] = j
 	s.enqueue(now, j)
-	s.dispatchJob(now, j)
+	s.own(now, j)
 	return Outcome{}, true
 }
 
@@ -291,6 +295,9 @@
 			s.stop(t.run)
 		}
 	}
+	if o := s.ownerships[j.ID]; o != nil {
+		s.release(o)
+	}
 }
 
 // finish ends a job and records the outcome for its caller.
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -34,10 +34,12 @@
 	reported  bool  // a report has arrived over the present link
 	// reportsCrashes is set if the agent reports crashes, so that other lost runs are not counted as such.
 	reportsCrashes bool
-	entries        int       // number of entries that share the backend server; 0 if unknown
-	lastOrder      time.Time // time of the newest order
-	probes         int       // consecutive orders while it was too slow
-	unanswered     int       // consecutive orders without an answer
+	// recordsOwners is set if the agent records the owners of jobs.
+	recordsOwners bool
+	entries       int       // number of entries that share the backend server; 0 if unknown
+	lastOrder     time.Time // time of the newest order
+	probes        int       // consecutive orders while it was too slow
+	unanswered    int       // consecutive orders without an answer
 	// pausedUntil is when the agent gets orders again after it refused or did not answer some.
 	pausedUntil time.Time
 	// inBulkhead is set while the backend server takes only tasks of confined kinds.
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/route"
 	"poplargw.example/dispatch/run"
@@ -131,6 +132,11 @@
 	Orders []Order
 	Stops  []run.Ref
 	Claims []Claim
+	// Requests, Releases and Owned concern the ownership of jobs; see package owner. Owned, in the first frame of a
+	// link only, is the complete list of jobs that the entry owns by the agent's record.
+	Requests []owner.Request
+	Releases []string
+	Owned    []string
 }
 
 // Report is the state of an agent's backend server. It accounts for the frames from this entry up to
@@ -147,6 +153,8 @@
 	OthersConfined []string
 	// ReportsCrashes is set if the agent reports crashes of its backend server.
 	ReportsCrashes bool
+	// RecordsOwners is set if the agent records the owners of jobs.
+	RecordsOwners bool
 }
 
 // Limits configures the scheduler.
@@ -157,6 +165,9 @@
 	// LostAfter is the time since the last message of an agent without a link after which its runs have
 	// certainly ended.
 	LostAfter time.Duration
+	// ResubmitAfter is the time after the end of a submission within which all its runs have certainly ended, even
+	// if every stop was lost.
+	ResubmitAfter time.Duration
 	// MaxWaitingTasks bounds the number of waiting tasks.
 	MaxWaitingTasks int
 	// RemoteDataFactor is how many times longer a task runs away from its data; values below 1 count as
--- /dev/null
+++ b/dispatch/owner/owner.go
@@ -0,0 +1,229 @@
+// Package owner keeps an agent's record of which entry owns which job. An entry starts tasks of a job only
+// while it owns the job, so that no two entries run one job at the same time, however soon a caller submits it
+// to another entry. The package does no I/O, takes the time as a parameter, and is not safe for concurrent use.
+package owner
+
+import (
+	"slices"
+	"time"
+)
+
+// Limits are the time limits of a Table.
+type Limits struct {
+	// LostAfter is the time since the newest message of an entry after which all runs that it ordered
+	// have certainly ended.
+	LostAfter time.Duration
+	// RestoreWindow is how long after the start of the agent no ownership is granted. Entries that own
+	// jobs connect again within it and say so.
+	RestoreWindow time.Duration
+	// MaxTickGap is the longest time between two calls of Tick in an agent that runs. The excess of a
+	// longer one does not count as silence of the entries, because their messages may wait unread.
+	MaxTickGap time.Duration
+}
+
+// Request asks for the ownership of a job. Number is chosen by the entry and part of the answer, so that the entry can
+// tell an answer to a request that it has withdrawn since.
+type Request struct {
+	Job    string
+	Number uint64
+}
+
+// Answer tells an entry that an agent has granted it a job, or that another entry owns the job. In that case the
+// grant follows once the owner has released the job or is lost.
+type Answer struct {
+	Entry string
+	Request
+	Granted bool
+}
+
+// claimant is an entry with the number of its newest request.
+type claimant struct {
+	entry  string
+	number uint64
+}
+
+// record is a job with its owner and the entries that want to own it, in the order of their requests.
+type record struct {
+	owner   string
+	waiting []claimant
+}
+
+// remove removes an entry from those that wait, and reports whether it was one of them.
+func (r *record) remove(entry string) bool {
+	before := len(r.waiting)
+	r.waiting = slices.DeleteFunc(r.waiting, func(c claimant) bool { return c.entry == entry })
+	return len(r.waiting) < before
+}
+
+// Table records the owners of jobs. Create one with New.
+type Table struct {
+	limits    Limits
+	startedAt time.Time
+	lastTick  time.Time
+	jobs      map[string]*record
+	// contacts holds the time of the newest message of each entry that owns a job or waits for one.
+	contacts map[string]time.Time
+}
+
+// New returns the table of an agent that has just started.
+func New(now time.Time, limits Limits) *Table {
+	return &Table{limits: limits, startedAt: now, lastTick: now, jobs: map[string]*record{}, contacts: map[string]time.Time{}}
+}
+
+// Len returns the number of jobs that have an owner or are requested.
+func (t *Table) Len() int { return len(t.jobs) }
+
+// Owner returns the entry that owns the job, or the empty string.
+func (t *Table) Owner(job string) string {
+	if r := t.jobs[job]; r != nil {
+		return r.owner
+	}
+	return ""
+}
+
+// Contact records a message of the entry.
+func (t *Table) Contact(now time.Time, entry string) {
+	if _, ok := t.contacts[entry]; ok {
+		t.contacts[entry] = now
+	}
+}
+
+// Request records that the entry wants to own the job, and returns the answer. It returns false if the answer
+// follows after the RestoreWindow.
+func (t *Table) Request(now time.Time, entry string, in Request) (Answer, bool) {
+	t.contacts[entry] = now
+	r := t.record(in.Job)
+	if r.owner == entry {
+		return Answer{Entry: entry, Request: in, Granted: true}, true
+	}
+	r.remove(entry)
+	r.waiting = append(r.waiting, claimant{entry, in.Number})
+	if r.owner != "" {
+		return Answer{Entry: entry, Request: in}, true
+	}
+	return t.settle(now, in.Job, r)
+}
+
+// restoring reports whether owners from before the start of the agent may not have reported yet.
+func (t *Table) restoring(now time.Time) bool { return now.Sub(t.startedAt) < t.limits.RestoreWindow }
+
+func (t *Table) record(job string) *record {
+	r := t.jobs[job]
+	if r == nil {
+		r = &record{}
+		t.jobs[job] = r
+	}
+	return r
+}
+
+// grantNext gives a job without an owner to the first entry that waits for it.
+func (t *Table) grantNext(job string, r *record) Answer {
+	next := r.waiting[0]
+	r.owner, r.waiting = next.entry, r.waiting[1:]
+	return Answer{Entry: next.entry, Request: Request{Job: job, Number: next.number}, Granted: true}
+}
+
+// Release records that the entry neither owns nor wants the job any more: none of its runs of the job is left. It
+// returns the resulting grant to another entry, if there is one.
+func (t *Table) Release(now time.Time, entry, job string) (Answer, bool) {
+	r := t.jobs[job]
+	if r == nil {
+		return Answer{}, false
+	}
+	r.remove(entry)
+	if r.owner == entry {
+		r.owner = ""
+	}
+	return t.settle(now, job, r)
+}
+
+// settle grants a job without an owner to the next entry, or forgets a job that no entry wants.
+func (t *Table) settle(now time.Time, job string, r *record) (Answer, bool) {
+	switch {
+	case r.owner != "":
+		return Answer{}, false
+	case len(r.waiting) == 0:
+		delete(t.jobs, job)
+		return Answer{}, false
+	case t.restoring(now):
+		return Answer{}, false
+	}
+	return t.grantNext(job, r), true
+}
+
+// Restore records the complete list of jobs that the entry owns, which it sends over a new link. Jobs that are
+// not in the list have been released meanwhile, and requests from before have to be repeated. A job that has another
+// owner by now keeps that one; Restore returns such jobs as conflicts, and the grants to other entries.
+func (t *Table) Restore(now time.Time, entry string, jobs []string) (grants []Answer, conflicts []string) {
+	owned := make(map[string]bool, len(jobs))
+	for _, job := range jobs {
+		owned[job] = true
+	}
+	grants = t.drop(now, entry, func(job string) bool { return !owned[job] })
+	if len(jobs) > 0 {
+		t.contacts[entry] = now
+	}
+	for _, job := range jobs {
+		r := t.record(job)
+		switch r.owner {
+		case "", entry:
+			r.owner = entry
+		default:
+			conflicts = append(conflicts, job)
+		}
+	}
+	return grants, conflicts
+}
+
+// drop removes the entry from the jobs that the filter accepts, and returns the grants to other entries.
+func (t *Table) drop(now time.Time, entry string, accepts func(job string) bool) []Answer {
+	var grants []Answer
+	for job, r := range t.jobs {
+		if !accepts(job) || r.owner != entry && !r.remove(entry) {
+			continue
+		}
+		if a, ok := t.Release(now, entry, job); ok {
+			grants = append(grants, a)
+		}
+	}
+	return grants
+}
+
+// Tick ends the ownerships of lost entries and returns the grants to others, also those that were held back during
+// the RestoreWindow.
+func (t *Table) Tick(now time.Time) []Answer {
+	t.discountPause(now)
+	var grants []Answer
+	for entry, contact := range t.contacts {
+		if now.Sub(contact) <= t.limits.LostAfter {
+			continue
+		}
+		delete(t.contacts, entry)
+		grants = append(grants, t.drop(now, entry, func(string) bool { return true })...)
+	}
+	if t.restoring(now) {
+		return grants
+	}
+	for job, r := range t.jobs {
+		if a, ok := t.settle(now, job, r); ok {
+			grants = append(grants, a)
+		}
+	}
+	return grants
+}
+
+// discountPause moves the contacts by the time for which the agent did not run.
+func (t *Table) discountPause(now time.Time) {
+	gap := now.Sub(t.lastTick) - t.limits.MaxTickGap
+	t.lastTick = now
+	if gap <= 0 {
+		return
+	}
+	for entry, contact := range t.contacts {
+		if moved := contact.Add(gap); moved.Before(now) {
+			t.contacts[entry] = moved
+		} else {
+			t.contacts[entry] = now
+		}
+	}
+}
--- a/dispatch/partner/partner.go
+++ b/dispatch/partner/partner.go
@@ -133,10 +133,12 @@
 	}
 }
 
-// SetFleet replaces the list of agents. Partners that are no longer listed stay until they are
-// dropped, because keys also disappear while the store is down.
-func (s *Set) SetFleet(fleet []Agent) {
+// SetFleet replaces the list of agents. The required ones belong to the base of every entry, whatever
+// their rank. Partners that are no longer listed stay until they are dropped, because keys also
+// disappear while the store is down.
+func (s *Set) SetFleet(fleet []Agent, required ...string) {
 	s.ranked, s.base = s.rank(fleet)
+	s.base = moveToFront(s.ranked, s.base, required)
 	for _, m := range s.members {
 		m.listed = false
 		m.rank = len(s.ranked)
--- a/dispatch/partner/partner_test.go
+++ b/dispatch/partner/partner_test.go
@@ -94,6 +94,29 @@
 	}
 }
 
+// Guards against entries without a link to an agent that all of them need, and against required agents that displace
+// the entry's own choice.
+func TestRequiredAgentsArePartnersOfEveryEntry(t *testing.T) {
+	fleet := fleetOf(240)
+	required := []string{fleet[7].ID, fleet[100].ID, fleet[239].ID}
+	for i := range 20 {
+		s, plain := New(fmt.Sprintf("front-%d", i), domain(i)), New(fmt.Sprintf("front-%d", i), domain(i))
+		s.SetFleet(fleet, required...)
+		plain.SetFleet(fleet)
+		settle(s, start, fakeView{})
+		settle(plain, start, fakeView{})
+		ids := s.memberIDs()
+		for _, id := range append(plain.memberIDs(), required...) {
+			if !slices.Contains(ids, id) {
+				t.Errorf("entry %d has no link to %s", i, id)
+			}
+		}
+		if s.Len() > plain.Len()+len(required) {
+			t.Errorf("entry %d has %d partners, %d without required agents", i, s.Len(), plain.Len())
+		}
+	}
+}
+
 // Guards against partners that change when an entry restarts or agents join the fleet. Each change
 // costs a connection and the estimates about the agent.
 func TestChoiceIsStable(t *testing.T) {
--- a/dispatch/partner/rank.go
+++ b/dispatch/partner/rank.go
@@ -71,3 +71,21 @@
 	}
 	return all
 }
+
+// moveToFront moves the required agents to the front of the ranking, where they belong to the base, and returns the
+// size of the base.
+func moveToFront(ranked []Agent, base int, required []string) int {
+	next := 0
+	for i, a := range ranked {
+		if !slices.Contains(required, a.ID) {
+			continue
+		}
+		if i >= base {
+			base++
+		}
+		copy(ranked[next+1:i+1], ranked[next:i])
+		ranked[next] = a
+		next++
+	}
+	return base
+}
