Notice a pause before anything that may order tasks

Cause: only a tick noticed that the process had been paused. Frames that waited in the sockets may be handled before it: they report runs that were stopped during the pause, and their tasks were ordered again although the job's caller may have submitted it to another entry. Besides, the threshold was 900 ms, and the agents take a silent entry for lost after 809 ms.

Change: each frame, new link and request checks for a pause first. The threshold follows from the time after which agents take the entry for lost, less 200 ms (609 ms on the platform). A pause ends the ownership of all jobs.

TestFrameAfterPauseOrdersNothing fails without the check ("the job continues after a pause"). TestJobsAreGivenUpAfterPause uses the new threshold and is otherwise as strict.

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -51,6 +51,7 @@
 	waiters         map[string][]chan jobs.Outcome // by job ID, one channel for each waiting caller
 	outOfService    domainSet
 	lastTick        time.Time
+	lastPause       time.Time // the last tick before the newest pause
 	tickDelays      lag.Meter // delays of tick beyond tickInterval
 	responseDelays  lag.Meter // round-trip times of probes beyond each agent's minimum
 	history         *jobHistory
@@ -90,9 +91,9 @@
 	// lateTickThreshold is the gap between two ticks above which unread frames may still be waiting in the
 	// sockets, so that a link that seems silent may not be.
 	lateTickThreshold = 100 * time.Millisecond
-	// pauseThreshold is the gap between two ticks above which the process is considered to have been
-	// paused. Callers resubmit a job to another entry 1.3 s after they lost contact with this one.
-	pauseThreshold = 900 * time.Millisecond
+	// pauseMargin is how much shorter than the time after which agents take a silent entry for lost a pause is that
+	// ends the ownership of all jobs: the newest message from before the pause may be that old.
+	pauseMargin = 200 * time.Millisecond
 )
 
 // Run dials agents and does the periodic work of the entry until ctx ends.
@@ -126,6 +127,7 @@
 	late := !e.lastTick.IsZero() && now.Sub(e.lastTick) > lateTickThreshold
 	e.observeTickDelay(now)
 	e.dropJobsAfterPause(now)
+	e.lastTick = now
 	if !late {
 		e.closeSilentLinks(now)
 	}
@@ -136,20 +138,25 @@
 	e.logInterval(now)
 }
 
-// dropJobsAfterPause gives up all jobs if the process was paused: their callers may have resubmitted them
-// to another entry, and the frames waiting in the sockets are just as old. The caller must hold e.mu.
+// dropJobsAfterPause gives up all jobs if the process was paused for so long that agents may have granted them to
+// other entries. It is called before anything that may order tasks, because the first work after a pause is not
+// always a tick. The caller must hold e.mu.
 func (e *Entry) dropJobsAfterPause(now time.Time) {
 	last := e.lastTick
-	e.lastTick = now
-	if last.IsZero() || now.Sub(last) < pauseThreshold {
+	if last.IsZero() || last.Equal(e.lastPause) || now.Sub(last) < e.pauseThreshold() {
 		return
 	}
+	e.lastPause = last
 	e.Log.Warn(event.ProcessPaused, event.Fields{"ms": now.Sub(last).Milliseconds(), "jobs": len(e.waiters)})
 	for id := range e.waiters {
 		e.scheduler.GiveUp(id, result.NotReady)
 	}
+	e.scheduler.Disown()
 }
 
+// pauseThreshold returns the time since the last tick from which on the process counts as paused.
+func (e *Entry) pauseThreshold() time.Duration { return e.Limits.LostAfter - pauseMargin }
+
 // SetConfig replaces the routes. It ignores a version that is not newer than the current one.
 func (e *Entry) SetConfig(c *route.Config) {
 	e.mu.Lock()
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -121,7 +121,9 @@
 	a.conn = conn
 	a.lastSeq, a.tokenMS, a.outOfServiceSent = 0, 0, false
 	a.probeSent = time.Time{}
-	e.scheduler.AgentConnected(boottime.Now(), a.id)
+	now := boottime.Now()
+	e.dropJobsAfterPause(now)
+	e.scheduler.AgentConnected(now, a.id)
 	e.flush()
 	e.Log.Info(event.LinkOpened, event.Fields{"agent": a.id, "address": a.addr, "local": conn.Local()})
 	return true
@@ -149,6 +151,7 @@
 		return
 	}
 	now := boottime.Now()
+	e.dropJobsAfterPause(now)
 	a.lastSeq = f.GetSeq()
 	a.tokenMS = max(a.tokenMS, f.GetClockMs())
 	e.scheduler.RecordMessage(now, a.id)
--- a/daemon/runentry/pause_test.go
+++ b/daemon/runentry/pause_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/result"
@@ -33,11 +34,11 @@
 		e.dropJobsAfterPause(now)
 		e.flush()
 	}
-	pause(pauseThreshold - time.Millisecond)
+	pause(e.pauseThreshold() - time.Millisecond)
 	if len(done) != 0 {
 		t.Error("job given up after a short pause")
 	}
-	pause(pauseThreshold)
+	pause(e.pauseThreshold())
 	if len(done) != 1 {
 		t.Fatal("job continues after a long pause")
 	}
@@ -45,3 +46,27 @@
 		t.Errorf("outcome %+v of a job that has started", o)
 	}
 }
+
+// Guards against tasks that are ordered between the end of a pause and its detection: frames that wait in the sockets
+// report runs that were stopped during the pause, and may be handled before the next tick.
+func TestFrameAfterPauseOrdersNothing(t *testing.T) {
+	e, a := newTestEntry(t)
+	done := make(chan jobs.Outcome, 1)
+	j := jobs.Job{ID: "1", Queue: route.Queue{Service: "svc", Attempts: 1, Stretch: 1.6}, Steps: []jobs.Step{
+		{Count: 1, Demand: run.Demand{CPU: 100}, Estimate: 100 * time.Millisecond},
+	}, Arrived: boottime.Now()}
+	if o, ok := e.admit(j, done); !ok {
+		t.Fatalf("job rejected: %+v", o)
+	}
+	e.mu.Lock()
+	e.lastTick = boottime.Now().Add(-2 * e.pauseThreshold())
+	_, before := e.scheduler.Tasks()
+	e.mu.Unlock()
+	e.handleFrame(a, &peerv1.AgentFrame{Seq: 1})
+	if _, after := e.scheduler.Tasks(); before != 1 || after != 1 {
+		t.Errorf("%d runs before the frame, %d after it", before, after)
+	}
+	if len(done) != 1 {
+		t.Error("the job continues after a pause")
+	}
+}
--- a/daemon/runentry/submit.go
+++ b/daemon/runentry/submit.go
@@ -46,12 +46,14 @@
 func (e *Entry) admit(j jobs.Job, done chan jobs.Outcome) (jobs.Outcome, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := boottime.Now()
+	e.dropJobsAfterPause(now)
 	e.interval.offered++
 	if known, _ := e.scheduler.Has(j.ID); !known {
 		if e.cpuShort() {
 			return jobs.Outcome{Job: j.ID, Code: result.Overloaded, Effect: result.NotRun, RetryAfter: shortageRetryAfter}, false
 		}
-		if o, ok := e.scheduler.Submit(boottime.Now(), j); !ok {
+		if o, ok := e.scheduler.Submit(now, j); !ok {
 			return o, false
 		}
 	}
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -240,6 +240,18 @@
 	}
 }
 
+// Disown gives up all ownerships, because the process did not run for so long that its agents may have granted them to
+// others.
+func (s *Scheduler) Disown() {
+	for _, o := range s.ownershipsByJob() {
+		o.owned = false
+		for _, r := range o.requests {
+			s.releaseAt(r.agent, o.job)
+		}
+		o.requests = nil
+	}
+}
+
 // restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record,
 // and the requests that have no grant yet.
 func (s *Scheduler) restoreOwnerships(agent string, b *Batch) {
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -288,6 +288,31 @@
 	}
 }
 
+// Guards against an entry that orders tasks by ownerships from before a pause, in which agents may have granted the jobs
+// to other entries.
+func TestOwnershipEndsWithPause(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	f.submit(first, "j")
+	f.deliverAll()
+	first.GiveUp("j", result.NotReady)
+	first.Disown()
+	f.take(first)
+	f.deliverAll()
+	f.submit(second, "j")
+	f.deliverAll()
+	if f.runs(second) != 2 {
+		t.Fatalf("%d runs at the second entry", f.runs(second))
+	}
+	f.endRun(first, run.Stopped)
+	f.endRun(first, run.Stopped)
+	f.submit(first, "j")
+	f.deliverAll()
+	if f.runs(first) != 0 {
+		t.Error("the first entry ordered tasks of a job that the second one owns")
+	}
+}
+
 // Guards against two entries with runs of one task, whatever is reset between a request, its answer, the release and the
 // repetition of a request: callers come back at once, links lose what is on its way, agents restart.
 func TestOwnershipModel(t *testing.T) {
