Split the scheduler's large files by concern

The constants of refusals, stale starts and slot counts stand in the files that use them.

Declarations are moved only: the sorted lines of the package's non-test code, without imports, are the same before and after. The tests of dispatch/sched pass with the race detector (-short).

--- a/dispatch/sched/replies.go
+++ b/dispatch/sched/replies.go
@@ -8,6 +8,16 @@
 	"poplargw.example/dispatch/submission"
 )
 
+// Limits on restarts after a stale refusal, which does not count against the retry budget,
+// see isStaleRefusal. The first immediateStaleRetries restarts of a task are immediate; the
+// delay of the later ones starts at minStaleDelay and doubles each time. minStaleDelay is
+// also the delay before an attach-only start is repeated after any other refusal.
+const (
+	immediateStaleRetries = 3
+	minStaleDelay         = 5 * time.Millisecond
+	maxStaleDelayShift    = 4 // the longest delay is 80 ms
+)
+
 // StartReply handles the outcome of a StartTask. A reply to an unknown or already
 // answered start is ignored.
 func (s *Scheduler) StartReply(now time.Time, ref StartRef, r StartReply) []Action {
--- a/dispatch/sched/scheduler.go
+++ b/dispatch/sched/scheduler.go
@@ -152,69 +152,6 @@
 	return s.endEvent(now)
 }
 
-// Submit queues a job. A refusal is a FinishJob with effect NotRun, or with effect
-// Unknown if an agent may have started tasks of the job. A job whose key is already
-// queued or running is ignored.
-func (s *Scheduler) Submit(now time.Time, j Job) []Action {
-	s.beginEvent(now)
-	if _, ok := s.jobs[j.Key]; ok {
-		return nil
-	}
-	if f := s.checkAdmission(now, &j); f != nil {
-		s.counters.jobRefusals[f.Code]++
-		s.emit(FinishJob{Key: j.Key, Outcome: Outcome{Failure: f}})
-		return s.endEvent(now)
-	}
-	s.accept(now, j)
-	return s.endEvent(now)
-}
-
-// accept queues an admitted job and attaches to those of its tasks that an agent has
-// already started.
-func (s *Scheduler) accept(now time.Time, in Job) {
-	s.lastSequence++
-	svc := s.services[in.Service]
-	j := &job{
-		Job: in, service: svc, team: s.teams[in.Team], arrived: now, sequence: s.lastSequence,
-		remaining: len(in.Tasks), tasks: make([]taskState, len(in.Tasks)), results: make([][]byte, len(in.Tasks)),
-		sizeClass: sizeClassOf(len(in.Tasks)), deadlineIndex: -1,
-	}
-	s.jobs[in.Key] = j
-	if len(in.Tasks) == 0 {
-		s.completeJob(j)
-		return
-	}
-	for i := len(in.Tasks) - 1; i >= 0; i-- {
-		if in.Tasks[i].Prior == nil {
-			s.push(j, uint32(i))
-		}
-	}
-	for i := range in.Tasks {
-		if in.Tasks[i].Prior != nil {
-			j.mayHaveRun = true
-			s.attach(now, j, uint32(i))
-		}
-	}
-	for _, q := range j.queues {
-		s.enqueue(q)
-	}
-	s.addDeadlineCheck(j)
-	s.markDirty(svc)
-}
-
-// Cancel ends a job. Its queued tasks never start; notStarted is their number. The cost
-// does not depend on the number of queued tasks.
-func (s *Scheduler) Cancel(now time.Time, k submission.Key) (notStarted int, actions []Action) {
-	s.beginEvent(now)
-	j := s.jobs[k]
-	if j == nil {
-		return 0, nil
-	}
-	n := j.notStarted()
-	s.failJob(now, j, result.Failure{Code: result.Cancelled, Message: "the job was cancelled"})
-	return n, s.endEvent(now)
-}
-
 // Tick ends jobs that can no longer meet their deadline, places delayed tasks again and
 // stops the use of silent agents. The caller must call it about every 10 ms while it has
 // jobs, and several times a second otherwise.
@@ -269,36 +206,3 @@
 	}
 	return keys
 }
-
-// completeJob ends a job whose tasks all have results.
-func (s *Scheduler) completeJob(j *job) {
-	s.removeJob(j)
-	s.emit(FinishJob{Key: j.Key, Outcome: Outcome{Results: j.results}})
-}
-
-// failJob ends a job with the failure f and sets its effect to what is known of the job.
-// With effect NotRun nothing is lost, so the caller may submit the job again: if that can
-// help and RetryAfter is not set yet, failJob sets it.
-func (s *Scheduler) failJob(now time.Time, j *job, f result.Failure) {
-	f.Effect = j.effect()
-	if f.Effect == result.NotRun && f.RetryAfter == 0 && retryable(f.Code) {
-		f.RetryAfter = s.retryAfter(j.service)
-	}
-	s.removeJob(j)
-	s.emit(FinishJob{Key: j.Key, Outcome: Outcome{Failure: &f}})
-}
-
-// removeJob removes a job from all structures. Its unanswered starts stay recorded.
-func (s *Scheduler) removeJob(j *job) {
-	j.done = true
-	for _, q := range j.queues {
-		s.dequeue(q)
-		q.waiting = nil
-	}
-	s.removeDeadlineCheck(j)
-	delete(s.jobs, j.Key)
-	if j.outstanding > 0 {
-		s.orphanedStarts[j.Key] += j.outstanding
-	}
-	s.markDirty(j.service)
-}
--- a/dispatch/sched/slots.go
+++ b/dispatch/sched/slots.go
@@ -7,6 +7,18 @@
 	"poplargw.example/dispatch/result"
 )
 
+// inFlightAge is the age below which an unanswered start may or may not be included in a
+// slot count that arrives: a few round trips of at most 3 ms each and the delay of a busy
+// process.
+const inFlightAge = 20 * time.Millisecond
+
+// Times for which a server gets no start after a refusal, by the cause of the refusal.
+const (
+	blockConnection = 20 * time.Millisecond  // no free connection; ending tasks return connections
+	blockUnready    = 100 * time.Millisecond // late start, missing acknowledgement or transport failure
+	blockClosed     = time.Second            // unknown, leaving or out server, or draining agent; the next report or configuration confirms it
+)
+
 // setSlots sets the slots and free slots of a server and updates the totals of its
 // service.
 func (s *Scheduler) setSlots(v *server, slots, free int) {
--- a/dispatch/sched/start.go
+++ b/dispatch/sched/start.go
@@ -2,6 +2,22 @@
 
 import "time"
 
+// attempt is a StartTask that has not been answered yet.
+type attempt struct {
+	ref         StartRef
+	job         *job
+	placement   Placement
+	kind        *kind
+	server      *server // nil if attachOnly
+	team        *team
+	incarnation string
+	slots       int
+	countNumber uint64 // server.countNumber at the time of emission
+	emittedAt   time.Time
+	attachOnly  bool
+	answered    bool
+}
+
 // start emits the StartTask for the first task of a queue.
 func (s *Scheduler) start(now time.Time, q *taskQueue, v *server) {
 	j, k := q.job, q.class.kind
