--- a/dispatch/fence/fence.go
+++ b/dispatch/fence/fence.go
@@ -11,7 +11,6 @@
 package fence
 
 import (
-	"fmt"
 	"time"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
@@ -39,79 +38,6 @@
 	ResultBytes int64
 }
 
-// Clocks is a reading of the agent's monotonic and wall clocks.
-type Clocks struct {
-	// Mono is the time since the agent started, on its monotonic clock.
-	Mono time.Duration
-	// Wall is the time on the wall clock.
-	Wall time.Time
-}
-
-// Task identifies one task of one submission.
-type Task struct {
-	Key submission.Key
-	// Index is the position of the task in its submission.
-	Index uint32
-}
-
-// Token is a start token. The agent issues one with a message that it sends, and a Start
-// returns it. It proves that the Start was sent after that message, which bounds its age.
-type Token struct {
-	Incarnation string
-	// Issued is the time of issue on the agent's monotonic clock.
-	Issued time.Duration
-}
-
-// Request holds the fields of a Start that the fence decides on.
-type Request struct {
-	Task Task
-	// Hash is the hash of the whole submission; it shows whether an ID is used again with another request.
-	Hash []byte
-	// Config and Table are the versions of the configuration and of the entry table
-	// by which the sender placed the task.
-	Config, Table uint64
-	Token         Token
-	Server        string
-	Service       string
-	Kind          string
-	// AttachOnly asks for the state of a task that may have been started; it never starts the task.
-	AttachOnly bool
-}
-
-// Verdict is the kind of answer to a Start.
-type Verdict int
-
-// Kinds of answers to a Start.
-const (
-	// Refused means that this request starts nothing; Decision.Failure says why.
-	Refused Verdict = iota
-	// Granted means that this request is the only start of the task. The record is written and the
-	// slots are taken.
-	Granted
-	// Running means that an earlier request started the task and it has not ended.
-	Running
-	// Ended means that an earlier request started the task and it has ended; Decision.Outcome holds
-	// its outcome.
-	Ended
-)
-
-// Decision answers a Start. StartBefore and the fields after it are set only if the verdict is
-// Granted.
-type Decision struct {
-	Verdict Verdict
-	Failure *result.Failure
-	Outcome Outcome
-	// StartBefore is the wall-clock time by which the backend server must have started the task:
-	// the time of the decision plus what is left of TokenAge. It keeps a process that freezes
-	// after the decision from starting the task late.
-	StartBefore time.Time
-	// Address is the network address of the backend server, and Instance identifies its process.
-	Address  string
-	Instance string
-	// TimeLimit is the configured limit on the run time of the kind; 0 if there is none.
-	TimeLimit time.Duration
-}
-
 // Fence decides on the starts of one incarnation of an agent.
 type Fence struct {
 	opts Options
@@ -206,80 +132,6 @@
 	return Decision{Verdict: Ended, Outcome: *rec.outcome}
 }
 
-// check returns the first reason to refuse a start of a task without a record, or the
-// backend server on which the task may start.
-func (f *Fence) check(r Request, now Clocks) (*result.Failure, *server) {
-	// The task may have had a record that was forgotten, so the refusal cannot say "not run".
-	if t := r.Task.Key.Time(); !t.After(f.records.forgottenUpTo) {
-		return &result.Failure{Code: result.SubmissionExpired, Effect: result.Unknown,
-			Message: "start records as old as this submission ID are no longer held"}, nil
-	}
-	if r.AttachOnly {
-		return f.noRecord(r), nil
-	}
-	if fail := f.checkSender(r, now); fail != nil {
-		return fail, nil
-	}
-	return f.checkServer(r, now)
-}
-
-// noRecord refuses an AttachOnly request for a task without a record. Its effect is
-// Unknown for an ID that is not later than the start of this incarnation by more than
-// twice the clock skew: an earlier incarnation can have started the task.
-func (f *Fence) noRecord(r Request) *result.Failure {
-	if !r.Task.Key.Time().After(f.opts.Started.Add(2 * f.opts.Window.Skew)) {
-		return &result.Failure{Code: result.NoRecord, Effect: result.Unknown,
-			Message: "no record of the task; an earlier incarnation of the agent may have had one"}
-	}
-	return notRun(result.NoRecord, "no record of the task")
-}
-
-// checkSender returns a refusal if the agent takes no starts at present, or if the
-// sender decided on an outdated entry table, token or submission.
-func (f *Fence) checkSender(r Request, now Clocks) *result.Failure {
-	switch {
-	case f.draining:
-		return notRun(result.AgentDraining, "the agent is draining")
-	case !f.FullyAcknowledged():
-		return notRun(result.NotAcknowledged, "the agent lacks the newest entry table, or a member has not acknowledged this incarnation of the agent")
-	case f.config == nil && r.Config > 0:
-		return notRun(result.NotAcknowledged, "the agent has not fetched the configuration yet")
-	case r.Table < f.newestTable:
-		return notRun(result.StaleTable, fmt.Sprintf("entry table version %d is older than version %d, which the agent has seen", r.Table, f.newestTable))
-	}
-	if fail := f.checkToken(r, now); fail != nil {
-		return fail
-	}
-	if r.Task.Key.Time().Before(now.Wall.Add(-f.opts.Window.Length - f.opts.Window.Skew)) {
-		return notRun(result.SubmissionExpired, "the submission ID is older than the submission window")
-	}
-	return nil
-}
-
-// checkToken returns a refusal if the token does not prove that the Start is recent.
-func (f *Fence) checkToken(r Request, now Clocks) *result.Failure {
-	age := f.age(r.Token, now)
-	switch {
-	case r.Token.Incarnation != f.opts.Incarnation:
-		return notRun(result.StaleToken, "the start token was issued by another incarnation of the agent")
-	case age < 0 || age > f.opts.TokenAge:
-		return notRun(result.StaleToken, fmt.Sprintf("the start token is %v old; the allowed range is 0 to %v", age, f.opts.TokenAge))
-	case f.refusals.refusedSince(r.Task, r.Token.Issued):
-		// A start of this task was refused as "not run" after the token was issued. The sender
-		// may have placed the task elsewhere since, so a grant could start it a second time.
-		return notRun(result.StaleToken, "the start token is older than a refusal of the same task")
-	}
-	return nil
-}
-
-// age returns how long ago the token was issued; it is negative for a time of issue in the future.
-func (f *Fence) age(t Token, now Clocks) time.Duration { return max(now.Mono, f.lastMono) - t.Issued }
-
-// notRun returns a failure that says that the task has not run.
-func notRun(c result.Code, message string) *result.Failure {
-	return &result.Failure{Code: c, Effect: result.NotRun, Message: message}
-}
-
 // Finish notes the outcome of a granted task and frees its slots. It drops the oldest
 // outcomes beyond Options.ResultBytes. It does nothing if the task is not running.
 func (f *Fence) Finish(t Task, o Outcome) {
