--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -4,10 +4,8 @@
 package agent
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -155,83 +153,6 @@
 	return g.Wait()
 }
 
-// sweep calls sweepOnce every sweepInterval until ctx ends.
-func (a *Agent) sweep(ctx context.Context) error {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			a.sweepOnce()
-		}
-	}
-}
-
-// sweepOnce removes backend servers with an expired lease, expired start records,
-// and results that were not collected within resultRetention.
-func (a *Agent) sweepOnce() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.now()
-	for _, name := range a.fence.Sweep(now) {
-		b := a.backends[name]
-		if b == nil {
-			continue
-		}
-		delete(a.backends, name)
-		b.close()
-		if !b.leaving {
-			a.opts.Log.Warn(event.ServerLeaseEnded, event.Fields{"server": name, "instance": b.instance})
-		}
-		a.notifyAll()
-	}
-	for t, at := range a.uncollected {
-		if now.Mono-at > a.resultRetention() {
-			delete(a.uncollected, t)
-		}
-	}
-}
-
-// resultRetention is how long after the end of a run its uncollected result delays
-// Drain: a home that lost its connection reconnects within this time.
-func (a *Agent) resultRetention() time.Duration { return a.opts.Settings.Limits.PeerSilence }
-
-// drainPollInterval is how often Drain checks whether it is done.
-const drainPollInterval = 20 * time.Millisecond
-
-// Drain refuses new starts and waits until no task runs, every waiting Start call
-// has its outcome, and every result whose Start call was abandoned has been
-// collected or is older than resultRetention. Run must be in progress. Drain
-// returns the error of ctx if ctx ends first.
-func (a *Agent) Drain(ctx context.Context) error {
-	a.mu.Lock()
-	a.fence.Drain()
-	a.notifyAll()
-	a.opts.Log.Info(event.AgentDrainStarted, event.Fields{"running": len(a.runs)})
-	a.mu.Unlock()
-	tick := time.NewTicker(drainPollInterval)
-	defer tick.Stop()
-	for !a.idle() {
-		select {
-		case <-ctx.Done():
-			a.opts.Log.Error(event.AgentDrainTimedOut, event.Fields{"running": a.Status().Running})
-			return ctx.Err()
-		case <-tick.C:
-		}
-	}
-	a.opts.Log.Info(event.AgentDrainEnded, event.Fields{})
-	return nil
-}
-
-// idle reports whether nothing is left that Drain waits for.
-func (a *Agent) idle() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.runs) == 0 && a.waitingCalls == 0 && len(a.uncollected) == 0
-}
-
 // Ready reports whether an entry has answered a report within limits.peer_silence.
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
@@ -244,77 +165,6 @@
 	return a.answered && a.now().Mono-a.lastAnswer <= a.opts.Settings.Limits.PeerSilence
 }
 
-// Status is the state of an agent as shown to operators.
-type Status struct {
-	ID            string         `json:"id"`
-	Incarnation   string         `json:"incarnation"`
-	Domain        string         `json:"domain"`
-	StartedUnixMS int64          `json:"started_unix_ms"`
-	ConfigVersion uint64         `json:"config_version"`
-	TableVersion  uint64         `json:"table_version"`
-	NewestTable   uint64         `json:"newest_table"`
-	Acknowledged  bool           `json:"acknowledged"`
-	Draining      bool           `json:"draining"`
-	Running       int            `json:"running"`
-	Waiting       int            `json:"waiting"`
-	Records       int            `json:"records"`
-	ResultBytes   int64          `json:"result_bytes"`
-	Servers       []ServerStatus `json:"servers"`
-	Entries       []EntryStatus  `json:"entries"`
-}
-
-// ServerStatus is the state of an announced backend server.
-type ServerStatus struct {
-	Name        string   `json:"name"`
-	Instance    string   `json:"instance"`
-	Service     string   `json:"service"`
-	Kinds       []string `json:"kinds"`
-	Address     string   `json:"address"`
-	Slots       uint32   `json:"slots"`
-	FreeSlots   uint32   `json:"free_slots"`
-	Connections uint32   `json:"connections"`
-	Leaving     bool     `json:"leaving"`
-}
-
-// EntryStatus is the state of the contact with an entry.
-type EntryStatus struct {
-	// ID is empty for an address from the settings that is not in the entry table.
-	ID        string `json:"id"`
-	Address   string `json:"address"`
-	Reachable bool   `json:"reachable"`
-}
-
-// Status returns the current state of the agent.
-func (a *Agent) Status() Status {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.now()
-	s := Status{
-		ID:            a.opts.Settings.Node.ID,
-		Incarnation:   a.incarnation,
-		Domain:        a.opts.Settings.Node.Domain,
-		StartedUnixMS: a.started.UnixMilli(),
-		ConfigVersion: a.fence.ConfigVersion(),
-		TableVersion:  a.fence.Table().GetVersion(),
-		NewestTable:   a.fence.NewestTable(),
-		Acknowledged:  a.fence.FullyAcknowledged(),
-		Draining:      a.fence.Draining(),
-		Running:       len(a.runs),
-		Waiting:       a.waitingCalls,
-		Records:       a.fence.Records(),
-		ResultBytes:   a.fence.ResultBytes(),
-	}
-	for _, v := range a.fence.Servers(now) {
-		s.Servers = append(s.Servers, ServerStatus{Name: v.Server, Instance: v.Instance, Service: v.Service, Kinds: v.Kinds,
-			Address: v.Address, Slots: v.Slots, FreeSlots: v.FreeSlots, Connections: v.Connections, Leaving: v.Leaving})
-	}
-	for _, r := range a.reporters {
-		s.Entries = append(s.Entries, EntryStatus{ID: r.member.GetId(), Address: r.address, Reachable: r.reachable})
-	}
-	slices.SortFunc(s.Entries, func(a, b EntryStatus) int { return cmp.Compare(a.Address, b.Address) })
-	return s
-}
-
 // versions returns the versions of the configuration and the entry table. The
 // caller must hold a.mu.
 func (a *Agent) versions() *peerv1.Versions {
