Separate readiness and configuration from the start of a replay system

It now shows which processes a system consists of; readiness.go has the checks that a start waits for, and configure.go the calls to the operator interface. Declarations are moved only; the tests of lab/replay pass with the race detector.

--- a/lab/replay/system.go
+++ b/lab/replay/system.go
@@ -1,18 +1,11 @@
 package replay
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/google/uuid"
-	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
-
-	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
 	"poplargw.example/daemon/settings"
 	"poplargw.example/lab/testbed"
@@ -200,109 +193,6 @@
 	}
 }
 
-// config returns the first configuration: the service, kinds and failure domains of the header.
-func (s *System) config() *poplargwv1.Config {
-	service := &poplargwv1.Service{Name: s.o.Header.Service}
-	for _, k := range s.o.Header.Kinds {
-		service.Kinds = append(service.Kinds, &poplargwv1.Kind{Name: k.Name, Priority: uint32(k.Priority),
-			Urgent: k.Urgent, Repeatable: true, Slots: 1, TimeLimit: durationpb.New(taskTimeLimit)})
-	}
-	c := &poplargwv1.Config{Services: []*poplargwv1.Service{service}}
-	for _, d := range s.o.Header.Domains {
-		c.Domains = append(c.Domains, &poplargwv1.FailureDomain{Name: d, Region: s.o.Header.Region})
-	}
-	return c
-}
-
-func (s *System) operatorClient(entry int) poplargwv1connect.OperatorClient {
-	return poplargwv1connect.NewOperatorClient(http.DefaultClient, fmt.Sprintf("http://%s:%d", s.entries[entry].IP, testbed.PortOperators))
-}
-
 func (s *System) dispatcherClient(entry int) poplargwv1connect.DispatcherClient {
 	return poplargwv1connect.NewDispatcherClient(s.callerClient, fmt.Sprintf("http://%s:%d", s.entries[entry].IP, testbed.PortCallers))
 }
-
-// waitUntilReady applies the first configuration and waits until every entry and agent is ready
-// and every entry knows all backend servers.
-func (s *System) waitUntilReady() error {
-	if err := eventually("the first configuration is accepted", func() error { return s.apply(s.config(), 0) }); err != nil {
-		return err
-	}
-	for _, p := range append(append([]*testbed.Process{}, s.entries...), s.agents...) {
-		if err := eventually(p.Name+" is ready", func() error { return checkReady(p) }); err != nil {
-			return err
-		}
-	}
-	for i := range s.entries {
-		if err := eventually("the entries know all backend servers", func() error { return s.checkServersKnown(i) }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// eventually repeats a check until it succeeds. After readyTimeout it returns an error that says
-// which condition was not reached and wraps the error of the last check.
-func eventually(what string, check func() error) error {
-	err := check()
-	for deadline := time.Now().Add(readyTimeout); err != nil; err = check() {
-		if time.Now().After(deadline) {
-			return fmt.Errorf("condition not reached within %v: %s: %w", readyTimeout, what, err)
-		}
-		time.Sleep(pollInterval)
-	}
-	return nil
-}
-
-func checkReady(p *testbed.Process) error {
-	if status := p.GetStatus("/readyz"); status != http.StatusOK {
-		return fmt.Errorf("/readyz answered status %d", status)
-	}
-	return nil
-}
-
-// checkServersKnown returns an error unless the entry knows as many backend servers as the header has.
-func (s *System) checkServersKnown(entry int) error {
-	res, err := s.operatorClient(entry).GetStatus(context.Background(), connect.NewRequest(&poplargwv1.GetStatusRequest{}))
-	if err != nil {
-		return err
-	}
-	n := 0
-	for _, a := range res.Msg.GetAgents() {
-		n += len(a.GetServers())
-	}
-	if n != len(s.o.Header.Servers) {
-		return fmt.Errorf("the entry knows %d backend servers", n)
-	}
-	return nil
-}
-
-// apply applies a configuration on top of the base version. A configuration that is not accepted
-// is an error.
-func (s *System) apply(c *poplargwv1.Config, base uint64) error {
-	res, err := s.operatorClient(0).Apply(context.Background(), connect.NewRequest(&poplargwv1.ApplyRequest{
-		BaseVersion: base, ChangeId: uuid.NewString(), Author: "replay", Config: c}))
-	if err != nil {
-		return err
-	}
-	if res.Msg.GetState() != poplargwv1.ApplyState_APPLY_STATE_ACCEPTED {
-		return fmt.Errorf("configuration not accepted: %v: %s", res.Msg.GetState(), res.Msg.GetMessage())
-	}
-	return nil
-}
-
-// setDomainOut takes a failure domain out of service or returns it to service.
-func (s *System) setDomainOut(name string, out bool) error {
-	res, err := s.operatorClient(0).GetConfig(context.Background(), connect.NewRequest(&poplargwv1.GetConfigRequest{}))
-	if err != nil {
-		return err
-	}
-	record := res.Msg.GetRecord()
-	c := proto.Clone(record.GetConfig()).(*poplargwv1.Config)
-	for _, d := range c.GetDomains() {
-		if d.GetName() == name {
-			d.Out = out
-		}
-	}
-	return s.apply(c, record.GetVersion())
-}
