Reserve the ports that tests hand out until they end

Tests chose a free port by listening on port 0 and closing the listener. Nothing kept the port: the next call could return it again, and so could the kernel for another socket.

In 20,000 pairs of calls at one loopback address, 5 pairs had equal ports, and the first repeat of any earlier port came at call 141 (40,000 calls returned 7,037 different ports, all odd). Connections to other loopback addresses have the source 127.0.0.1, so none of the process's own connections can have taken the port.

daemon/nettest.FreeAddr now binds a socket with SO_REUSEADDR to the port and keeps it bound, without listening, until the test ends. The kernel then gives the port to no other socket on that address, in any process, while an explicit listener can still use it. It returns an address only once in a process.

--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +14,7 @@
 
 	apiv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
+	"poplargw.example/daemon/nettest"
 	"poplargw.example/daemon/sample"
 	"poplargw.example/dispatch/result"
 )
@@ -147,12 +147,7 @@
 // start record behind or a slot taken.
 func TestRefusedConnectionFreesSlot(t *testing.T) {
 	f := newFixture(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed := l.Addr().String()
-	l.Close()
+	closed := nettest.FreeAddr(t, "127.0.0.1")
 	announce := &apiv1.AnnounceRequest{Server: "s", Instance: "old", Service: "svc", Kinds: []string{"quick"}, Slots: 1, Connections: 1, Address: closed}
 	if _, err := f.local.Announce(context.Background(), connect.NewRequest(announce)); err != nil {
 		t.Fatal(err)
--- a/lab/testbed/forwarder_test.go
+++ b/lab/testbed/forwarder_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"testing"
+
+	"poplargw.example/daemon/nettest"
 )
 
 // TestForwarderListensAgain guards against a forwarder that accepts connections while it is to refuse them, or that
@@ -26,7 +28,7 @@
 			c.Close()
 		}
 	}()
-	f, err := NewForwarder("127.0.0.1:0", target.Addr().String())
+	f, err := NewForwarder(nettest.FreeAddr(t, "127.0.0.1"), target.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/agent.go
+++ b/soak/agent.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"poplargw.example/daemon/nettest"
 	"poplargw.example/lab/testbed"
 	"poplargw.example/platform/standin"
 )
@@ -53,11 +54,11 @@
 	ip := fmt.Sprint(d.ipPrefix, firstAgentHost+i)
 	a := &agentNode{
 		node:    &node{name: fmt.Sprintf("side-%d", i), role: "agent", build: d.agentBuild},
-		backend: standin.NewBackend(fmt.Sprintf("i-%d", i)), controlAddr: freeAddr(d.t, ip), zone: []string{zoneA, zoneB}[i%2],
+		backend: standin.NewBackend(fmt.Sprintf("i-%d", i)), controlAddr: nettest.FreeAddr(d.t, ip), zone: []string{zoneA, zoneB}[i%2],
 		state: "ready", capacity: cpuCapacity, announced: []announcement{{capacity: cpuCapacity}},
 	}
 	a.backendLinks = d.forward(d.serve(a.backend))
-	address := freeAddr(d.t, ip)
+	address := nettest.FreeAddr(d.t, ip)
 	_, port, _ := net.SplitHostPort(address)
 	a.entryLinks = d.forward(address)
 	d.linkAddrs[address] = a.entryLinks.Addr()
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,6 +14,7 @@
 	"sync"
 	"testing"
 
+	"poplargw.example/daemon/nettest"
 	"poplargw.example/lab/testbed"
 	"poplargw.example/platform/standin"
 )
@@ -96,9 +96,10 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// forward starts a forwarder to a target address until the test ends.
+// forward starts a forwarder to a target address until the test ends. Its port is reserved, so that it can listen
+// again after the time in which it refused connections.
 func (d *deployment) forward(target string) *testbed.Forwarder {
-	f, err := testbed.NewForwarder("127.0.0.1:0", target)
+	f, err := testbed.NewForwarder(nettest.FreeAddr(d.t, "127.0.0.1"), target)
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -129,16 +130,6 @@
 	return d.version
 }
 
-// freeAddr returns an unused TCP address on an IP.
-func freeAddr(t *testing.T, ip string) string {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // writeSettings writes the settings file of a process and returns its path.
 func (d *deployment) writeSettings(name, text string) string {
 	file := filepath.Join(d.dir, name+".toml")
@@ -152,7 +143,7 @@
 // addEntry adds entry i and starts it.
 func (d *deployment) addEntry(i int) {
 	ip := fmt.Sprint(d.ipPrefix, firstEntryHost+i)
-	n := &node{name: fmt.Sprintf("front-%d", i), role: "entry", build: d.entryBuild, frontAddr: freeAddr(d.t, ip), readyAddr: freeAddr(d.t, ip)}
+	n := &node{name: fmt.Sprintf("front-%d", i), role: "entry", build: d.entryBuild, frontAddr: nettest.FreeAddr(d.t, ip), readyAddr: nettest.FreeAddr(d.t, ip)}
 	n.file = d.writeSettings(n.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [1, 2]\n[listen]\nfront = %q\nready = %q", zoneA, ip, n.frontAddr, n.readyAddr))
 	d.entries = append(d.entries, n)
 	d.launch(n)
