Answer parked submissions in one place

expireParked and cancelParked each filtered the list of parked submissions and cleared its tail. failParked does it once, and the two say only which submissions they remove and why. The tests of daemon/entry pass with the race detector.

--- a/daemon/entry/parked.go
+++ b/daemon/entry/parked.go
@@ -41,28 +41,28 @@
 
 // expireParked answers the parked submissions whose time to wait has passed.
 func (h *home) expireParked(now time.Time) {
-	kept := h.parked[:0]
-	for _, p := range h.parked {
-		if now.Before(p.until) {
-			kept = append(kept, p)
-			continue
-		}
-		p.out <- reply{failure: rangeClosed()}
-	}
-	clear(h.parked[len(kept):])
-	h.parked = kept
+	expired := func(p parkedSubmission) bool { return !now.Before(p.until) }
+	h.failParked(expired, rangeClosed)
 }
 
 // cancelParked answers the parked copies of a cancelled submission.
 func (h *home) cancelParked(k submission.Key) {
+	cancelled := func(p parkedSubmission) bool { return p.job.Key == k }
+	h.failParked(cancelled, func() *result.Failure {
+		return &result.Failure{Code: result.Cancelled, Effect: result.Unknown,
+			Message: "the submission was cancelled while its home was claiming its key range"}
+	})
+}
+
+// failParked removes the parked submissions that match and answers each with a failure of its own.
+func (h *home) failParked(match func(parkedSubmission) bool, failure func() *result.Failure) {
 	kept := h.parked[:0]
 	for _, p := range h.parked {
-		if p.job.Key != k {
+		if !match(p) {
 			kept = append(kept, p)
 			continue
 		}
-		p.out <- reply{failure: &result.Failure{Code: result.Cancelled, Effect: result.Unknown,
-			Message: "the submission was cancelled while its home was claiming its key range"}}
+		p.out <- reply{failure: failure()}
 	}
 	clear(h.parked[len(kept):])
 	h.parked = kept
