Start the systems of the capacity measurements in one place

Four measurements started entries, then agents, and stopped the system if the agents did not start; two printed the latest failure. newFleet and printLastFailure hold these steps, so that a measurement shows what it measures.

--- a/lab/cmd/capacity/callers.go
+++ b/lab/cmd/capacity/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,13 @@
 	}
 }
 
+// printLastFailure prints the error of the latest failed job, if there is one.
+func (c *callers) printLastFailure() {
+	if c.failed.Load() > 0 {
+		fmt.Println("last failure:", c.lastErr.Load())
+	}
+}
+
 // run submits jobs of tasks that run for ms milliseconds to all entries in turn, at most concurrency of
 // them at a time, and waits until all have ended. Jobs that have not ended after callTimeout count
 // as failed.
--- a/lab/cmd/capacity/idle.go
+++ b/lab/cmd/capacity/idle.go
@@ -66,14 +66,11 @@
 
 // agentRow measures an idle agent with n entries and adds a row to the table.
 func agentRow(o options, kind string, n int, t *resultTable) error {
-	s, err := newSystem(o, kind, n)
+	s, err := newFleet(o, kind, n, 1)
 	if err != nil {
 		return err
 	}
 	defer s.stop()
-	if err := s.addAgents(1); err != nil {
-		return err
-	}
 	time.Sleep(settleTime)
 	a := s.agents[0]
 	u := s.measureUsage(a, a.IP, s.entries...)
--- a/lab/cmd/capacity/load.go
+++ b/lab/cmd/capacity/load.go
@@ -23,14 +23,11 @@
 
 // loadRow measures the cost of n tasks and adds a row to the table.
 func loadRow(o options, kind string, n int, t *resultTable) error {
-	s, err := newSystem(o, kind, 2)
+	s, err := newFleet(o, kind, 2, 2)
 	if err != nil {
 		return err
 	}
 	defer s.stop()
-	if err := s.addAgents(2); err != nil {
-		return err
-	}
 	c := newCallers(s)
 	// This warm-up opens the connections and lets the scheduler estimate the run time of tasks.
 	c.run(4, tasksPerJob, taskMS, 4)
@@ -42,9 +39,7 @@
 		after[i] -= before[i]
 	}
 	t.addRow(n, append(after, took, float64(c.failed.Load()))...)
-	if c.failed.Load() > 0 {
-		fmt.Println("last failure:", c.lastErr.Load())
-	}
+	c.printLastFailure()
 	return nil
 }
 
@@ -92,14 +87,11 @@
 
 // queuedRow measures an entry that holds n queued tasks in jobs of 400.
 func queuedRow(o options, n int, env string, t *resultTable) error {
-	s, err := newSystem(o, o.kinds[0], 1, env)
+	s, err := newFleet(o, o.kinds[0], 1, 1, env)
 	if err != nil {
 		return err
 	}
 	defer s.stop()
-	if err := s.addAgents(1); err != nil {
-		return err
-	}
 	c := newCallers(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -108,22 +100,17 @@
 	}
 	time.Sleep(settleTime)
 	t.addRow(n, s.entries[0].liveHeap(), float64(c.failed.Load()))
-	if c.failed.Load() > 0 {
-		fmt.Println("last failure:", c.lastErr.Load())
-	}
+	c.printLastFailure()
 	return nil
 }
 
 // endedRow measures an entry and an agent after n submissions of one task have ended.
 func endedRow(o options, n int, env string, t *resultTable) error {
-	s, err := newSystem(o, o.kinds[0], 1, env)
+	s, err := newFleet(o, o.kinds[0], 1, 1, env)
 	if err != nil {
 		return err
 	}
 	defer s.stop()
-	if err := s.addAgents(1); err != nil {
-		return err
-	}
 	c, e, a := newCallers(s), s.entries[0], s.agents[0]
 	c.run(100, 1, 1, 64)
 	entryCPU, agentCPU := e.cpu(), a.cpu()
--- a/lab/cmd/capacity/system.go
+++ b/lab/cmd/capacity/system.go
@@ -72,6 +72,20 @@
 	return s, nil
 }
 
+// newFleet starts a system like newSystem, with agents that have one backend server each, and waits until it is
+// ready.
+func newFleet(o options, kind string, entries, agents int, env ...string) (*system, error) {
+	s, err := newSystem(o, kind, entries, env...)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.addAgents(agents); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
+}
+
 // startCore starts the store and the entries, and applies the first configuration.
 func (s *system) startCore(entries int) error {
 	var err error
