Use one interruptible sleep in the daemon

daemon/entry and daemon/cluster each had a copy of a sleep that ends with its context, beside boottime.Sleep, which did the same without saying which of the two had ended it. boottime.Sleep now returns that, and the copies are gone. The durations that daemon/cluster and the users of boottime.Sleep pass are positive, so the shortcut for others, which daemon/entry had, changes nothing for them. The tests of daemon/cluster and daemon/entry pass with the race detector.

--- a/daemon/boottime/boottime.go
+++ b/daemon/boottime/boottime.go
@@ -21,13 +21,18 @@
 	return time.Unix(ts.Unix())
 }
 
-// Sleep returns after the duration, or when ctx ends if that is sooner. Time during which the VM is suspended
-// does not count.
-func Sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for the duration and returns true, or returns false as soon as ctx ends. Without a positive duration it
+// does not wait and returns whether ctx is still in force. Time during which the VM is suspended does not count.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
--- a/daemon/cluster/apply.go
+++ b/daemon/cluster/apply.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/dispatch/decl"
 	"poplargw.example/dispatch/member"
@@ -141,7 +142,7 @@
 		if a.maybeWritten {
 			limit = unknownWriteTimeout
 		}
-		if time.Since(begin) > limit || !sleep(ctx, retryDelay) {
+		if time.Since(begin) > limit || !boottime.Sleep(ctx, retryDelay) {
 			return a.unresolvedResponse(err)
 		}
 	}
@@ -241,7 +242,7 @@
 			send()
 			sent = time.Now()
 		}
-		if !sleep(ctx, pollInterval) {
+		if !boottime.Sleep(ctx, pollInterval) {
 			return false
 		}
 	}
--- a/daemon/cluster/membership.go
+++ b/daemon/cluster/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/dispatch/member"
 	"poplargw.example/store"
@@ -130,7 +131,7 @@
 	c.mu.Unlock()
 	for {
 		err := c.changeTable(ctx, edit)
-		if err == nil || !sleep(ctx, retryDelay) {
+		if err == nil || !boottime.Sleep(ctx, retryDelay) {
 			return err
 		}
 	}
@@ -160,7 +161,7 @@
 				return err
 			}
 		}
-		if !sleep(ctx, retryDelay) {
+		if !boottime.Sleep(ctx, retryDelay) {
 			return ctx.Err()
 		}
 	}
--- a/daemon/cluster/peers.go
+++ b/daemon/cluster/peers.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/api/gen/poplargw/peer/v1/peerv1connect"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/dispatch/member"
 	"poplargw.example/dispatch/table"
@@ -144,7 +145,7 @@
 	}
 	if now := c.snapshot.Load(); now.config == before.config && now.table == before.table {
 		// Every message of the peer contains the newer version; do not fetch again at once.
-		sleep(ctx, retryDelay)
+		boottime.Sleep(ctx, retryDelay)
 	}
 }
 
--- a/daemon/cluster/run.go
+++ b/daemon/cluster/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/dispatch/member"
 	"poplargw.example/store"
 )
@@ -74,7 +75,7 @@
 			}
 		}
 		if c.Versions().GetConfig() == before {
-			sleep(ctx, watchRetryDelay)
+			boottime.Sleep(ctx, watchRetryDelay)
 		}
 	}
 	return ctx.Err()
@@ -93,15 +94,3 @@
 		}
 	}
 }
-
-// sleep waits for d and returns true, or returns false as soon as ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/daemon/entry/agentclaim.go
+++ b/daemon/entry/agentclaim.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/dispatch/recovery"
 	"poplargw.example/dispatch/submission"
@@ -48,7 +49,7 @@
 			_ = h.post(ctx, agentUnreachableMsg{round: c.round, agent: c.session.agent})
 			return
 		}
-		sleep(ctx, claimRetryDelay)
+		boottime.Sleep(ctx, claimRetryDelay)
 	}
 }
 
--- a/daemon/entry/drain.go
+++ b/daemon/entry/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 )
 
@@ -31,7 +32,7 @@
 		return err
 	}
 	for e.busy() {
-		if !sleep(ctx, drainPollInterval) {
+		if !boottime.Sleep(ctx, drainPollInterval) {
 			return ctx.Err()
 		}
 	}
@@ -62,7 +63,7 @@
 			e.opts.Log.Warn(event.DrainTableUnchanged, event.Fields{"error": err.Error()})
 			return nil
 		}
-		if !sleep(ctx, drainRetryDelay) {
+		if !boottime.Sleep(ctx, drainRetryDelay) {
 			return err
 		}
 	}
--- a/daemon/entry/memberclaim.go
+++ b/daemon/entry/memberclaim.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/dispatch/recovery"
 	"poplargw.example/dispatch/submission"
 	"poplargw.example/dispatch/table"
@@ -24,7 +25,7 @@
 			return
 		}
 		h.e.peers.onCallError(m.GetAddress(), sent, err)
-		sleep(ctx, claimRetryDelay)
+		boottime.Sleep(ctx, claimRetryDelay)
 	}
 }
 
--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -9,6 +9,7 @@
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/submission"
@@ -214,7 +215,7 @@
 		case err == nil:
 			_ = e.home.post(ctx, notHeldMsg{key: k, holder: got.holder})
 		}
-		if !sleep(ctx, homeRetryDelay) {
+		if !boottime.Sleep(ctx, homeRetryDelay) {
 			return abandonedReply(ctx, "the entry that holds the submission did not answer")
 		}
 	}
--- a/daemon/entry/startcall.go
+++ b/daemon/entry/startcall.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
+	"poplargw.example/daemon/boottime"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/sched"
 )
@@ -88,7 +89,7 @@
 		f := notRunRetry(result.AgentLost, shortRetryAfter, "agent %s cannot be reached", c.session.agent)
 		return sched.StartReply{Failure: f}, true
 	}
-	if c.session.isReplaced() || !first && c.isSilent() || time.Since(c.brokenSince) > resendWindow || !first && !sleep(ctx, resendDelay) {
+	if c.session.isReplaced() || !first && c.isSilent() || time.Since(c.brokenSince) > resendWindow || !first && !boottime.Sleep(ctx, resendDelay) {
 		return c.agentLost(), true
 	}
 	return sched.StartReply{}, false
@@ -148,7 +149,7 @@
 		return c.agentLost(), true
 	}
 	c.firstRefusal = f
-	if !sleep(ctx, time.Until(c.unresolvedSend.Add(c.e.opts.Settings.Limits.TokenAge+tokenMargin))) {
+	if !boottime.Sleep(ctx, time.Until(c.unresolvedSend.Add(c.e.opts.Settings.Limits.TokenAge+tokenMargin))) {
 		return c.agentLost(), true
 	}
 	c.request.AttachOnly = true
@@ -166,7 +167,7 @@
 		return c.startReply(resp, c.firstRefusal), true
 	case f.Code == result.StaleToken && c.renewToken(resp):
 		return sched.StartReply{}, false
-	case f.Code == result.StaleTable && time.Since(c.unresolvedSend) < resendWindow && sleep(ctx, staleTableDelay):
+	case f.Code == result.StaleTable && time.Since(c.unresolvedSend) < resendWindow && boottime.Sleep(ctx, staleTableDelay):
 		c.request.Versions = c.e.opts.Cluster.Versions()
 		return sched.StartReply{}, false
 	}
@@ -185,18 +186,3 @@
 	}
 	return r
 }
-
-// sleep waits for d. It returns false when ctx has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
