Remove elements from the scheduler's indexed lists in one place

Three lists whose elements know their position (waiting classes, available servers, servers of a service) each had their own lines that move the last element into the gap. removeUnordered does it once; the order of the lists stays the same. It also clears the freed place of waitingClasses, which kept a class reachable; no loop over that list removes from it. The values -1 and -2 of taskQueue.heapIndex have names now. The tests of dispatch/sched, among them the random ones, pass with the race detector; the cost of a start was not measured, as the machine was busy.

--- a/dispatch/sched/availability.go
+++ b/dispatch/sched/availability.go
@@ -40,11 +40,7 @@
 		v.availableIndex = len(svc.available)
 		svc.available = append(svc.available, v)
 	case !available && v.availableIndex >= 0:
-		last := len(svc.available) - 1
-		svc.available[v.availableIndex] = svc.available[last]
-		svc.available[v.availableIndex].availableIndex = v.availableIndex
-		svc.available[last] = nil
-		svc.available = svc.available[:last]
+		svc.available = removeUnordered(svc.available, v.availableIndex, func(o *server, i int) { o.availableIndex = i })
 		v.availableIndex = -1
 	}
 }
--- a/dispatch/sched/class.go
+++ b/dispatch/sched/class.go
@@ -108,12 +108,12 @@
 	for _, q := range j.queues {
 		if q.heapIndex >= 0 {
 			heap.Remove(q.class.heapFor(j), q.heapIndex)
-			q.heapIndex = -2
+			q.heapIndex = betweenHeaps
 		}
 	}
 	j.capped = capped
 	for _, q := range j.queues {
-		if q.heapIndex == -2 {
+		if q.heapIndex == betweenHeaps {
 			heap.Push(q.class.heapFor(j), q)
 		}
 	}
@@ -129,10 +129,7 @@
 
 // removeWaiting removes a class from the classes with queued tasks.
 func (svc *service) removeWaiting(c *class) {
-	last := len(svc.waitingClasses) - 1
-	svc.waitingClasses[c.waitingIndex] = svc.waitingClasses[last]
-	svc.waitingClasses[c.waitingIndex].waitingIndex = c.waitingIndex
-	svc.waitingClasses = svc.waitingClasses[:last]
+	svc.waitingClasses = removeUnordered(svc.waitingClasses, c.waitingIndex, func(o *class, i int) { o.waitingIndex = i })
 	c.waitingIndex = -1
 }
 
@@ -155,6 +152,6 @@
 	q := old[len(old)-1]
 	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
-	q.heapIndex = -1
+	q.heapIndex = notInHeap
 	return q
 }
--- a/dispatch/sched/queue.go
+++ b/dispatch/sched/queue.go
@@ -19,13 +19,20 @@
 	maxPriority     = 9
 )
 
+// Values of taskQueue.heapIndex for queues that are in no heap.
+const (
+	notInHeap = -1
+	// betweenHeaps marks the queues that setCapped is moving from one heap to the other.
+	betweenHeaps = -2
+)
+
 // taskQueue holds the queued tasks of one job and kind.
 type taskQueue struct {
 	job       *job
 	class     *class
 	waiting   []uint32 // task indices; the last one is started first
 	orderKey  int64    // see Scheduler.orderKey
-	heapIndex int      // position in the heap of the class; -1 if not contained, -2 during setCapped
+	heapIndex int      // position in the heap of the class, or notInHeap or betweenHeaps
 }
 
 // addQueued adds n, which may be negative, to the counts of queued tasks.
@@ -69,7 +76,7 @@
 			return q
 		}
 	}
-	q := &taskQueue{job: j, class: s.ensureClass(k, j.team, j.Team), heapIndex: -1}
+	q := &taskQueue{job: j, class: s.ensureClass(k, j.team, j.Team), heapIndex: notInHeap}
 	j.queues = append(j.queues, q)
 	return q
 }
--- a/dispatch/sched/server.go
+++ b/dispatch/sched/server.go
@@ -83,9 +83,7 @@
 	s.endServerReservation(v)
 	svc := v.service
 	s.setSlots(v, 0, 0)
-	last := svc.servers[len(svc.servers)-1]
-	svc.servers[v.serviceIndex], last.serviceIndex = last, v.serviceIndex
-	svc.servers = slices.Delete(svc.servers, len(svc.servers)-1, len(svc.servers))
+	svc.servers = removeUnordered(svc.servers, v.serviceIndex, func(o *server, i int) { o.serviceIndex = i })
 	v.agent.servers = slices.DeleteFunc(v.agent.servers, func(o *server) bool { return o == v })
 	svc.health.Remove(v.health)
 	svc.removedServers[v.Name] = removedServer{health: v.health, removedAt: v.agent.lastContact}
