Take the pause before a resend out of a compound condition

onSendError decided in one condition of four terms whether the agent is lost, and the last term waited. A reader now sees in turn when the call gives up at once, that the first resend is immediate, and what the later ones wait for. The tests of daemon/entry pass with the race detector.

--- a/daemon/entry/startcall.go
+++ b/daemon/entry/startcall.go
@@ -89,7 +89,14 @@
 		f := notRunRetry(result.AgentLost, shortRetryAfter, "agent %s cannot be reached", c.session.agent)
 		return sched.StartReply{Failure: f}, true
 	}
-	if c.session.isReplaced() || !first && c.isSilent() || time.Since(c.brokenSince) > resendWindow || !first && !boottime.Sleep(ctx, resendDelay) {
+	if c.session.isReplaced() || time.Since(c.brokenSince) > resendWindow {
+		return c.agentLost(), true
+	}
+	if first {
+		// The first resend is immediate.
+		return sched.StartReply{}, false
+	}
+	if c.isSilent() || !boottime.Sleep(ctx, resendDelay) {
 		return c.agentLost(), true
 	}
 	return sched.StartReply{}, false
