Name the steps of an agent's report and of availability

AgentReport told late reports from restarts in one switch, and updateAvailability kept four things up to date at once. isLate, replaceIncarnation and setAvailable name the steps. The tests of dispatch/sched pass with the race detector.

--- a/dispatch/sched/agent.go
+++ b/dispatch/sched/agent.go
@@ -39,23 +39,34 @@
 		s.agents[r.Agent] = a
 		s.agentList = append(s.agentList, a)
 	}
-	switch {
-	case a.incarnation != r.Incarnation:
-		if slices.Contains(a.pastIncarnations, r.Incarnation) {
-			return nil
-		}
-		s.removeServers(a)
-		a.pastIncarnations = append(a.pastIncarnations[max(0, len(a.pastIncarnations)+1-maxPastIncarnations):], a.incarnation)
-		a.incarnation, a.reportSequence, a.countSequence = r.Incarnation, 0, 0
-	case r.Sequence < a.reportSequence:
+	if a.isLate(r) {
 		return nil
 	}
+	if a.incarnation != r.Incarnation {
+		s.replaceIncarnation(a, r.Incarnation)
+	}
 	a.reportSequence, a.domain, a.region, a.draining = r.Sequence, r.Domain, r.Region, r.Draining
 	a.lost, a.lastContact = false, now
 	s.updateServers(now, a, r)
 	return s.endEvent(now)
 }
 
+// isLate reports whether the agent, or a later incarnation of it, has sent a newer report.
+func (a *agent) isLate(r AgentReport) bool {
+	if a.incarnation == r.Incarnation {
+		return r.Sequence < a.reportSequence
+	}
+	return slices.Contains(a.pastIncarnations, r.Incarnation)
+}
+
+// replaceIncarnation records that the agent has restarted, and removes the servers of its former incarnation.
+func (s *Scheduler) replaceIncarnation(a *agent, incarnation string) {
+	s.removeServers(a)
+	dropped := max(0, len(a.pastIncarnations)+1-maxPastIncarnations)
+	a.pastIncarnations = append(a.pastIncarnations[dropped:], a.incarnation)
+	a.incarnation, a.reportSequence, a.countSequence = incarnation, 0, 0
+}
+
 // updateServers adds, updates and removes the servers of an agent to match its report.
 func (s *Scheduler) updateServers(now time.Time, a *agent, r AgentReport) {
 	a.generation++
--- a/dispatch/sched/availability.go
+++ b/dispatch/sched/availability.go
@@ -34,7 +34,12 @@
 	if !in {
 		s.endServerReservation(v)
 	}
-	svc, available := v.service, in && v.free > 0
+	s.setAvailable(v, in && v.free > 0)
+}
+
+// setAvailable adds the server to the available servers of its service, or removes it.
+func (s *Scheduler) setAvailable(v *server, available bool) {
+	svc := v.service
 	switch {
 	case available && v.availableIndex < 0:
 		v.availableIndex = len(svc.available)
