Wait for the second registrar, and keep registrars while no agent is listed

Cause: two entries may have different lists of agents for a moment, when one joins or all keys have expired. Their first registrars of a job then differ, and the first one's grant alone let both order its tasks.

Change: an entry also waits for the answer of the second registrar, for 20 ms at most, and keeps the former registrars while the list is empty. TestEntriesWithDifferentListsOfAgents covers lists that differ by one agent.

--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -42,9 +42,11 @@
 		}
 		a.listed = ok
 	}
-	registrars := jobs.Registrars(slices.Collect(maps.Keys(e.fleet)))
-	e.scheduler.SetRegistrars(registrars)
-	e.partners.SetFleet(fleet, registrars...)
+	if len(list) > 0 {
+		e.registrars = jobs.Registrars(slices.Collect(maps.Keys(e.fleet)))
+	}
+	e.scheduler.SetRegistrars(e.registrars)
+	e.partners.SetFleet(fleet, e.registrars...)
 	e.updatePartners(now)
 	e.scheduler.SetExpectedAgents(now, e.partners.Len())
 	e.Log.Info(event.AgentsChanged, event.Fields{"listed": len(list), "partners": e.partners.Len()})
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -41,7 +41,7 @@
 			b.Stops = append(b.Stops, a.ref)
 		}
 	}
-	s.restoreOwnerships(agent, b)
+	s.restoreOwnerships(now, agent, b)
 }
 
 // AgentDisconnected records the end of the link to an agent. Its runs keep their places until they are
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -20,6 +20,10 @@
 	registrarsPerJob = 2
 	// MaxRegistrars bounds the number of agents that record owners, because each entry needs a link to all of them.
 	MaxRegistrars = 8
+	// laterAnswerWait is how long an entry waits for the answer of the second registrar once the first one has granted a
+	// job. Answers take one to three milliseconds between failure domains. The second answer matters while entries
+	// have different lists of agents, and therefore different first registrars.
+	laterAnswerWait = 20 * time.Millisecond
 )
 
 // requestState is the state of the request for a job at one registrar.
@@ -37,6 +41,7 @@
 	agent  string
 	number uint64
 	state  requestState
+	sent   time.Time
 }
 
 // ownership is what the entry knows of the owner of one job.
@@ -93,7 +98,7 @@
 
 // advance sends the requests that are due and lets the job begin if the entry owns it by now.
 func (s *Scheduler) advance(now time.Time, o *ownership) {
-	s.sendRequests(o)
+	s.sendRequests(now, o)
 	o.owned = o.owned || s.conceded(now, o)
 	j := s.jobs[o.job]
 	if j == nil || j.mayOrder || !o.owned || o.runs > 0 {
@@ -111,7 +116,7 @@
 
 // sendRequests requests the job from the first registrars that are reachable, unless one of them has another owner. For
 // a job that the entry owns, it keeps that number of records when a registrar is lost.
-func (s *Scheduler) sendRequests(o *ownership) {
+func (s *Scheduler) sendRequests(now time.Time, o *ownership) {
 	if s.heldElsewhere(o) {
 		return
 	}
@@ -128,7 +133,7 @@
 		if o.request(agent) == nil {
 			r := &request{agent: agent}
 			o.requests = append(o.requests, r)
-			s.sendRequest(o, r, s.batch(s.servers[agent]))
+			s.sendRequest(now, o, r, s.batch(s.servers[agent]))
 		}
 	}
 }
@@ -139,28 +144,46 @@
 }
 
 // sendRequest adds a request to a batch for the registrar.
-func (s *Scheduler) sendRequest(o *ownership, r *request, b *Batch) {
+func (s *Scheduler) sendRequest(now time.Time, o *ownership, r *request, b *Batch) {
 	s.lastRequest++
-	r.number, r.state = s.lastRequest, requested
+	r.number, r.state, r.sent = s.lastRequest, requested, now
 	b.Requests = append(b.Requests, owner.Request{Job: o.job, Number: r.number})
 }
 
-// conceded reports whether the entry owns the job: the first reachable registrar has granted it, and none has another
-// owner. Without a reachable registrar the job begins if there are none, or once every run from before the submission
+// conceded reports whether the entry owns the job: the first reachable registrar has granted it, the second one has
+// answered or had the time to, and none has another owner. Without a reachable registrar the job begins if there are none, or once every run from before the submission
 // has certainly ended.
 func (s *Scheduler) conceded(now time.Time, o *ownership) bool {
 	if s.heldElsewhere(o) {
 		return false
 	}
-	for _, agent := range o.order {
-		if s.reachable(agent) {
-			r := o.request(agent)
-			return r != nil && r.state == granted
+	first := true
+	for _, r := range s.reachableRequests(o) {
+		if r.state != granted && (first || now.Sub(r.sent) < laterAnswerWait) {
+			return false
 		}
+		first = false
+	}
+	if !first {
+		return true
 	}
 	return s.withoutRegistrars(o) || now.Sub(o.since) > s.limits.ResubmitAfter
 }
 
+// reachableRequests returns the requests at the first reachable registrars, in order.
+func (s *Scheduler) reachableRequests(o *ownership) []*request {
+	var list []*request
+	for _, agent := range o.order {
+		if len(list) == registrarsPerJob {
+			break
+		}
+		if r := o.request(agent); r != nil && s.reachable(agent) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // withoutRegistrars reports whether no agent records owners, as far as the entry knows: there are none, or those that
 // it has reports of are of an earlier version.
 func (s *Scheduler) withoutRegistrars(o *ownership) bool {
@@ -254,7 +277,7 @@
 
 // restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record,
 // and the requests that have no grant yet.
-func (s *Scheduler) restoreOwnerships(agent string, b *Batch) {
+func (s *Scheduler) restoreOwnerships(now time.Time, agent string, b *Batch) {
 	for _, o := range s.ownershipsByJob() {
 		r := o.request(agent)
 		switch {
@@ -262,7 +285,7 @@
 		case o.owned:
 			b.Owned = append(b.Owned, o.job)
 		default:
-			s.sendRequest(o, r, b)
+			s.sendRequest(now, o, r, b)
 		}
 	}
 }
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -261,13 +261,14 @@
 		t.Fatal("tasks ordered before the first registrar has answered")
 	}
 	f.disconnect(order[0])
-	f.advance(20 * time.Millisecond)
+	f.advance(laterAnswerWait) // requests the job from the third registrar
+	f.advance(laterAnswerWait)
 	if f.runs(first) != 2 {
 		t.Fatalf("%d runs although the second registrar has granted the job", f.runs(first))
 	}
 	f.deliverAll()
 	f.disconnect(order[1])
-	f.advance(20 * time.Millisecond)
+	f.advance(laterAnswerWait)
 	f.deliverAll()
 	first.Abandon("j")
 	f.take(first)
@@ -278,6 +279,43 @@
 	}
 }
 
+// Guards against two entries that own a job while one of them does not know yet that an agent has joined: their first
+// registrars differ, but one of two is the same.
+func TestEntriesWithDifferentListsOfAgents(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	first.SetRegistrars(order[1:])
+	f.submit(first, "j")
+	f.deliverAll()
+	if f.runs(first) != 2 {
+		t.Fatalf("%d runs at the first entry", f.runs(first))
+	}
+	first.Abandon("j")
+	f.take(first)
+	f.submit(second, "j")
+	f.deliverAll()
+	if f.runs(second) != 0 {
+		t.Error("the second entry ordered tasks while runs of the first one are left")
+	}
+}
+
+// Guards against jobs that wait for a second registrar that does not answer.
+func TestJobBeginsWithoutLateSecondAnswer(t *testing.T) {
+	f := newOwnerFleet(1, 4)
+	e, order := f.entries[0], rankFor("j", f.agents)
+	f.submit(e, "j")
+	f.deliverFrame(e, order[0])
+	f.deliverAnswer(e, order[0])
+	if f.runs(e) != 0 {
+		t.Fatal("tasks ordered before the second registrar could answer")
+	}
+	f.advance(laterAnswerWait)
+	if f.runs(e) != 2 {
+		t.Errorf("%d runs", f.runs(e))
+	}
+}
+
 // Guards against jobs that wait for agents of an earlier version, which do not record owners.
 func TestJobBeginsWithoutAgentsThatRecordOwners(t *testing.T) {
 	h := newHarness(t, 3, 8000)
