Check jobs against known limits before their tasks are allocated

The scheduler allocated each task of a job before anything limited their number, and checked none of the numbers in a job. A job of negative CPU demand was admitted and its demand added to the free capacity, so that the next orders brought a backend server over its capacity.

jobs.Check compares a job with limits that do not depend on the load: steps, tasks of all steps together, lengths, amounts, estimates, bounds per server, dependencies and the deadline. Submit rejects a job beyond them as not run with code 1001 or 1002 and no Retry-After. run.MaxAmount bounds each amount, so that sums over tasks and servers cannot overflow.

--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -173,6 +173,9 @@
 // Submit admits a job or rejects it. If it returns false, the outcome is final, and this entry has run nothing of
 // the job.
 func (s *Scheduler) Submit(now time.Time, in Job) (Outcome, bool) {
+	if f := Check(in); f != nil {
+		return rejectionOf(in.ID, f.Code), false
+	}
 	if code := s.refusalCode(now, in); code != 0 {
 		return Outcome{Job: in.ID, Code: code, Effect: result.NotRun, RetryAfter: defaultRetryAfter}, false
 	}
--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -19,6 +19,18 @@
 	GPU int64
 }
 
+// MaxAmount bounds each amount of a Demand that a caller, a peer or a backend server names: a million cores, or
+// a petabyte of memory. The sum of nine thousand million such amounts does not overflow an int64.
+const MaxAmount = 1_000_000_000
+
+// Valid reports whether each amount is from 0 to MaxAmount. A negative demand would free capacity that does not
+// exist.
+func (d Demand) Valid() bool {
+	return validAmount(d.CPU) && validAmount(d.MemoryMB) && validAmount(d.GPU)
+}
+
+func validAmount(amount int64) bool { return amount >= 0 && amount <= MaxAmount }
+
 // Fits reports whether the free resources suffice for d.
 func (d Demand) Fits(free Demand) bool {
 	return d.CPU <= free.CPU && d.MemoryMB <= free.MemoryMB && d.GPU <= free.GPU
