Refuse orders with a demand out of range at the agent

The table of an agent took the demands that entries named as they were. A negative one in an order, a claim or a request for capacity added to the free capacity, so that the next orders brought the backend server over its capacity.

A claimed run whose demand is out of range counts as using more than the backend server has. Negative amounts in a request count as 0.

--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -29,6 +29,13 @@
 	return validAmount(d.CPU) && validAmount(d.MemoryMB) && validAmount(d.GPU)
 }
 
+// Clamp returns d with each amount moved into the range from 0 to MaxAmount.
+func (d Demand) Clamp() Demand {
+	return Demand{clampAmount(d.CPU), clampAmount(d.MemoryMB), clampAmount(d.GPU)}
+}
+
+func clampAmount(amount int64) int64 { return min(MaxAmount, max(0, amount)) }
+
 func validAmount(amount int64) bool { return amount >= 0 && amount <= MaxAmount }
 
 // Fits reports whether the free resources suffice for d.
--- a/dispatch/runtable/offers.go
+++ b/dispatch/runtable/offers.go
@@ -42,9 +42,11 @@
 }
 
 // Request records at now the demand of the owner's waiting tasks and the latest start time of the
-// most urgent one. An empty demand withdraws the owner's request and offer.
+// most urgent one. An empty demand withdraws the owner's request and offer. Negative amounts count as 0: an offer of
+// them would add to the capacity that is free for the other owners.
 func (o *Offers) Request(now time.Time, owner string, urgency time.Time, demand run.Demand) {
-	if demand.CPU <= 0 && demand.MemoryMB <= 0 && demand.GPU <= 0 {
+	demand = demand.Clamp()
+	if demand == (run.Demand{}) {
 		o.Drop(owner)
 		return
 	}
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -68,9 +68,12 @@
 	return 0
 }
 
-// checkOrder returns 0 if the order may start, and otherwise the code to refuse it with.
+// checkOrder returns 0 if the order may start, and otherwise the code to refuse it with. A demand out of range is
+// refused here too, although entries check their jobs: a negative one would free capacity that does not exist.
 func (t *Table) checkOrder(now time.Time, o Order) result.Code {
 	switch {
+	case o.Ref.Task == "" || !o.Demand.Valid():
+		return result.Malformed
 	case t.draining:
 		return result.AgentDraining
 	case !t.usable() || t.server.Instance != o.Instance || !t.server.HasLabel(o.Label):
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -248,8 +248,12 @@
 func (t *Table) orphaned(now time.Time, r *record) bool { return now.After(t.orphanedAt(r)) }
 
 // Claim answers an entry that asks what has become of a run which it ordered at orderedAt. The
-// entry becomes the owner of a run that is in the table.
+// entry becomes the owner of a run that is in the table. If the demand that it names is out of range, the run counts
+// as using more than the backend server has until it ends.
 func (t *Table) Claim(owner string, ref run.Ref, demand run.Demand, now, orderedAt time.Time) run.Event {
+	if !demand.Valid() {
+		demand = run.Demand{CPU: run.MaxAmount, MemoryMB: run.MaxAmount, GPU: run.MaxAmount}
+	}
 	if r := t.runs[ref]; r != nil {
 		r.owner = owner
 		r.demand = demand
