Bound durations that are computed from estimates, speeds and objectives

The conversion of such a number has a result that depends on the processor. An objective that overflowed was past when its job arrived, and a backlog whose wait became negative would admit every job. A declared run time of a nanosecond made its backend server the slowest of all.

Measured slowdowns are between 1/1000 and 1000, and steps that declare less than a millisecond are not used to measure speeds.

--- a/dispatch/jobs/attempt.go
+++ b/dispatch/jobs/attempt.go
@@ -62,7 +62,7 @@
 	t.attempts++
 	s.recordDecision(Decision{
 		Kind: Placed, Agent: v.agent, Ref: a.ref, Attempt: t.attempts, Age: now.Sub(v.lastContact), Free: v.available().CPU,
-		Expected: time.Duration(float64(j.expectedRunTime(t)) * a.slowdown()),
+		Expected: span(float64(j.expectedRunTime(t)) * a.slowdown()),
 	})
 	v.runs[a.ref] = a
 	v.lastOrder = now
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -198,7 +198,7 @@
 	a.server.health.Success()
 	a.server.unanswered = 0
 	s.observeSpeeds(now, a, took)
-	work := time.Duration(float64(took) / a.slowdown())
+	work := span(float64(took) / a.slowdown())
 	j.steps[t.step].doneTasks++
 	j.steps[t.step].runTime += work
 	j.raiseEstimate(t.step, work)
--- a/dispatch/jobs/fit.go
+++ b/dispatch/jobs/fit.go
@@ -60,7 +60,7 @@
 
 // expectedEnd returns when the task is expected to end if it starts now at the given slowdown.
 func (s *Scheduler) expectedEnd(now time.Time, j *job, t *task, slowdown float64) time.Time {
-	return now.Add(time.Duration(float64(j.expectedRunTime(t)) * slowdown))
+	return now.Add(span(float64(j.expectedRunTime(t)) * slowdown))
 }
 
 // meetsObjective reports whether the task is expected to meet the objective of its job on the backend
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -96,7 +96,7 @@
 		for _, a := range step.After {
 			chain[s] = max(chain[s], chain[a])
 		}
-		chain[s] += max(j.stepRunTime(s), j.steps[s].minRunTime)
+		chain[s] = min(maxSpan, chain[s]+max(j.stepRunTime(s), j.steps[s].minRunTime))
 		longest = max(longest, chain[s])
 	}
 	return longest
@@ -146,7 +146,7 @@
 
 // objectiveFor returns the latency objective of a job with the given critical path.
 func objectiveFor(j Job, chain time.Duration) time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(chain)) + j.Queue.Latency
+	return span(j.Queue.Stretch*float64(chain) + float64(j.Queue.Latency))
 }
 
 // runnable reports whether the steps that the task's step depends on are done.
@@ -189,7 +189,7 @@
 	if declared <= 0 {
 		return j.Steps[step].Estimate
 	}
-	return time.Duration(float64(j.Steps[step].Estimate) * float64(ran) / float64(declared))
+	return span(float64(j.Steps[step].Estimate) * float64(ran) / float64(declared))
 }
 
 // mayHaveRun reports whether a task has run or may be running.
--- a/dispatch/jobs/limits.go
+++ b/dispatch/jobs/limits.go
@@ -22,7 +22,8 @@
 	MaxSpecBytes = 4000
 	// MaxNameBytes bounds a job ID and a label, in bytes.
 	MaxNameBytes = 256
-	// MaxEstimate bounds the declared run time of a task.
+	// MaxEstimate bounds the declared run time of a task. The longest chain of MaxSteps such steps is below
+	// maxSpan.
 	MaxEstimate = 24 * time.Hour
 	// MaxDeadline bounds the time from the arrival of a job to its deadline.
 	MaxDeadline = 24 * time.Hour
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -111,7 +111,7 @@
 // objective, shifted by its priority and by startedBonus.
 func (s *Scheduler) queueKeyOf(j *job) time.Time {
 	later := priorityShare * float64(j.Queue.Priority) * float64(j.latencyObjective())
-	key := j.objectiveTime.Add(-j.criticalPath).Add(time.Duration(later))
+	key := j.objectiveTime.Add(-j.criticalPath).Add(span(later))
 	if !j.startedAt.IsZero() {
 		key = key.Add(-startedBonus)
 	}
--- a/dispatch/jobs/speed.go
+++ b/dispatch/jobs/speed.go
@@ -52,11 +52,11 @@
 // step is observed together with the second one. A single task is compared with its declared run time.
 func (s *Scheduler) observeSpeeds(now time.Time, a *attempt, took time.Duration) {
 	step := a.job.Steps[a.task.step]
-	if step.Estimate <= 0 {
+	if step.Estimate < minMeasuredEstimate {
 		return
 	}
 	state := &a.job.steps[a.task.step]
-	r := completedRun{server: a.server, instance: a.server.state.Instance, took: time.Duration(float64(took) / a.localityFactor)}
+	r := completedRun{server: a.server, instance: a.server.state.Instance, took: span(float64(took) / a.localityFactor)}
 	state.completed = append(state.completed, r)
 	switch {
 	case step.Count == 1:
@@ -95,7 +95,7 @@
 	if r.server.speedKnown() {
 		reference.add(r.work(), ownWeight)
 	}
-	r.observe(now, time.Duration(reference.value()/s.declaredErrorOf(a.job.Queue.Service).typical()))
+	r.observe(now, span(reference.value()/s.declaredErrorOf(a.job.Queue.Service).typical()))
 }
 
 // workOnOthers returns the mean work of the runs on servers other than the given instance whose speed is known.
@@ -134,10 +134,20 @@
 	if r.server.state.Instance != r.instance || r.server.speedEstimate == nil || work <= 0 {
 		return
 	}
-	r.server.speedEstimate.Observe(now, time.Duration(float64(r.took)/float64(work)*float64(referenceRunTime)))
+	slowdown := min(MaxSlowdown, max(1/MaxSlowdown, float64(r.took)/float64(work)))
+	r.server.speedEstimate.Observe(now, time.Duration(slowdown*float64(referenceRunTime)))
 	r.server.lagFactor = max(1, r.server.lagFactor*lagDecay)
 }
 
+const (
+	// minMeasuredEstimate is the least declared run time with which runs are compared. Tasks that declare less say
+	// nothing about their length: one of a nanosecond would make its backend server the slowest of all.
+	minMeasuredEstimate = time.Millisecond
+	// MaxSlowdown bounds a measured slowdown, and its inverse, so that the estimates stay within the range of a
+	// duration.
+	MaxSlowdown = 1000.0
+)
+
 // work returns the run time at normal speed, in nanoseconds.
 func (r completedRun) work() float64 { return float64(r.took) / r.server.normalSlowdown() }
 
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -88,7 +88,7 @@
 		return 0, false
 	}
 	rate := float64(a.percent-a.prevPercent) / float64(a.percentAt.Sub(a.prevPercentAt))
-	remaining = time.Duration(float64(100-a.percent)/rate) - now.Sub(a.percentAt)
+	remaining = span(float64(100-a.percent)/rate) - now.Sub(a.percentAt)
 	return max(0, remaining), true
 }
 
@@ -97,7 +97,7 @@
 // does not make its runs stalled.
 func (a *attempt) stalled() bool {
 	if a.percent == 0 {
-		expected := time.Duration(float64(a.job.expectedRunTime(a.task)) * a.slowdown())
+		expected := span(float64(a.job.expectedRunTime(a.task)) * a.slowdown())
 		limit := max(minStallTime, expected*firstStallPercents/100) << a.task.stalls
 		return a.lastReadingAt.Sub(a.startedAt) > limit
 	}
@@ -151,7 +151,7 @@
 		if remaining, known := a.remaining(now); known {
 			expected := float64(a.job.expectedRunTime(a.task)) * a.slowdown() / v.lagFactor
 			if remaining < stalledRemaining {
-				a.job.raiseEstimate(a.task.step, time.Duration(float64(now.Sub(a.startedAt)+remaining)/a.largestSlowdown()))
+				a.job.raiseEstimate(a.task.step, span(float64(now.Sub(a.startedAt)+remaining)/a.largestSlowdown()))
 			}
 			ratios = append(ratios, float64(now.Sub(a.startedAt)+remaining)/max(expected, 1))
 		}
@@ -188,6 +188,6 @@
 	if remaining < stalledRemaining {
 		work = float64(now.Sub(a.startedAt)+remaining) / a.slowdown()
 	}
-	fresh := moveCost + time.Duration(work*other.slowdown()*s.localityFactor(j.Steps[a.task.step], other))
+	fresh := moveCost + span(work*other.slowdown()*s.localityFactor(j.Steps[a.task.step], other))
 	return float64(remaining) > moveGain*float64(fresh) && now.Add(fresh).Before(j.giveUpTime())
 }
--- a/dispatch/jobs/throughput.go
+++ b/dispatch/jobs/throughput.go
@@ -24,7 +24,7 @@
 	if throughput <= 0 {
 		return defaultRetryAfter
 	}
-	return time.Duration(backlog / throughput * float64(time.Second))
+	return span(backlog / throughput * float64(time.Second))
 }
 
 // expectedLateWait returns how long a late job is expected to wait. New jobs come before all late ones,
@@ -37,7 +37,7 @@
 		return wait
 	}
 	left := max(minLateShare, 1-admitted.rate(now)/throughput)
-	return time.Duration(float64(wait) / left)
+	return span(float64(wait) / left)
 }
 
 // loadKey identifies the backend servers whose load the job shares: those of its service, or of the bulkhead.
