--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -82,11 +82,12 @@
 	e.interval.count(o, took)
 }
 
-// taskCount returns the number of tasks in all steps of a job.
+// taskCount returns the number of tasks in all steps of a job, or jobs.MaxTasks + 1 if there are more: the counts of
+// a rejected job may be beyond any limit.
 func taskCount(j jobs.Job) int {
 	n := 0
 	for _, s := range j.Steps {
-		n += s.Count
+		n = min(jobs.MaxTasks+1, n+min(jobs.MaxTasks+1, max(0, s.Count)))
 	}
 	return n
 }
