Bound the numbers that entries and agents take from each other

An agent took a start token of the future as a confirmation: it kept the runs of a silent entry, and accepted its orders, until then. It also took an acknowledgement of frames that it had not sent, and could end before an entry knew of the end of its runs. An entry took an event of a kind that it does not know for the end of the run and started the task again. Numbers that are out of the range of a field wrapped around.

A token of the future confirms nothing, acknowledgements are bounded by what was sent, and events of unknown kinds are ignored. Capacities, free capacity, percentages, slowdowns, slack and numbers of entries are bounded when frames are converted; what does not fit a field is sent as the nearest that does.

--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -21,11 +21,20 @@
 	return &peerv1.Demand{Cpu: d.CPU, MemoryMb: d.MemoryMB, Gpu: d.GPU}
 }
 
-// DemandFromProto converts a protobuf message to a resource demand.
+// DemandFromProto converts a protobuf message to a resource demand. Its amounts may be out of range; see
+// run.Demand.Valid.
 func DemandFromProto(d *peerv1.Demand) run.Demand {
 	return run.Demand{CPU: d.GetCpu(), MemoryMB: d.GetMemoryMb(), GPU: d.GetGpu()}
 }
 
+// FreeFromProto converts a protobuf message to free capacity, each amount of which is moved into the range from
+// -run.MaxAmount to run.MaxAmount. Less than nothing is free if the capacity has shrunk below what runs.
+func FreeFromProto(d *peerv1.Demand) run.Demand {
+	free := DemandFromProto(d)
+	used := run.Demand{CPU: -max(free.CPU, -run.MaxAmount), MemoryMB: -max(free.MemoryMB, -run.MaxAmount), GPU: -max(free.GPU, -run.MaxAmount)}
+	return free.Clamp().Sub(used.Clamp())
+}
+
 var stateToProto = map[run.ServerState]peerv1.RunServerState{
 	run.Absent:   peerv1.RunServerState_RUN_SERVER_STATE_ABSENT,
 	run.Ready:    peerv1.RunServerState_RUN_SERVER_STATE_READY,
@@ -41,11 +50,11 @@
 }
 
 // ServerFromProto converts a protobuf message to the state of a backend server. A state that this version
-// does not know becomes run.Absent.
+// does not know becomes run.Absent. Amounts of its capacity that are out of range are moved into it.
 func ServerFromProto(s *peerv1.RunServer) run.Server {
 	v := run.Server{
 		Instance: s.GetInstance(), Service: s.GetService(), Domain: s.GetDomain(),
-		Capacity: DemandFromProto(s.GetRoom()), Labels: s.GetLabels(),
+		Capacity: DemandFromProto(s.GetRoom()).Clamp(), Labels: s.GetLabels(),
 	}
 	for state, code := range stateToProto {
 		if code == s.GetState() {
@@ -82,12 +91,12 @@
 
 // CrashToProto converts a crash of a backend server, the given time ago, to its protobuf message.
 func CrashToProto(c run.Crash, ago time.Duration) *peerv1.ServerCrash {
-	m := &peerv1.ServerCrash{Server: c.Instance, Number: c.Number, AgeMs: uint32(ago.Milliseconds())}
+	m := &peerv1.ServerCrash{Server: c.Instance, Number: c.Number, AgeMs: MillisecondsToProto(ago)}
 	for _, s := range c.Suspects {
-		m.Suspects = append(m.Suspects, &peerv1.CrashSuspect{Task: s.Task, Kind: s.Kind, AgeMs: uint32(s.Age.Milliseconds())})
+		m.Suspects = append(m.Suspects, &peerv1.CrashSuspect{Task: s.Task, Kind: s.Kind, AgeMs: MillisecondsToProto(s.Age)})
 	}
 	for kind, perSecond := range c.Starts {
-		m.Starts = append(m.Starts, &peerv1.KindStarts{Kind: kind, PerKs: uint32(math.Round(perSecond * 1000))})
+		m.Starts = append(m.Starts, &peerv1.KindStarts{Kind: kind, PerKs: thousandths(perSecond)})
 	}
 	return m
 }
@@ -108,10 +117,66 @@
 }
 
 // SlowdownToProto converts a slowdown to thousandths; 0 means that it is unknown.
-func SlowdownToProto(slowdown float64) uint32 { return uint32(math.Round(slowdown * 1000)) }
+func SlowdownToProto(slowdown float64) uint32 { return thousandths(slowdown) }
+
+// thousandths converts a number to thousandths, and one beyond the range of the result to the nearest in it.
+func thousandths(x float64) uint32 {
+	if !(x > 0) {
+		return 0
+	}
+	return uint32(min(math.MaxUint32, math.Round(x*1000)))
+}
+
+// SlowdownFromProto converts thousandths to a slowdown; 0 means that it is unknown. A slowdown above
+// jobs.MaxSlowdown, which no entry measures, counts as unknown.
+func SlowdownFromProto(permille uint32) float64 {
+	slowdown := float64(permille) / 1000
+	if slowdown > jobs.MaxSlowdown {
+		return 0
+	}
+	return slowdown
+}
+
+// MillisecondsToProto converts a time that has passed to milliseconds, and one beyond the range of the result to the
+// nearest in it.
+func MillisecondsToProto(d time.Duration) uint32 {
+	return uint32(min(math.MaxUint32, max(0, d.Milliseconds())))
+}
 
-// SlowdownFromProto converts thousandths to a slowdown; 0 means that it is unknown.
-func SlowdownFromProto(permille uint32) float64 { return float64(permille) / 1000 }
+// maxSlack bounds the time from now to the latest start of a task, in either direction. Jobs are known for less than
+// a day after their latest start.
+const maxSlack = 365 * 24 * time.Hour
+
+// SlackFromProto converts the milliseconds to the latest start of a task to a duration of at most maxSlack, in either
+// direction.
+func SlackFromProto(ms int64) time.Duration {
+	limit := maxSlack.Milliseconds()
+	return time.Duration(min(limit, max(-limit, ms))) * time.Millisecond
+}
+
+// ProgressToProto converts the progress of a run, and the time since it began, to its protobuf message.
+func ProgressToProto(ref run.Ref, percent int, age time.Duration) *peerv1.RunProgress {
+	return &peerv1.RunProgress{Ref: RefToProto(ref), Percent: uint32(min(100, max(0, percent))), AgeMs: MillisecondsToProto(age)}
+}
+
+// ProgressFromProto converts a protobuf message to the progress of a run and the time since it began. A percentage
+// above 100 becomes 100.
+func ProgressFromProto(p *peerv1.RunProgress) (ref run.Ref, percent int, age time.Duration) {
+	return RefFromProto(p.GetRef()), int(min(100, p.GetPercent())), time.Duration(p.GetAgeMs()) * time.Millisecond
+}
+
+// maxEntries bounds the number of entries that an agent reports. Each of them is assumed to use the same share of the
+// backend server, so that a number too large would make an entry reject all jobs.
+const maxEntries = 10_000
+
+// ReportFromProto converts the state in an agent's frame to a report. The server is the newest one that the agent has
+// reported.
+func ReportFromProto(f *peerv1.AgentFrame, server run.Server) jobs.Report {
+	return jobs.Report{
+		Server: server, Free: FreeFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(min(maxEntries, f.GetEntries())),
+		OthersSlowdown: SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(), ReportsCrashes: f.GetReportsCrashes(),
+	}
+}
 
 // BatchToProto converts an entry's orders, stops and claims for one agent to a frame. The caller sets the
 // other fields of the frame.
@@ -127,7 +192,7 @@
 		f.Stops = append(f.Stops, RefToProto(r))
 	}
 	for _, c := range b.Claims {
-		f.Claims = append(f.Claims, &peerv1.RunClaim{Ref: RefToProto(c.Ref), Demand: DemandToProto(c.Demand), AgeMs: uint32(c.Age.Milliseconds())})
+		f.Claims = append(f.Claims, &peerv1.RunClaim{Ref: RefToProto(c.Ref), Demand: DemandToProto(c.Demand), AgeMs: MillisecondsToProto(c.Age)})
 	}
 	return f
 }
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -122,12 +122,12 @@
 		return
 	}
 	now := boottime.Now()
-	token := a.startedAt.Add(time.Duration(f.GetTokenMs()) * time.Millisecond)
+	token := a.tokenTime(now, f.GetTokenMs())
 	s.lastSeq = f.GetSeq()
 	s.lastReceived = now
 	s.confined = f.GetConfined()
-	s.confirmedSeq = max(s.confirmedSeq, f.GetAck())
-	a.table.Request(now, s.entry, now.Add(time.Duration(f.GetSlackMs())*time.Millisecond), link.DemandFromProto(f.GetWant()))
+	s.confirmedSeq = max(s.confirmedSeq, min(f.GetAck(), s.seq))
+	a.table.Request(now, s.entry, now.Add(link.SlackFromProto(f.GetSlackMs())), link.DemandFromProto(f.GetWant()))
 	a.table.Confirmed(s.entry, token)
 	a.speeds.Set(s.entry, link.SlowdownFromProto(f.GetSlowdownPermille()))
 	if out := f.GetOut(); out != nil {
@@ -153,6 +153,16 @@
 	a.sendUpdates(now, updates)
 }
 
+// tokenTime returns the time, on the agent's clock, at which it sent the message that a start token names. A token of
+// the future is none of this process: it confirms nothing, as if the entry had received no message. It would
+// otherwise keep the runs of its entry until then, however long that is silent.
+func (a *Agent) tokenTime(now time.Time, ms uint64) time.Time {
+	if ms > uint64(now.Sub(a.startedAt).Milliseconds()) {
+		return a.startedAt
+	}
+	return a.startedAt.Add(time.Duration(ms) * time.Millisecond)
+}
+
 // handleOrder starts a run and returns true, or returns the event that refuses the order and false. The
 // caller must hold a.mu.
 func (a *Agent) handleOrder(ctx context.Context, s *session, now, token time.Time, o *peerv1.RunOrder) (run.Event, bool) {
@@ -228,7 +238,7 @@
 		s.eventSeq = s.seq
 	}
 	for _, p := range a.table.Progress(now, s.entry) {
-		f.Progress = append(f.Progress, &peerv1.RunProgress{Ref: link.RefToProto(p.Ref), Percent: uint32(p.Percent), AgeMs: uint32(p.Age.Milliseconds())})
+		f.Progress = append(f.Progress, link.ProgressToProto(p.Ref, p.Percent, p.Age))
 	}
 	for _, c := range a.table.Crashes(now, s.sentCrash) {
 		f.Crashes = append(f.Crashes, link.CrashToProto(c.Crash, now.Sub(c.At)))
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -155,8 +155,8 @@
 	e.scheduler.RecordMessage(now, a.id)
 	e.observeResponse(a, now, f.GetAck())
 	for _, p := range f.GetProgress() {
-		age := time.Duration(p.GetAgeMs()) * time.Millisecond
-		e.scheduler.Progress(now, a.id, link.RefFromProto(p.GetRef()), int(p.GetPercent()), age)
+		ref, percent, age := link.ProgressFromProto(p)
+		e.scheduler.Progress(now, a.id, ref, percent, age)
 	}
 	// Crashes come before the ends of the runs that they took with them.
 	for _, c := range f.GetCrashes() {
@@ -169,10 +169,7 @@
 	if s := f.GetServer(); s != nil {
 		a.server = link.ServerFromProto(s)
 	}
-	e.scheduler.Report(now, a.id, jobs.Report{
-		Server: a.server, Free: link.DemandFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(f.GetEntries()),
-		OthersSlowdown: link.SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(), ReportsCrashes: f.GetReportsCrashes(),
-	})
+	e.scheduler.Report(now, a.id, link.ReportFromProto(f, a.server))
 	e.flush()
 	// The agent reserves capacity for entries with waiting tasks, so tell it immediately when this changes.
 	if now.Sub(a.lastSent) >= demandUpdateInterval && a.demandSent != e.scheduler.HasWaiting(now, a.id) {
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -114,14 +114,14 @@
 }
 
 // Event records what has happened to a run. Events of unknown runs are ignored: the end of these runs
-// was already handled.
+// was already handled. So are events of an unknown kind, which do not show that the run has ended.
 func (s *Scheduler) Event(now time.Time, agent string, e run.Event) {
 	v := s.servers[agent]
 	if v == nil {
 		return
 	}
 	a := v.runs[e.Ref]
-	if a == nil || e.Kind == run.Running {
+	if a == nil || !e.Kind.Ends() {
 		return
 	}
 	s.removeRun(a)
--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -100,6 +100,9 @@
 	Stopped
 )
 
+// Ends reports whether an event of the kind is the last one of its run.
+func (k EventKind) Ends() bool { return k == NotRun || k == Done || k == Failed || k == Stopped }
+
 // String returns the name that logs show; "unknown" for other values.
 func (k EventKind) String() string {
 	switch k {
