Bound declared durations on the own interface

A declared duration of centuries was accepted; its product with the speed of a backend server leaves the range of a duration. The number of tasks is now one limit for both interfaces.

Before the change, TestDeclaredDurationsAreBounded printed "2190000h0m0s: code 0, want 1001".

--- a/daemon/entry/validate.go
+++ b/daemon/entry/validate.go
@@ -7,7 +7,10 @@
 	"hash"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
+	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/sched"
 	"poplargw.example/dispatch/submission"
@@ -15,7 +18,7 @@
 
 // Limits of a submission. defaultTimeout applies when the caller sets no timeout.
 const (
-	maxTasks        = 400
+	maxTasks        = jobs.MaxTasks
 	maxPayloadBytes = 64 << 10
 	maxJobBytes     = 4 << 20
 	maxNameBytes    = 64
@@ -65,8 +68,8 @@
 			return notRun(result.Malformed, "task %d: kind must have 1 to %d bytes", i, maxNameBytes)
 		case len(t.GetPayload()) > maxPayloadBytes:
 			return notRun(result.TooLarge, "task %d: payload has %d bytes, the limit is %d", i, len(t.GetPayload()), maxPayloadBytes)
-		case t.GetDeclaredDuration() != nil && (!t.GetDeclaredDuration().IsValid() || t.GetDeclaredDuration().AsDuration() < 0):
-			return notRun(result.Malformed, "task %d: declared_duration is invalid", i)
+		case t.GetDeclaredDuration() != nil && !validDeclaredDuration(t.GetDeclaredDuration()):
+			return notRun(result.Malformed, "task %d: declared_duration must be from 0 to %v", i, jobs.MaxEstimate)
 		}
 		total += len(t.GetPayload())
 	}
@@ -76,6 +79,12 @@
 	return nil
 }
 
+// validDeclaredDuration reports whether a declared run time is within the limits that all interfaces share. Longer
+// ones leave the range of a duration when they are multiplied by the speed of a backend server.
+func validDeclaredDuration(d *durationpb.Duration) bool {
+	return d.IsValid() && d.AsDuration() >= 0 && d.AsDuration() <= jobs.MaxEstimate
+}
+
 func checkTimeout(r *poplargwv1.SubmitJobRequest) *result.Failure {
 	if r.GetTimeout() == nil {
 		return nil
