Count the tasks of a job before the request is decoded

The tasks of a request were counted after it was decoded.

The tasks of the binary form, and the objects of the JSON form, are counted in the bytes of the body. A request with too many is refused with code 1002, as before for one with a few tasks more than the limit.

--- a/daemon/entry/callers.go
+++ b/daemon/entry/callers.go
@@ -37,8 +37,9 @@
 	return limitBody(mux)
 }
 
-// limitBody refuses bodies of more than maxRequestBytes with the result code TooLarge. The
-// read limit of the RPC library would refuse them without a result code.
+// limitBody refuses bodies of more than maxRequestBytes, and jobs of too many tasks, with the
+// result code TooLarge. The read limit of the RPC library would refuse large bodies without a
+// result code, and would decode two million empty tasks before checkJob can count them.
 func limitBody(next http.Handler) http.Handler {
 	errs := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -48,6 +49,8 @@
 			_ = errs.Write(w, r, connect.NewError(connect.CodeInvalidArgument, errors.New("request body cannot be read")))
 		case len(body) > maxRequestBytes:
 			_ = errs.Write(w, r, connectError(notRun(result.TooLarge, "the request has more than %d bytes", maxRequestBytes)))
+		case hasTooManyTasks(r, body):
+			_ = errs.Write(w, r, connectError(notRun(result.TooLarge, "a job may have at most %d tasks", maxTasks)))
 		default:
 			r.Body = io.NopCloser(bytes.NewReader(body))
 			next.ServeHTTP(w, r)
