Log the processor time that an entry used during a pause

Event 659 gave the length of a pause only. A pause that the process caused itself, by a long computation under its lock, is not one in which callers were lost, and looked the same. Which jobs are given up is unchanged.

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -51,6 +51,7 @@
 	waiters         map[string][]chan jobs.Outcome // by job ID, one channel for each waiting caller
 	outOfService    domainSet
 	lastTick        time.Time
+	tickCPU         cpuMeter  // processor time between ticks
 	tickDelays      lag.Meter // delays of tick beyond tickInterval
 	responseDelays  lag.Meter // round-trip times of probes beyond each agent's minimum
 	history         *jobHistory
@@ -139,12 +140,12 @@
 // dropJobsAfterPause gives up all jobs if the process was paused: their callers may have resubmitted them
 // to another entry, and the frames waiting in the sockets are just as old. The caller must hold e.mu.
 func (e *Entry) dropJobsAfterPause(now time.Time) {
-	last := e.lastTick
+	last, used := e.lastTick, e.tickCPU.lap()
 	e.lastTick = now
 	if last.IsZero() || now.Sub(last) < pauseThreshold {
 		return
 	}
-	e.Log.Warn(event.ProcessPaused, event.Fields{"ms": now.Sub(last).Milliseconds(), "jobs": len(e.waiters)})
+	e.Log.Warn(event.ProcessPaused, event.Fields{"ms": now.Sub(last).Milliseconds(), "cpu_ms": used.Milliseconds(), "jobs": len(e.waiters)})
 	for id := range e.waiters {
 		e.scheduler.GiveUp(id, result.NotReady)
 	}
