--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -53,6 +53,7 @@
 	outOfService    domainSet
 	lastTick        time.Time
 	lastPause       time.Time // the last tick before the newest pause
+	tickCPU         cpuMeter  // processor time since the last tick
 	tickDelays      lag.Meter // delays of tick beyond tickInterval
 	responseDelays  lag.Meter // round-trip times of probes beyond each agent's minimum
 	history         *jobHistory
@@ -128,7 +129,7 @@
 	late := !e.lastTick.IsZero() && now.Sub(e.lastTick) > lateTickThreshold
 	e.observeTickDelay(now)
 	e.dropJobsAfterPause(now)
-	e.lastTick = now
+	e.startTick(now)
 	if !late {
 		e.closeSilentLinks(now)
 	}
@@ -148,13 +149,19 @@
 		return
 	}
 	e.lastPause = last
-	e.Log.Warn(event.ProcessPaused, event.Fields{"ms": now.Sub(last).Milliseconds(), "jobs": len(e.waiters)})
+	e.Log.Warn(event.ProcessPaused, event.Fields{"ms": now.Sub(last).Milliseconds(), "cpu_ms": e.tickCPU.used().Milliseconds(), "jobs": len(e.waiters)})
 	for id := range e.waiters {
 		e.scheduler.GiveUp(id, result.NotReady)
 	}
 	e.scheduler.Disown()
 }
 
+// startTick records the time of a tick and the processor time used so far. The caller must hold e.mu.
+func (e *Entry) startTick(now time.Time) {
+	e.lastTick = now
+	e.tickCPU.reset()
+}
+
 // pauseThreshold returns the time since the last tick from which on the process counts as paused.
 func (e *Entry) pauseThreshold() time.Duration { return e.Limits.LostAfter - pauseMargin }
 
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -116,14 +116,14 @@
 }
 
 // Event records what has happened to a run. Events of unknown runs are ignored: the end of these runs
-// was already handled.
+// was already handled. So are events of an unknown kind, which do not show that the run has ended.
 func (s *Scheduler) Event(now time.Time, agent string, e run.Event) {
 	v := s.servers[agent]
 	if v == nil {
 		return
 	}
 	a := v.runs[e.Ref]
-	if a == nil || e.Kind == run.Running {
+	if a == nil || !e.Kind.Ends() {
 		return
 	}
 	s.removeRun(now, a)
@@ -200,7 +200,7 @@
 	a.server.health.Success()
 	a.server.unanswered = 0
 	s.observeSpeeds(now, a, took)
-	work := time.Duration(float64(took) / a.slowdown())
+	work := span(float64(took) / a.slowdown())
 	j.steps[t.step].doneTasks++
 	j.steps[t.step].runTime += work
 	j.raiseEstimate(t.step, work)
--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -19,6 +19,25 @@
 	GPU int64
 }
 
+// MaxAmount bounds each amount of a Demand that a caller, a peer or a backend server names: a million cores, or
+// a petabyte of memory. The sum of nine thousand million such amounts does not overflow an int64.
+const MaxAmount = 1_000_000_000
+
+// Valid reports whether each amount is from 0 to MaxAmount. A negative demand would free capacity that does not
+// exist.
+func (d Demand) Valid() bool {
+	return validAmount(d.CPU) && validAmount(d.MemoryMB) && validAmount(d.GPU)
+}
+
+// Clamp returns d with each amount moved into the range from 0 to MaxAmount.
+func (d Demand) Clamp() Demand {
+	return Demand{clampAmount(d.CPU), clampAmount(d.MemoryMB), clampAmount(d.GPU)}
+}
+
+func clampAmount(amount int64) int64 { return min(MaxAmount, max(0, amount)) }
+
+func validAmount(amount int64) bool { return amount >= 0 && amount <= MaxAmount }
+
 // Fits reports whether the free resources suffice for d.
 func (d Demand) Fits(free Demand) bool {
 	return d.CPU <= free.CPU && d.MemoryMB <= free.MemoryMB && d.GPU <= free.GPU
@@ -81,6 +100,9 @@
 	Stopped
 )
 
+// Ends reports whether an event of the kind is the last one of its run.
+func (k EventKind) Ends() bool { return k == NotRun || k == Done || k == Failed || k == Stopped }
+
 // String returns the name that logs show; "unknown" for other values.
 func (k EventKind) String() string {
 	switch k {
