Keep runs when a row of the backend server's list cannot be read

Cause: the response to a poll was decoded as a whole, so one row with a number too large, a wrong type, too few elements or 200,000 levels of nesting made the poll fail for as long as the row was there. The lease lapsed, and every run on the server was lost.

Change: rows are decoded one by one. A row that tells its run counts, with unknown progress where that is odd.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -24,6 +24,7 @@
 	EndedRunListed ID = 617
 	OrderAccepted  ID = 618
 	ClaimAnswered  ID = 619
+	RowsUnreadable ID = 620
 
 	JobEnded                 ID = 650
 	JobAbandoned             ID = 651
@@ -102,5 +103,6 @@
 	KindReleased:             "confined kind of request may use all backend servers again",
 	OrderAccepted:            "order accepted",
 	ClaimAnswered:            "claim of a run answered",
+	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
 }
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -46,6 +46,7 @@
 	specs            map[run.Ref]startSpec
 	stops            map[run.Ref]time.Time // when the latest stop of a run was sent
 	backendReachable bool
+	unreadableLogged time.Time // when event.RowsUnreadable was logged last
 	// pendingSave holds the newest announcement that has not been saved yet.
 	pendingSave chan Announcement
 }
--- a/daemon/runagent/metrics.go
+++ b/daemon/runagent/metrics.go
@@ -14,6 +14,8 @@
 	set                *metrics.Set
 	orders, unanswered *metrics.Counter
 	endedRunsListed    *metrics.Counter
+	// unreadableRuns and unreadableEnds count rows of the backend server's lists, each time that it sends them.
+	unreadableRuns, unreadableEnds *metrics.Counter
 }
 
 // newCounters registers the agent's metrics in set, or in a private set if it is nil.
@@ -28,6 +30,9 @@
 		unanswered: set.GetOrCreateCounter("poplargw_agent_orders_unanswered_total"),
 
 		endedRunsListed: set.GetOrCreateCounter("poplargw_agent_ended_runs_listed_total"),
+
+		unreadableRuns: set.GetOrCreateCounter(`poplargw_agent_rows_unreadable_total{list="running"}`),
+		unreadableEnds: set.GetOrCreateCounter(`poplargw_agent_rows_unreadable_total{list="ended"}`),
 	}
 }
 
--- a/daemon/runagent/poll.go
+++ b/daemon/runagent/poll.go
@@ -35,7 +35,8 @@
 	// unreachableFailures is the number of consecutive failed polls after which the backend server is
 	// considered unreachable.
 	unreachableFailures = 2
-	// retryDelay is the delay before the next poll after two or more consecutive failures.
+	// retryDelay is the delay before the next poll after two or more consecutive failures, and after an answer
+	// with an end that could not be read: the backend server then answers every poll without waiting.
 	retryDelay = 10 * time.Millisecond
 	// MaxPolls bounds the number of concurrent polls.
 	MaxPolls = 4
@@ -70,6 +71,8 @@
 	// overdue or failed.
 	overhead time.Duration
 	lastLoss time.Time
+	// unreadableEnds is true if the newest response had ends that could not be read.
+	unreadableEnds bool
 }
 
 func newPoller(a *Agent) *poller {
@@ -82,10 +85,8 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		p.send(ctx)
-		if p.await(ctx, timer) {
-			continue
-		}
-		if p.consecutiveFailures > 1 {
+		answered := p.await(ctx, timer)
+		if !answered && p.consecutiveFailures > 1 || answered && p.unreadableEnds {
 			boottime.Sleep(ctx, retryDelay)
 		}
 	}
@@ -156,6 +157,7 @@
 // handleResponse processes the response to a poll, or its failure.
 func (p *poller) handleResponse(c pollCall) {
 	p.updateOverhead(c)
+	p.unreadableEnds = c.err == nil && c.snapshot.UnreadableEnds > 0
 	a := p.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -172,6 +174,7 @@
 	if p.outdated(c) {
 		return
 	}
+	a.reportUnreadableRows(&c.snapshot)
 	settled := a.table.CanAnswerClaims(boottime.Now())
 	c.snapshot.Requested = c.sentAt
 	a.deliver(a.table.ApplySnapshot(boottime.Now(), c.snapshot))
@@ -222,6 +225,26 @@
 	}
 }
 
+// unreadableLogInterval is the least time between two log lines about rows that cannot be read: a row of a run in
+// progress is in every response until the run ends, up to a hundred times a second.
+const unreadableLogInterval = 10 * time.Second
+
+// reportUnreadableRows counts the rows of a snapshot that could not be read, and logs them at intervals. The caller
+// must hold a.mu.
+func (a *Agent) reportUnreadableRows(s *runtable.Snapshot) {
+	if s.UnreadableRuns+s.UnreadableEnds == 0 {
+		return
+	}
+	a.counters.unreadableRuns.Add(s.UnreadableRuns)
+	a.counters.unreadableEnds.Add(s.UnreadableEnds)
+	now := boottime.Now()
+	if now.Sub(a.unreadableLogged) < unreadableLogInterval {
+		return
+	}
+	a.unreadableLogged = now
+	a.Log.Warn(event.RowsUnreadable, event.Fields{"running": s.UnreadableRuns, "ended": s.UnreadableEnds, "last_end": a.table.LastEnd(), "runs": a.table.Len()})
+}
+
 // logReachability logs when the backend server becomes unreachable and when it is reachable again. err is
 // the error of the newest poll. The caller must hold a.mu.
 func (a *Agent) logReachability(err error) {
--- a/dispatch/runtable/capacity_model_test.go
+++ b/dispatch/runtable/capacity_model_test.go
@@ -167,6 +167,7 @@
 	lease := m.table.RenewLease(m.now)
 	m.table.RenewalDone(lease, true)
 	snap := m.snapshot(lease)
+	garble(t, &snap)
 	switch rapid.SampledFrom([]string{"answered", "lost", "late"}).Draw(t, "response") {
 	case "answered":
 		m.recordEnded(m.table.ApplySnapshot(m.now, snap))
--- a/dispatch/runtable/lease_model_test.go
+++ b/dispatch/runtable/lease_model_test.go
@@ -40,6 +40,7 @@
 	stops     []run.Ref // stop calls that have not been carried out
 	ended     map[run.Ref]bool
 	nextRun   uint64
+	ready     bool // the table accepts orders; from then on, snapshots may have unreadable rows
 }
 
 func newLeaseModel(t *rapid.T) *leaseModel {
@@ -57,6 +58,7 @@
 	for _, o := range m.owners {
 		m.connect(o)
 	}
+	m.ready = true
 	return m
 }
 
@@ -80,6 +82,9 @@
 	m.table.RenewalDone(lease, true)
 	snapshot := m.server.snapshot(lease, m.table.LastEnd())
 	snapshot.Requested = m.now
+	if m.ready {
+		garble(m.t, &snapshot)
+	}
 	if answered {
 		m.apply(m.table.ApplySnapshot(m.now, snapshot))
 	}
@@ -218,7 +223,7 @@
 
 // Guards against a run that continues when its owner takes it for ended: because its lease has passed
 // since the owner's last contact, because the caller of a stopped job submits it again, or because of an
-// answer to a claim. Stops are lost or late, several entries share the backend server and become silent,
+// answer to a claim. Stops are lost or late, rows of snapshots are unreadable, several entries share the backend server and become silent,
 // and the agent restarts.
 func TestLeaseModel(t *testing.T) {
 	for range modelRounds {
@@ -247,7 +252,7 @@
 		"send":      func(t *rapid.T) { m.send(connected(t)) },
 		"connect":   func(t *rapid.T) { m.connect(owner(t)) },
 		"restart":   func(t *rapid.T) { m.startAgent() },
-		"poll":      func(t *rapid.T) { m.poll(rapid.Bool().Draw(t, "answered")) },
+		"poll":      func(t *rapid.T) { m.t = t; m.poll(rapid.Bool().Draw(t, "answered")) },
 		"carry out": func(t *rapid.T) { m.carryOut() },
 		"sweep":     func(t *rapid.T) { m.sweep() },
 		"late renewal": func(t *rapid.T) {
--- a/dispatch/runtable/model_test.go
+++ b/dispatch/runtable/model_test.go
@@ -215,6 +215,7 @@
 	if p.orphaned {
 		return
 	}
+	garble(t, &snapshot)
 	m.table.RenewalDone(p.lease, true)
 	if rapid.Bool().Draw(t, "lost") {
 		return
@@ -226,6 +227,19 @@
 	m.recordEnded(m.table.ApplySnapshot(m.now, snapshot))
 }
 
+// garble makes some of the rows of a snapshot unreadable, in one snapshot of four.
+func garble(t *rapid.T, snapshot *Snapshot) {
+	if rapid.IntRange(0, 3).Draw(t, "odd rows") != 0 {
+		return
+	}
+	unreadable := func() bool { return rapid.Bool().Draw(t, "unreadable") }
+	rows, ends := len(snapshot.Running), len(snapshot.Ended)
+	snapshot.Running = slices.DeleteFunc(snapshot.Running, func(RunningRun) bool { return unreadable() })
+	snapshot.Ended = slices.DeleteFunc(snapshot.Ended, func(EndedRun) bool { return unreadable() })
+	snapshot.UnreadableRuns = rows - len(snapshot.Running)
+	snapshot.UnreadableEnds = ends - len(snapshot.Ended)
+}
+
 func (m *model) applyDelayed(t *rapid.T) {
 	m.recordEnded(m.table.ApplySnapshot(m.now, pick(t, &m.delayed)))
 }
@@ -316,8 +330,8 @@
 }
 
 // Guards against runs that exceed the capacity, and against reporting the end of a run that still
-// runs or can still start, after any sequence of late orders, lost answers, late snapshots, pauses,
-// ends, stops, agent restarts, and crashes of the backend server, which returns under its ID.
+// runs or can still start, after any sequence of late orders, lost answers, late snapshots, snapshots
+// with unreadable rows, pauses, ends, stops, agent restarts, and crashes of the backend server, which returns under its ID.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel()
--- a/dispatch/runtable/modelscenarios_test.go
+++ b/dispatch/runtable/modelscenarios_test.go
@@ -27,15 +27,16 @@
 	m.deliver(n, true)
 	if rapid.Bool().Draw(t, "listed") {
 		m.tick()
-		m.pollOnce()
+		m.pollOnce(t)
 	}
 }
 
 // pollOnce answers a poll at once.
-func (m *model) pollOnce() {
+func (m *model) pollOnce(t *rapid.T) {
 	lease := m.table.RenewLease(m.now)
 	snapshot := m.server.snapshot(lease, m.table.LastEnd())
 	snapshot.Requested = m.now
+	garble(t, &snapshot)
 	m.tick()
 	m.table.RenewalDone(lease, true)
 	m.recordEnded(m.table.ApplySnapshot(m.now, snapshot))
@@ -69,7 +70,7 @@
 			m.tick()
 		}
 		if rapid.Bool().Draw(t, "polled") {
-			m.pollOnce()
+			m.pollOnce(t)
 		}
 	}
 }
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -142,19 +142,24 @@
 }
 
 // NextExpiry returns the time until the first unanswered order has expired, or until all orders that
-// are unknown to the table have, but at most limit.
+// are unknown to the table have, but at most limit. While snapshots are not complete, it does not
+// count orders that have expired: their fate would be asked for every few milliseconds.
 func (t *Table) NextExpiry(now time.Time, limit time.Duration) time.Duration {
-	if !t.unknownOrders && t.quarantined() {
+	if !t.unknownOrders && t.quarantined() && !t.expiredUnseen(t.quarantineEnd) {
 		limit = min(limit, t.timeToExpiry(now, t.quarantineEnd))
 	}
 	for _, r := range t.runs {
-		if !r.accepted && !r.unsettled {
+		if !r.accepted && !r.unsettled && !t.expiredUnseen(r.visibleByMS) {
 			limit = min(limit, t.timeToExpiry(now, r.visibleByMS))
 		}
 	}
 	return limit
 }
 
+// expiredUnseen reports whether the newest snapshot was taken after the given expiry, on the backend
+// server's clock in milliseconds, but did not show whether the order has started.
+func (t *Table) expiredUnseen(expiryMS int64) bool { return t.incomplete && t.clock.ms > expiryMS }
+
 // timeToExpiry returns the time until a snapshot shows whether an order with the given expiry, on the
 // backend server's clock in milliseconds, has started.
 func (t *Table) timeToExpiry(now time.Time, expiryMS int64) time.Duration {
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -125,6 +125,10 @@
 	// quarantineEnd is the time on the backend server's clock, in milliseconds, at which all orders
 	// unknown to the table have expired.
 	quarantineEnd int64
+	// listedMS is the backend server's clock, in milliseconds, in the newest complete snapshot of the
+	// incarnation, or 0; incomplete is true if the newest snapshot was not complete.
+	listedMS      int64
+	incomplete    bool
 	unknownOrders bool      // orders unknown to the table may exist
 	hasSnapshot   bool      // a snapshot of the incarnation has arrived since its lease last expired
 	notSentAt     time.Time // when a start could not be sent
@@ -272,6 +276,7 @@
 	t.formerRenewals = append(t.formerRenewals, t.pendingRenewals...)
 	t.pendingRenewals = nil
 	t.quarantineEnd = 0
+	t.listedMS, t.incomplete = 0, false
 	t.clock = serverClock{}
 	return t.endOrUnsettleRuns(now)
 }
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -1,6 +1,7 @@
 package runtable
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,9 +18,21 @@
 	ClockMS     int64
 	Running     []RunningRun
 	Ended       []EndedRun
+	// UnreadableRuns is the number of runs in progress that the server listed in a form which does not tell
+	// which runs they are. Any run may be one of them, so if it is not 0, no run is missing from Running.
+	UnreadableRuns int
+	// UnreadableEnds is the number of ended runs that were listed in such a form.
+	UnreadableEnds int
 }
 
-// RunningRun is a run in progress, with its newest checkpoint and the completed part in percent.
+// Complete reports whether a run that is not in Running is not in progress.
+func (s *Snapshot) Complete() bool { return s.UnreadableRuns == 0 }
+
+// UnknownPercent is the completed part of a run if the backend server did not tell it.
+const UnknownPercent = -1
+
+// RunningRun is a run in progress, with its newest checkpoint and the completed part in percent. An empty
+// checkpoint and UnknownPercent leave what an earlier snapshot has shown.
 type RunningRun struct {
 	Ref        run.Ref
 	Checkpoint string
@@ -111,7 +124,8 @@
 	return events
 }
 
-// ApplySnapshot applies a snapshot that was received at now and returns the resulting events.
+// ApplySnapshot applies a snapshot that was received at now and returns the resulting events. One that is
+// not complete shows the server's clock and the runs that it lists, but not that any other run is over.
 func (t *Table) ApplySnapshot(now time.Time, snapshot Snapshot) []Event {
 	if t.IsFormer(snapshot.Incarnation) && !snapshot.Requested.After(t.incarnationSince) {
 		return nil
@@ -132,8 +146,12 @@
 		seen[s.Ref] = true
 		t.recordRunning(now, snapshot, s)
 	}
-	events = append(events, t.endMissingRuns(now, snapshot, seen)...)
-	t.claimsReady = true
+	t.incomplete = !snapshot.Complete()
+	if !t.incomplete {
+		events = append(events, t.endMissingRuns(now, snapshot, seen)...)
+		t.claimsReady = true
+		t.listedMS = snapshot.ClockMS
+	}
 	t.hasSnapshot = t.hasSnapshot || t.notSentAt.IsZero() || snapshot.Requested.After(t.notSentAt)
 	if t.unknownOrders {
 		// Renewals for a former incarnation may have granted the longest lease, because their ends are
@@ -162,7 +180,7 @@
 			t.retainListedEnd(now, e)
 			continue
 		}
-		events = append(events, t.end(now, r, ending{basis: EndListed, kind: e.Kind}, e.Checkpoint))
+		events = append(events, t.end(now, r, ending{basis: EndListed, kind: e.Kind}, cmp.Or(e.Checkpoint, r.checkpoint)))
 	}
 	return events
 }
@@ -185,8 +203,12 @@
 		t.runs[s.Ref] = r
 	}
 	r.listedAt = snapshot.Requested
-	r.percent = s.Percent
-	r.checkpoint = s.Checkpoint
+	if s.Percent != UnknownPercent {
+		r.percent = s.Percent
+	}
+	if s.Checkpoint != "" {
+		r.checkpoint = s.Checkpoint
+	}
 	t.accept(now, r, snapshot.ClockMS)
 }
 
@@ -294,9 +316,9 @@
 	return t.runs[ref] != nil || ended || t.listsAllRuns() || t.formerRunsOver(now)
 }
 
-// listsAllRuns reports whether the newest snapshot is newer than every order that is unknown to the
-// table, so that the table has all runs.
-func (t *Table) listsAllRuns() bool { return !t.unknownOrders && t.clock.ms > t.quarantineEnd }
+// listsAllRuns reports whether the newest complete snapshot is newer than every order that is unknown to
+// the table, so that the table has all runs.
+func (t *Table) listsAllRuns() bool { return !t.unknownOrders && t.listedMS > t.quarantineEnd }
 
 // formerRunsOver reports whether every lease and order of the agent's earlier process has expired
 // since the start of this one.
