Follow the store after an odd revision, and pause when it makes no progress

Cause: a read or a watch whose revision was far ahead was taken as it came, and every later one then counted as older than the view, so that the process followed nothing for good; the same after a store lost its history. Watches that returned at once at the same revision were repeated without a pause, and so were renewals of a lease that was granted for no time.

Change: a revision that is lower than before, or higher by more than 2^32, counts only if three consecutive reads show it; one odd revision is not passed on to the receivers, which ignore lower ones later. A watch that returns at once and at the same revision is a failure, with the usual back-off. The pause between renewals is at least 50 ms. A watch may report changes that could not be read (Changes.Unreadable); the range is then read.

--- a/store/follow.go
+++ b/store/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -23,8 +24,8 @@
 	// BatchDelay is the pause between a change and the next watch, so that many simultaneous changes are read
 	// with few calls; 0 means none.
 	BatchDelay time.Duration
-	// Apply is called with each new view, sorted by key. The revision never decreases from one view to
-	// the next.
+	// Apply is called with each new view, sorted by key. The revision does not decrease from one view to
+	// the next, unless several consecutive reads have shown the lower one.
 	Apply func(View)
 	// OnLost is called with the error of the first failed call, and OnRegained when a call succeeds again.
 	OnLost     func(error)
@@ -37,8 +38,16 @@
 	// the store's recovery.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// maxRevisionStep bounds by how much the revision rises between two calls: the store takes some thousand writes
+	// a second. confirmations is the number of consecutive reads that must show a revision which is lower than before
+	// or rises by more, so that one odd revision does not end the following: all later ones would be lower.
+	maxRevisionStep = 1 << 32
+	confirmations   = 3
 )
 
+// errNoProgress reports a watch that returned at once and at the revision from which it started.
+var errNoProgress = fmt.Errorf("%w: watch makes no progress", ErrUnavailable)
+
 // Follow keeps a view of a prefix up to date until ctx ends. It reads all keys once and then watches for
 // changes; when the store no longer holds the history that a watch needs, it reads all keys again.
 func Follow(ctx context.Context, k Keyspace, o FollowOptions) {
@@ -59,8 +68,14 @@
 	items    map[string]Item
 	revision uint64
 	synced   bool // items are complete as of revision; watches can continue from there
-	failing  bool // the last call failed
-	backoff  time.Duration
+	// doubtful is the newest revision that does not follow revision, and doubts the number of consecutive reads that
+	// have shown it.
+	doubtful uint64
+	doubts   int
+
+	unreadable int  // items that could not be read in the newest read
+	failing    bool // the last call failed
+	backoff    time.Duration
 }
 
 // step makes one call of the store: a read if there is no current view, or else a watch.
@@ -71,7 +86,8 @@
 	return f.watch(ctx)
 }
 
-// read replaces the view by a read of the whole range. A range older than the view counts as a failure.
+// read replaces the view by a read of the whole range. A range whose revision does not follow that of the view counts
+// as a failure, unless it is confirmed.
 func (f *follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Margin)
 	defer cancel()
@@ -79,9 +95,11 @@
 	if err != nil {
 		return err
 	}
-	if v.Revision < f.revision {
-		return ErrUnavailable
+	if !f.follows(v.Revision) && !f.confirmed(v.Revision) {
+		return f.revisionError(v.Revision)
 	}
+	f.doubts = 0
+	f.unreadable = v.Unreadable
 	f.items = make(map[string]Item, len(v.Items))
 	for _, i := range v.Items {
 		f.items[i.Key] = i
@@ -92,10 +110,31 @@
 	return nil
 }
 
-// watch waits for changes and applies them to the view.
+// follows reports whether the revision is plausible after that of the view.
+func (f *follower) follows(revision uint64) bool {
+	return revision >= f.revision && revision-f.revision <= maxRevisionStep
+}
+
+// confirmed counts a read whose revision is doubtful and reports whether enough consecutive reads agree on it.
+func (f *follower) confirmed(revision uint64) bool {
+	if f.doubts == 0 || revision < f.doubtful || revision-f.doubtful > maxRevisionStep {
+		f.doubts = 0
+	}
+	f.doubtful = revision
+	f.doubts++
+	return f.doubts >= confirmations
+}
+
+func (f *follower) revisionError(revision uint64) error {
+	return fmt.Errorf("%w: revision %d after %d", ErrUnavailable, revision, f.revision)
+}
+
+// watch waits for changes and applies them to the view. When a change cannot be read or the revision is doubtful, the
+// next step reads the range.
 func (f *follower) watch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Margin)
 	defer cancel()
+	started := time.Now()
 	c, err := f.store.WatchPrefix(ctx, f.Prefix, f.revision, f.Wait)
 	if errors.Is(err, ErrCompacted) {
 		f.synced = false
@@ -104,11 +143,16 @@
 	if err != nil {
 		return err
 	}
-	if c.Revision < f.revision {
-		return ErrUnavailable
+	if !f.follows(c.Revision) {
+		f.synced = false
+		return f.revisionError(c.Revision)
+	}
+	if c.Revision == f.revision && time.Since(started) < min(f.Wait, minBackoff) {
+		return errNoProgress
 	}
 	changed := f.merge(c.List)
 	f.revision = c.Revision
+	f.synced = c.Unreadable == 0
 	if changed {
 		f.apply()
 		_ = sleep(ctx, f.BatchDelay) // the loop in Follow checks whether ctx has ended
@@ -135,7 +179,7 @@
 
 // apply passes the view, sorted by key, to Apply.
 func (f *follower) apply() {
-	v := View{Revision: f.revision}
+	v := View{Revision: f.revision, Unreadable: f.unreadable}
 	for _, i := range f.items {
 		v.Items = append(v.Items, i)
 	}
--- a/store/keyspace.go
+++ b/store/keyspace.go
@@ -22,6 +22,8 @@
 type View struct {
 	Items    []Item
 	Revision uint64
+	// Unreadable is the number of items of which not even the key can be read.
+	Unreadable int
 }
 
 // Change is an item that was written, or a key that was deleted.
@@ -34,6 +36,8 @@
 type Changes struct {
 	List     []Change
 	Revision uint64
+	// Unreadable is the number of changes that cannot be read. A read of the range shows their result.
+	Unreadable int
 }
 
 // Condition requires that the key has the revision; 0 means that the key does not exist.
--- a/store/register.go
+++ b/store/register.go
@@ -35,7 +35,7 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			delay = minBackoff
-			_ = sleep(ctx, r.ttl/renewalsPerTTL) // the loop checks whether ctx has ended
+			_ = sleep(ctx, max(r.ttl/renewalsPerTTL, minBackoff)) // the loop checks whether ctx has ended
 		case errors.Is(err, ErrLeaseLost):
 			r.leaseEnded(err)
 			backOff(ctx, &delay, maxBackoff)
