--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -26,6 +26,7 @@
 	ClaimAnswered  ID = 619
 	OwnerAnswered  ID = 620
 	OwnerConflict  ID = 621
+	RowsUnreadable ID = 622
 
 	JobEnded                 ID = 650
 	JobAbandoned             ID = 651
@@ -106,5 +107,6 @@
 	ClaimAnswered:            "claim of a run answered",
 	OwnerAnswered:            "request to own a job answered",
 	OwnerConflict:            "two entries say that they own one job",
+	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
 }
