--- a/soak/agent.go
+++ b/soak/agent.go
@@ -30,6 +30,7 @@
 	backend      *standin.Backend
 	backendLinks *testbed.Forwarder // between the agent and the backend server
 	entryLinks   *testbed.Forwarder // between the entries and the agent
+	linkAddr     string             // on which the agent accepts links
 	controlAddr  string
 	zone         string
 
@@ -59,6 +60,7 @@
 	a.backendLinks = d.forward(d.serve(a.backend))
 	address := freeAddr(d.t, ip)
 	_, port, _ := net.SplitHostPort(address)
+	a.linkAddr = address
 	a.entryLinks = d.forward(address)
 	d.linkAddrs[address] = a.entryLinks.Addr()
 	a.file = d.writeSettings(a.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [%s, %s]\napp = %q\nservice = %q\n[listen]\ncontrol = %q",
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -186,11 +186,16 @@
 // send submits a job once to an entry and returns the HTTP status and the state of the job in the answer. Status
 // 0 means that the connection broke or timed out. With abandon, the caller gives up after 50 ms.
 func (c *callers) send(client *http.Client, e *node, id, body string, abandon bool) (int, string) {
-	c.recordBuild(id, e)
 	limit := callTimeout
 	if abandon {
 		limit = 50 * time.Millisecond
 	}
+	return c.sendWithin(client, e, id, body, limit)
+}
+
+// sendWithin is send for a caller that gives up after a limit.
+func (c *callers) sendWithin(client *http.Client, e *node, id, body string, limit time.Duration) (int, string) {
+	c.recordBuild(id, e)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.frontAddr+"/jobs/"+id, bytes.NewReader([]byte(body)))
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -58,6 +58,13 @@
 // configuration. Entries and agents run the builds that are given for them. The processes are killed when the
 // test ends.
 func newDeployment(t *testing.T, entryBuild, agentBuild build, entries, agents int) *deployment {
+	d := prepareDeployment(t, entryBuild, agentBuild, agents)
+	d.launchAll(entries)
+	return d
+}
+
+// prepareDeployment is newDeployment without its last step, launchAll.
+func prepareDeployment(t *testing.T, entryBuild, agentBuild build, agents int) *deployment {
 	d := &deployment{
 		t: t, dir: t.TempDir(), entryBuild: entryBuild, agentBuild: agentBuild, store: standin.NewStore(), linkAddrs: map[string]string{},
 		ipPrefix: testbed.LoopbackPrefix(),
@@ -67,6 +74,11 @@
 	for i := range agents {
 		d.addAgent(i)
 	}
+	return d
+}
+
+// launchAll starts the agents and a number of entries.
+func (d *deployment) launchAll(entries int) {
 	d.store.SetRewrite(d.replaceAddresses)
 	for _, a := range d.agents {
 		d.launch(a.node)
@@ -74,7 +86,6 @@
 	for i := range entries {
 		d.addEntry(i)
 	}
-	return d
 }
 
 // replaceAddresses replaces the addresses of agents in a value written to the store by those of their
--- a/soak/node.go
+++ b/soak/node.go
@@ -4,15 +4,17 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// build is a build of the program under test.
+// build is a build of the program under test. Its processes are started with the flags.
 type build struct {
 	name, binary string
+	flags        []string
 }
 
 // node is an entry or agent process that is restarted whenever it exits.
@@ -59,7 +61,7 @@
 // run runs the process until it exits, and reports whether it has to be started again.
 func (n *node) run() bool {
 	n.mu.Lock()
-	cmd := exec.Command(n.build.binary, "--settings", n.file, n.role)
+	cmd := exec.Command(n.build.binary, append(slices.Clone(n.build.flags), "--settings", n.file, n.role)...)
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	if n.closing || cmd.Start() != nil {
 		n.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -113,7 +113,7 @@
 // until it has recovered, and checks the guarantees. The seed determines the faults and the load.
 func runSoak(t *testing.T, binaryPath string, seed uint64, kinds []fault, l load, seconds uint64) {
 	entries, agents := int(envUint(t, "SOAK_ENTRIES", 2)), int(envUint(t, "SOAK_SIDES", 4))
-	current := build{"current", binaryPath}
+	current := build{name: "current", binary: binaryPath}
 	d := newDeployment(t, current, current, entries, agents)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -34,8 +34,8 @@
 // against the failures that TestSoak names. SOAK_MIX selects one mix. The messages name the builds that were
 // involved.
 func TestUpgrade(t *testing.T) {
-	after := build{"current", requireBinary(t)}
-	before := build{withoutCrashBudget, os.Getenv("SOAK_PRODUCTION")}
+	after := build{name: "current", binary: requireBinary(t)}
+	before := build{name: withoutCrashBudget, binary: os.Getenv("SOAK_PRODUCTION")}
 	if before.binary == "" {
 		t.Skip("SOAK_PRODUCTION is not set; use make soak-upgrade")
 	}
