Deliver late requests when their callers submit again, and trace one task of each job

A late request is seen only if the entry reads it while another entry runs the job, so requests that are held and entries that are frozen are now continued 1,250 to 1,400 ms after their callers lost them, and a job is submitted again to another entry, as the platform does. The trace is printed for one task of each of up to eight jobs, instead of four tasks of perhaps one job.

Each of the 7 traced jobs was admitted by an entry after its caller had left, and abandoned 0.1 to 4.3 ms after the order. In 6 of 7 that entry had not been paused: the connection had held the request back. So the time since a pause does not tell which requests are late.

--- a/soak/link_faults.go
+++ b/soak/link_faults.go
@@ -123,7 +123,7 @@
 	}
 	time.Sleep(moment)
 	for _, c := range conns {
-		c.resetSource(resendDelay + randomDuration(r, -100*time.Millisecond, 300*time.Millisecond))
+		c.resetSource(resendDelay + randomDuration(r, -50*time.Millisecond, 100*time.Millisecond))
 	}
 }
 
@@ -136,7 +136,7 @@
 	for _, c := range d.callerLinks[i].open() {
 		c.reset()
 	}
-	time.Sleep(resendDelay + randomDuration(r, -100*time.Millisecond, 300*time.Millisecond))
+	time.Sleep(resendDelay + randomDuration(r, -50*time.Millisecond, 100*time.Millisecond))
 	d.entries[i].signal(syscall.SIGCONT)
 }
 
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -23,8 +24,8 @@
 	stopTime = 50 * time.Millisecond
 	// refusedDelay is the longest pause of a caller after a refusal.
 	refusedDelay = 150 * time.Millisecond
-	// maxTraced bounds the failures of which the trace is printed.
-	maxTraced = 4
+	// maxTraced bounds the jobs of which the trace of a failed task is printed.
+	maxTraced = 8
 )
 
 // TestSoakLinks resets, silences and holds the connections between entries and agents and between callers and
@@ -126,18 +127,20 @@
 }
 
 // submitBatch submits a job of many tasks until it is answered, at most four times. After a refusal it submits the job
-// again within refusedDelay, after no answer resendDelay later. One caller in eight leaves early.
+// again within refusedDelay, after no answer resendDelay later, each time to another entry. One caller in eight leaves
+// early.
 func (c *batchCallers) submitBatch(ctx context.Context, client *http.Client, r *rand.Rand) {
 	id := c.newID()
 	ms := 20 + r.IntN(180)
 	body := fmt.Sprintf(`{"spec":%q,"bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":%d}]}`,
 		demandSpec(ms, linkTaskCPU), 8+r.IntN(25), linkTaskCPU, ms)
+	var e *node
 	for range 4 {
 		limit := callTimeout
 		if r.IntN(8) == 0 {
 			limit = randomDuration(r, 5*time.Millisecond, 300*time.Millisecond)
 		}
-		e := pick(r, c.d.entries)
+		e = pick(r, slices.DeleteFunc(slices.Clone(c.d.entries), func(n *node) bool { return n == e }))
 		a := attempt{entry: e.name, start: time.Now()}
 		status, state := c.sendWithin(client, e, id, body, limit)
 		a.end, a.status = time.Now(), status
@@ -167,17 +170,20 @@
 		}
 		checkCapacity(t, c.callers, a, starts)
 	}
-	var failed []string
+	failed := map[string]string{} // a task by its job
 	for task, runs := range byTask {
 		slices.SortFunc(runs, func(a, b taskRun) int { return a.Started.Compare(b.Started) })
 		if !d.checkLinkTask(t, c, task, runs) {
-			failed = append(failed, task)
+			failed[jobOf(task)] = task
 		}
 	}
-	slices.Sort(failed)
-	for _, task := range failed[:min(len(failed), maxTraced)] {
-		lines := d.trace(t, task)
-		t.Logf("trace of task %s:\n%s%s%s", task, c.describeAttempts(jobOf(task)), c.lateAdmissions(jobOf(task), lines), describeLines(lines))
+	for i, job := range slices.Sorted(maps.Keys(failed)) {
+		if i == maxTraced {
+			t.Logf("%d further jobs with failures are not traced", len(failed)-maxTraced)
+			break
+		}
+		lines := d.trace(t, failed[job])
+		t.Logf("trace of task %s:\n%s%s%s", failed[job], c.describeAttempts(job), c.lateAdmissions(job, lines), describeLines(lines))
 	}
 	for _, v := range c.violations {
 		t.Error(v)
