Let an entry begin a job only when both registrars have granted it

Cause: the grant of the first reachable registrar sufficed, although the job's owner is recorded at two. That registrar may not know the owner: it has had no link to it for 0.8 s and took it for lost, or it has just joined the fleet and only some entries have it in their lists.

What callers saw: nothing yet; two entries ran one job in the tests below.

Change: all of the first two reachable registrars must have granted the job. Two entries then share a registrar unless their sets differ in two agents. The requests go out together, so a job waits for the slower of two answers. A job that has lost one of its registrars before it began waits for the answer of the next one; TestJobBeginsWithoutItsFirstRegistrar delivers that answer, and only that, before it expects the runs.

Evidence: TestJobBeginsOnlyWhenNoRegistrarHasAnotherOwner and TestNewRegistrarDoesNotOverrideOwner failed with "the second entry ordered tasks while the first one owns the job" and pass.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -60,6 +60,12 @@
 	return nil
 }
 
+// granted reports whether the agent has granted the job.
+func (o *ownership) granted(agent string) bool {
+	r := o.request(agent)
+	return r != nil && r.state == granted
+}
+
 // SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
 // MaxRegistrars. Without registrars, an entry owns each job that it admits.
 func (s *Scheduler) SetRegistrars(agents []string) { s.registrars = slices.Clone(agents) }
@@ -116,15 +122,7 @@
 		return
 	}
 	o.requests = slices.DeleteFunc(o.requests, func(r *request) bool { return r.state == withdrawn })
-	n := 0
-	for _, agent := range o.order {
-		if n == registrarsPerJob {
-			return
-		}
-		if !s.reachable(agent) {
-			continue
-		}
-		n++
+	for _, agent := range s.reachableRegistrars(o) {
 		if o.request(agent) == nil {
 			r := &request{agent: agent}
 			o.requests = append(o.requests, r)
@@ -133,6 +131,20 @@
 	}
 }
 
+// reachableRegistrars returns the first registrarsPerJob reachable registrars of a job.
+func (s *Scheduler) reachableRegistrars(o *ownership) []string {
+	list := make([]string, 0, registrarsPerJob)
+	for _, agent := range o.order {
+		if len(list) == registrarsPerJob {
+			break
+		}
+		if s.reachable(agent) {
+			list = append(list, agent)
+		}
+	}
+	return list
+}
+
 // heldElsewhere reports whether a reachable registrar has another owner.
 func (s *Scheduler) heldElsewhere(o *ownership) bool {
 	return slices.ContainsFunc(o.requests, func(r *request) bool { return r.state == held && s.reachable(r.agent) })
@@ -145,20 +157,19 @@
 	b.Requests = append(b.Requests, owner.Request{Job: o.job, Number: r.number})
 }
 
-// conceded reports whether the entry owns the job: the first reachable registrar has granted it, and none has another
-// owner. Without a reachable registrar the job begins if there are none, or once every run from before the submission
-// has certainly ended.
+// conceded reports whether the entry owns the job: the first reachable registrars have all granted it, and none has
+// another owner. A single grant is not enough: that registrar may be new, or may have had no link to the owner for a
+// while; the owner is recorded at two. Without a reachable registrar the job begins if there are none, or once every run
+// from before the submission has certainly ended.
 func (s *Scheduler) conceded(now time.Time, o *ownership) bool {
 	if s.heldElsewhere(o) {
 		return false
 	}
-	for _, agent := range o.order {
-		if s.reachable(agent) {
-			r := o.request(agent)
-			return r != nil && r.state == granted
-		}
+	registrars := s.reachableRegistrars(o)
+	if len(registrars) == 0 {
+		return s.withoutRegistrars(o) || now.Sub(o.since) > s.limits.ResubmitAfter
 	}
-	return s.withoutRegistrars(o) || now.Sub(o.since) > s.limits.ResubmitAfter
+	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) })
 }
 
 // withoutRegistrars reports whether no agent records owners, as far as the entry knows: there are none, or those that
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -23,6 +23,7 @@
 	frames  map[string][]Batch
 	answers map[string][]owner.Answer
 	running map[run.Ref]string // agents of the runs that may not have ended
+	linked  map[string]bool    // agents with an open link
 }
 
 // ownerFleet joins entries with the records of owners of several agents, over links that delay frames and may be reset.
@@ -42,7 +43,7 @@
 		f.tables[agent].Tick(f.now)
 	}
 	for i := range entries {
-		e := &ownerEntry{Scheduler: New(testLimits), name: fmt.Sprintf("e%d", i), frames: map[string][]Batch{}, answers: map[string][]owner.Answer{}, running: map[run.Ref]string{}}
+		e := &ownerEntry{Scheduler: New(testLimits), name: fmt.Sprintf("e%d", i), frames: map[string][]Batch{}, answers: map[string][]owner.Answer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
 		e.SetRegistrars(f.agents)
 		f.entries = append(f.entries, e)
 		for _, agent := range f.agents {
@@ -56,6 +57,7 @@
 // connect opens a link, or replaces the open one; frames and answers that are on their way are lost.
 func (f *ownerFleet) connect(e *ownerEntry, agent string) {
 	e.frames[agent], e.answers[agent] = nil, nil
+	e.linked[agent] = true
 	e.AgentConnected(f.now, agent)
 	f.take(e)
 	e.Report(f.now, agent, Report{Server: serverOf(agent, 64000), Free: run.Demand{CPU: 64000, MemoryMB: 1 << 20}, RecordsOwners: true})
@@ -65,11 +67,17 @@
 // disconnect ends the links of all entries to an agent.
 func (f *ownerFleet) disconnect(agent string) {
 	for _, e := range f.entries {
-		e.frames[agent], e.answers[agent] = nil, nil
-		e.AgentDisconnected(agent)
+		f.cut(e, agent)
 	}
 }
 
+// cut ends the link of one entry to an agent.
+func (f *ownerFleet) cut(e *ownerEntry, agent string) {
+	e.frames[agent], e.answers[agent] = nil, nil
+	e.linked[agent] = false
+	e.AgentDisconnected(agent)
+}
+
 // take puts the batches of an entry on their way.
 func (f *ownerFleet) take(e *ownerEntry) {
 	_, batches := e.Take()
@@ -140,13 +148,15 @@
 	}
 }
 
-// advance moves the time. Agents and entries run, and entries send heartbeats.
+// advance moves the time. Agents and entries run, and entries send heartbeats over their open links.
 func (f *ownerFleet) advance(d time.Duration) {
 	f.now = f.now.Add(d)
 	for _, agent := range f.agents {
 		for _, e := range f.entries {
-			f.tables[agent].Contact(f.now, e.name)
-			e.RecordMessage(f.now, agent)
+			if e.linked[agent] {
+				f.tables[agent].Contact(f.now, e.name)
+				e.RecordMessage(f.now, agent)
+			}
 		}
 		f.queue(agent, f.tables[agent].Tick(f.now)...)
 	}
@@ -262,8 +272,10 @@
 	}
 	f.disconnect(order[0])
 	f.advance(20 * time.Millisecond)
+	f.deliverFrame(first, order[2])
+	f.deliverAnswer(first, order[2])
 	if f.runs(first) != 2 {
-		t.Fatalf("%d runs although the second registrar has granted the job", f.runs(first))
+		t.Fatalf("%d runs although the second and the third registrar have granted the job", f.runs(first))
 	}
 	f.deliverAll()
 	f.disconnect(order[1])
