Drop the request for a job that is released in the same frame

Cause: an agent handles the releases of a frame before its requests. A job that ended while one of its registrars had just been lost put the request to the next registrar and the release of the job into one frame: the agent released first and then recorded the entry as owner, for as long as the entry and its link lived.

What callers saw: the job, submitted again to another entry, would have waited until it was given up. Each such record stayed in the agent's memory.

Change: a release removes the request for the same job from the frame that is being collected. A request after a release stays, and is handled in this order.

Evidence: TestReleaseCancelsRequestInSameFrame failed with "1 jobs recorded at a1 after the release" and passes.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -214,11 +214,16 @@
 	}
 }
 
-// releaseAt tells a registrar that the entry does not own or want a job.
+// releaseAt tells a registrar that the entry does not own or want a job. It drops a request that the same frame would
+// carry, because agents handle the releases of a frame first.
 func (s *Scheduler) releaseAt(agent, id string) {
-	if v := s.servers[agent]; v != nil && v.linked {
-		s.batch(v).Releases = append(s.batch(v).Releases, id)
+	v := s.servers[agent]
+	if v == nil || !v.linked {
+		return
 	}
+	b := s.batch(v)
+	b.Requests = slices.DeleteFunc(b.Requests, func(r owner.Request) bool { return r.Job == id })
+	b.Releases = append(b.Releases, id)
 }
 
 // runOrdered and runEnded count the runs of a job that may not have ended.
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"poplargw.example/dispatch/run"
 )
 
 // pass moves the time in steps of a tick and delivers everything.
@@ -53,3 +55,31 @@
 		t.Error("the second entry ordered tasks while the first one owns the job")
 	}
 }
+
+// Guards against an agent that records an entry as the owner of a job for ever: a request and the release of the same job
+// in one frame, of which an agent handles the release first.
+func TestReleaseCancelsRequestInSameFrame(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	first.Abandon("j")
+	f.take(first)
+	f.endRun(first, run.Stopped)
+	f.cut(first, order[0])
+	f.endRun(first, run.Stopped) // the last run: a third registrar is due, and the job is released
+	f.deliverAll()
+	f.connect(first, order[0])
+	f.deliverAll()
+	for _, agent := range f.agents {
+		if n := f.tables[agent].Len(); n > 0 {
+			t.Errorf("%d jobs recorded at %s after the release", n, agent)
+		}
+	}
+	f.submit(second, "j")
+	f.deliverAll()
+	if f.runs(second) != 2 {
+		t.Errorf("%d runs at the second entry", f.runs(second))
+	}
+}
