End ownership of jobs without contact, and keep records after a pause

Cause: an entry owned a job until it released it. An entry that was cut off from all agents for longer than the 809 ms after which these take it for lost went on ordering over the first link that was open again, while another entry owned the job. Only a pause of the process ended the ownership. After a pause the entry released its jobs at once, although the runs that it had ordered may continue until 758 ms after its last message if stops are lost, and a pause counts from 609 ms on.

What callers saw: nothing yet; two entries ran one job in the tests below.

Change: ownership lapses when no registrar that has granted the job has been heard for LostAfter less 200 ms, and after a pause. The entry then orders no task of the job, and requests it again. Registrars keep their record until the entry has seen the end of its runs or is lost. A job that is granted once more continues at once. Without reachable registrars, the 1,300 ms after which a job begins count from the newest submission or lapse.

TestOwnershipEndsWithPause let the second entry begin right after the pause was noticed, without the time that a pause takes. It now lets that time pass, so that the agents grant the job meanwhile, and is otherwise as strict.

Evidence: TestOwnershipEndsWithoutContact failed with "the first entry ordered tasks of a job that the second one owns", TestJobIsNotReleasedAfterPauseBeforeItsRunsHaveEnded with "the second entry ordered tasks while a run of the first one is left"; both pass.

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -151,7 +151,7 @@
 	for id := range e.waiters {
 		e.scheduler.GiveUp(id, result.NotReady)
 	}
-	e.scheduler.Disown()
+	e.scheduler.Disown(now)
 }
 
 // pauseThreshold returns the time since the last tick from which on the process counts as paused.
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -55,8 +55,9 @@
 	startedAt time.Time
 	// hasRun is set when a run ends that was not refused: it has started, or may have.
 	hasRun bool
-	// mayOrder is set once the entry owns the job and no run of a former submission is left.
-	mayOrder bool
+	// mayOrder is set while the entry owns the job and no run of a former submission is left; begun is set from the first
+	// such time on: all runs of the job belong to this submission.
+	mayOrder, begun bool
 	// reviewedAt is when review last estimated whether the late job can still be served.
 	reviewedAt time.Time
 	steps      []stepState
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -20,6 +20,9 @@
 	registrarsPerJob = 2
 	// MaxRegistrars bounds the number of agents that record owners, because each entry needs a link to all of them.
 	MaxRegistrars = 8
+	// contactMargin is how long before registrars may take the entry for lost its ownership ends here: the newest message
+	// that they have is older than their newest answer, and a tick may be late.
+	contactMargin = 200 * time.Millisecond
 )
 
 // requestState is the state of the request for a job at one registrar.
@@ -44,9 +47,12 @@
 	job      string
 	order    []string // registrars, the same order at all entries
 	requests []*request
-	// owned is set once the registrars have granted the job. It stays set until the release.
+	// owned is set once the registrars have granted the job, until it is released or lapses.
 	owned bool
-	since time.Time // of the first request
+	since time.Time // of the submission, or when the ownership lapsed
+	// confirmed is the time of the newest message of a registrar that has granted the job; zero if none has, because
+	// none was reachable.
+	confirmed time.Time
 	// runs is the number of runs of the job that may not have ended, of all its submissions to this entry.
 	runs int
 }
@@ -91,24 +97,61 @@
 
 // own requests the ownership of a job that has been admitted, unless the entry has it from a former submission.
 func (s *Scheduler) own(now time.Time, j *job) {
-	if s.ownerships[j.ID] == nil {
-		s.ownerships[j.ID] = &ownership{job: j.ID, order: rankFor(j.ID, s.registrars), since: now}
+	o := s.ownerships[j.ID]
+	if o == nil {
+		o = &ownership{job: j.ID, order: rankFor(j.ID, s.registrars)}
+		s.ownerships[j.ID] = o
 	}
-	s.advance(now, s.ownerships[j.ID])
+	o.since = now
+	s.advance(now, o)
 }
 
 // advance sends the requests that are due and lets the job begin if the entry owns it by now.
 func (s *Scheduler) advance(now time.Time, o *ownership) {
 	s.sendRequests(o)
 	o.owned = o.owned || s.conceded(now, o)
+	s.confirm(o)
 	j := s.jobs[o.job]
-	if j == nil || j.mayOrder || !o.owned || o.runs > 0 {
+	if j == nil || j.mayOrder || !o.owned || o.runs > 0 && !j.begun {
 		return
 	}
-	j.mayOrder = true
+	j.mayOrder, j.begun = true, true
 	s.dispatchJob(now, j)
 }
 
+// confirm records the newest message of the registrars that have granted the job.
+func (s *Scheduler) confirm(o *ownership) {
+	for _, r := range o.requests {
+		if v := s.servers[r.agent]; r.state == granted && s.reachable(r.agent) && v.lastContact.After(o.confirmed) {
+			o.confirmed = v.lastContact
+		}
+	}
+}
+
+// lapsed reports whether the registrars of a job that the entry owns may have taken it for lost and granted the job to
+// another entry.
+func (s *Scheduler) lapsed(now time.Time, o *ownership) bool {
+	return o.owned && !o.confirmed.IsZero() && now.Sub(o.confirmed) > s.limits.LostAfter-contactMargin
+}
+
+// lapse ends the ownership of a job, and requests it again from the registrars. They keep the entry's record, if they
+// still have it, until the runs of the job have ended.
+func (s *Scheduler) lapse(now time.Time, o *ownership) {
+	o.owned, o.since, o.confirmed = false, now, time.Time{}
+	if j := s.jobs[o.job]; j != nil {
+		j.mayOrder = false
+	}
+	for _, r := range o.requests {
+		if r.state == withdrawn {
+			continue
+		}
+		r.state, r.number = requested, 0 // no answer has this number
+		if v := s.servers[r.agent]; v != nil && v.linked {
+			s.sendRequest(o, r, s.batch(v))
+		}
+	}
+}
+
 // reachable reports whether the agent records owners and has answered over the present link.
 func (s *Scheduler) reachable(agent string) bool {
 	v := s.servers[agent]
@@ -256,15 +299,11 @@
 	}
 }
 
-// Disown gives up all ownerships, because the process did not run for so long that its agents may have granted them to
-// others.
-func (s *Scheduler) Disown() {
+// Disown ends all ownerships, because the process did not run for so long that agents may have granted the jobs to
+// others. What is left of their runs keeps its record until it has ended.
+func (s *Scheduler) Disown(now time.Time) {
 	for _, o := range s.ownershipsByJob() {
-		o.owned = false
-		for _, r := range o.requests {
-			s.releaseAt(r.agent, o.job)
-		}
-		o.requests = nil
+		s.lapse(now, o)
 	}
 }
 
@@ -306,6 +345,9 @@
 // advanceOwnerships repeats what depends on time or on the links to registrars.
 func (s *Scheduler) advanceOwnerships(now time.Time) {
 	for _, o := range s.ownershipsByJob() {
+		if s.lapsed(now, o) {
+			s.lapse(now, o)
+		}
 		s.advance(now, o)
 	}
 }
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -24,6 +24,7 @@
 	answers map[string][]owner.Answer
 	running map[run.Ref]string // agents of the runs that may not have ended
 	linked  map[string]bool    // agents with an open link
+	paused  bool               // the entry does not run, and its messages wait
 }
 
 // ownerFleet joins entries with the records of owners of several agents, over links that delay frames and may be reset.
@@ -35,6 +36,8 @@
 }
 
 func newOwnerFleet(entries, agents int) *ownerFleet {
+	limits := testLimits
+	limits.ResubmitAfter = 1300 * time.Millisecond
 	f := &ownerFleet{now: time.Unix(1000, 0), tables: map[string]*owner.Table{}}
 	for i := range agents {
 		agent := fmt.Sprintf("a%d", i)
@@ -43,7 +46,7 @@
 		f.tables[agent].Tick(f.now)
 	}
 	for i := range entries {
-		e := &ownerEntry{Scheduler: New(testLimits), name: fmt.Sprintf("e%d", i), frames: map[string][]Batch{}, answers: map[string][]owner.Answer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
+		e := &ownerEntry{Scheduler: New(limits), name: fmt.Sprintf("e%d", i), frames: map[string][]Batch{}, answers: map[string][]owner.Answer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
 		e.SetRegistrars(f.agents)
 		f.entries = append(f.entries, e)
 		for _, agent := range f.agents {
@@ -91,7 +94,7 @@
 
 // deliverFrame delivers the next frame of an entry to an agent.
 func (f *ownerFleet) deliverFrame(e *ownerEntry, agent string) {
-	if len(e.frames[agent]) == 0 {
+	if len(e.frames[agent]) == 0 || e.paused {
 		return
 	}
 	b, table := e.frames[agent][0], f.tables[agent]
@@ -125,7 +128,7 @@
 
 // deliverAnswer delivers the next answer of an agent to an entry.
 func (f *ownerFleet) deliverAnswer(e *ownerEntry, agent string) {
-	if len(e.answers[agent]) == 0 {
+	if len(e.answers[agent]) == 0 || e.paused {
 		return
 	}
 	a := e.answers[agent][0]
@@ -140,7 +143,7 @@
 		busy = false
 		for _, e := range f.entries {
 			for _, agent := range f.agents {
-				busy = busy || len(e.frames[agent])+len(e.answers[agent]) > 0
+				busy = busy || !e.paused && len(e.frames[agent])+len(e.answers[agent]) > 0
 				f.deliverFrame(e, agent)
 				f.deliverAnswer(e, agent)
 			}
@@ -153,7 +156,7 @@
 	f.now = f.now.Add(d)
 	for _, agent := range f.agents {
 		for _, e := range f.entries {
-			if e.linked[agent] {
+			if e.linked[agent] && !e.paused {
 				f.tables[agent].Contact(f.now, e.name)
 				e.RecordMessage(f.now, agent)
 			}
@@ -161,11 +164,22 @@
 		f.queue(agent, f.tables[agent].Tick(f.now)...)
 	}
 	for _, e := range f.entries {
+		if e.paused {
+			continue
+		}
 		e.Tick(f.now)
 		f.take(e)
 	}
 }
 
+// wake ends the pause of an entry, which notices it and gives up the job.
+func (f *ownerFleet) wake(e *ownerEntry, id string) {
+	e.paused = false
+	e.GiveUp(id, result.NotReady)
+	e.Disown(f.now)
+	f.take(e)
+}
+
 // submit submits the job to an entry unless that has it.
 func (f *ownerFleet) submit(e *ownerEntry, id string) {
 	if held, _ := e.Has(id); held {
@@ -300,22 +314,20 @@
 	}
 }
 
-// Guards against an entry that orders tasks by ownerships from before a pause, in which agents may have granted the jobs
-// to other entries.
+// Guards against an entry that orders tasks by ownerships from before a pause, in which agents have granted the jobs to
+// other entries.
 func TestOwnershipEndsWithPause(t *testing.T) {
 	f := newOwnerFleet(2, 4)
 	first, second := f.entries[0], f.entries[1]
 	f.submit(first, "j")
 	f.deliverAll()
-	first.GiveUp("j", result.NotReady)
-	first.Disown()
-	f.take(first)
-	f.deliverAll()
 	f.submit(second, "j")
-	f.deliverAll()
+	first.paused = true
+	f.pass(testLimits.LostAfter + 100*time.Millisecond)
 	if f.runs(second) != 2 {
 		t.Fatalf("%d runs at the second entry", f.runs(second))
 	}
+	f.wake(first, "j")
 	f.endRun(first, run.Stopped)
 	f.endRun(first, run.Stopped)
 	f.submit(first, "j")
@@ -325,6 +337,30 @@
 	}
 }
 
+// Guards against a job that an entry releases after a pause although its runs may not have ended: stops may be lost, and
+// the pause is shorter than the time in which the runs of a silent entry certainly end.
+func TestJobIsNotReleasedAfterPauseBeforeItsRunsHaveEnded(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	f.submit(first, "j")
+	f.deliverAll()
+	first.paused = true
+	f.pass(testLimits.LostAfter - 100*time.Millisecond)
+	f.wake(first, "j")
+	f.submit(second, "j")
+	f.pass(100 * time.Millisecond)
+	f.endRun(first, run.Stopped)
+	f.deliverAll()
+	if f.runs(second) != 0 {
+		t.Fatal("the second entry ordered tasks while a run of the first one is left")
+	}
+	f.endRun(first, run.Stopped)
+	f.deliverAll()
+	if f.runs(second) != 2 {
+		t.Errorf("%d runs at the second entry after those of the first one", f.runs(second))
+	}
+}
+
 // Guards against two entries with runs of one task, whatever is reset between a request, its answer, the release and the
 // repetition of a request: callers come back at once, links lose what is on its way, agents restart.
 func TestOwnershipModel(t *testing.T) {
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -83,3 +83,48 @@
 		t.Errorf("%d runs at the second entry", f.runs(second))
 	}
 }
+
+// Guards against two owners of a job when an entry was cut off from all agents for so long that they took it for lost: it
+// went on ordering as soon as a link was open again.
+func TestOwnershipEndsWithoutContact(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	f.submit(first, "j")
+	f.deliverAll()
+	for _, agent := range f.agents {
+		f.cut(first, agent)
+	}
+	f.submit(second, "j")
+	f.pass(testLimits.LostAfter + 100*time.Millisecond)
+	clear(first.running) // the agents stopped the runs of the lost entry
+	if f.runs(second) != 2 {
+		t.Fatalf("%d runs at the second entry after the first one was lost", f.runs(second))
+	}
+	for _, agent := range f.agents {
+		f.connect(first, agent)
+	}
+	f.deliverAll()
+	if f.runs(first) != 0 {
+		t.Error("the first entry ordered tasks of a job that the second one owns")
+	}
+}
+
+// Guards against a job that waits needlessly after its entry was cut off from all agents and no other entry has it.
+func TestJobContinuesAfterOwnershipEndedWithoutContact(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first := f.entries[0]
+	f.submit(first, "j")
+	f.deliverAll()
+	for _, agent := range f.agents {
+		f.cut(first, agent)
+	}
+	f.pass(testLimits.LostAfter + 100*time.Millisecond)
+	clear(first.running)
+	for _, agent := range f.agents {
+		f.connect(first, agent)
+	}
+	f.deliverAll()
+	if f.runs(first) != 2 {
+		t.Errorf("%d runs after the links are open again", f.runs(first))
+	}
+}
