Let jobs wait for links to their registrars that are about to open

Cause: an entry that has just started, or whose links were all reset, asked the registrars whose links were open first. The owner of a job is recorded at the first two in the job's order, so the entry did not learn of it. The same entry takes over jobs at this moment if its callers' connections and its links are reset together. An entry that was cut off from all agents counted the time of the cut towards the 1,300 ms after which a job begins without registrars.

What callers saw: nothing yet; two entries ran one job in the tests below.

Change: while links to two registrars that come before the first reachable one were lost or listed less than 300 ms ago, the job waits, 300 ms at most. A job with one reachable registrar among these does not wait. The 1,300 ms count only while the entry has a link.

Evidence: TestJobWaitsForLinksThatAreBeingOpened failed with "the second entry ordered tasks while the first one owns the job", TestCutOffEntryWaitsForRegistrars with "the first entry ordered tasks of a job that the second one owns"; both pass.

--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -43,7 +43,7 @@
 		a.listed = ok
 	}
 	registrars := jobs.Registrars(slices.Collect(maps.Keys(e.fleet)))
-	e.scheduler.SetRegistrars(registrars)
+	e.scheduler.SetRegistrars(now, registrars)
 	e.partners.SetFleet(fleet, registrars...)
 	e.updatePartners(now)
 	e.scheduler.SetExpectedAgents(now, e.partners.Len())
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -28,6 +28,7 @@
 		s.fleet = append(s.fleet, v)
 		sort.Slice(s.fleet, func(i, j int) bool { return s.fleet[i].agent < s.fleet[j].agent })
 	}
+	s.recordConnection(now)
 	v.linked = true
 	v.reported = false
 	v.lastContact = now
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -23,6 +23,9 @@
 	// contactMargin is how long before registrars may take the entry for lost its ownership ends here: the newest message
 	// that they have is older than their newest answer, and a tick may be late.
 	contactMargin = 200 * time.Millisecond
+	// registrarWait is how long a job waits for links to registrars that were lost or have been listed only just now. A lost
+	// link is dialed again at once, and one attempt takes 250 ms at most.
+	registrarWait = 300 * time.Millisecond
 )
 
 // requestState is the state of the request for a job at one registrar.
@@ -74,7 +77,17 @@
 
 // SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
 // MaxRegistrars. Without registrars, an entry owns each job that it admits.
-func (s *Scheduler) SetRegistrars(agents []string) { s.registrars = slices.Clone(agents) }
+func (s *Scheduler) SetRegistrars(now time.Time, agents []string) {
+	s.registrars = slices.Clone(agents)
+	listed := make(map[string]time.Time, len(agents))
+	for _, agent := range agents {
+		listed[agent] = now
+		if before, ok := s.registrarListed[agent]; ok {
+			listed[agent] = before
+		}
+	}
+	s.registrarListed = listed
+}
 
 // Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
 func Registrars(fleet []string) []string {
@@ -188,6 +201,57 @@
 	return list
 }
 
+// awaitsLinks reports whether links are about to open to the registrars that most probably record the owner of the job, so
+// that those that can be asked may not know it. After a start, or when all links were reset, the links open in any order.
+func (s *Scheduler) awaitsLinks(now time.Time, o *ownership) bool {
+	if now.Sub(s.waitingSince(o)) >= registrarWait {
+		return false
+	}
+	awaited := 0
+	for _, agent := range o.order {
+		if s.reachable(agent) {
+			return false
+		}
+		if s.linkAwaited(now, agent) {
+			awaited++
+		}
+		if awaited == registrarsPerJob {
+			return true
+		}
+	}
+	return false
+}
+
+// linkAwaited reports whether the link to an unreachable registrar was lost, or the registrar was listed, so recently that
+// it is probably about to open.
+func (s *Scheduler) linkAwaited(now time.Time, agent string) bool {
+	since := s.registrarListed[agent]
+	if v := s.servers[agent]; v != nil && v.lastContact.After(since) {
+		since = v.lastContact
+	}
+	return now.Sub(since) < registrarWait
+}
+
+// waitingSince returns the time from which on a job has waited for the registrars, with a link to any agent.
+func (s *Scheduler) waitingSince(o *ownership) time.Time {
+	if s.connectedSince.After(o.since) {
+		return s.connectedSince
+	}
+	return o.since
+}
+
+// recordConnection notes the time of a link if the entry had none before.
+func (s *Scheduler) recordConnection(now time.Time) {
+	if !s.connected() {
+		s.connectedSince = now
+	}
+}
+
+// connected reports whether the entry has a link to any agent.
+func (s *Scheduler) connected() bool {
+	return slices.ContainsFunc(s.fleet, func(v *server) bool { return v.linked })
+}
+
 // heldElsewhere reports whether a reachable registrar has another owner.
 func (s *Scheduler) heldElsewhere(o *ownership) bool {
 	return slices.ContainsFunc(o.requests, func(r *request) bool { return r.state == held && s.reachable(r.agent) })
@@ -210,9 +274,9 @@
 	}
 	registrars := s.reachableRegistrars(o)
 	if len(registrars) == 0 {
-		return s.withoutRegistrars(o) || now.Sub(o.since) > s.limits.ResubmitAfter
+		return s.withoutRegistrars(o) || s.connected() && now.Sub(s.waitingSince(o)) > s.limits.ResubmitAfter
 	}
-	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) })
+	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) }) && !s.awaitsLinks(now, o)
 }
 
 // withoutRegistrars reports whether no agent records owners, as far as the entry knows: there are none, or those that
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -47,7 +47,7 @@
 	}
 	for i := range entries {
 		e := &ownerEntry{Scheduler: New(limits), name: fmt.Sprintf("e%d", i), frames: map[string][]Batch{}, answers: map[string][]owner.Answer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
-		e.SetRegistrars(f.agents)
+		e.SetRegistrars(f.now, f.agents)
 		f.entries = append(f.entries, e)
 		for _, agent := range f.agents {
 			f.connect(e, agent)
@@ -307,7 +307,7 @@
 // Guards against jobs that wait for agents of an earlier version, which do not record owners.
 func TestJobBeginsWithoutAgentsThatRecordOwners(t *testing.T) {
 	h := newHarness(t, 3, 8000)
-	h.SetRegistrars([]string{"a0", "a1", "a2"})
+	h.SetRegistrars(h.now, []string{"a0", "a1", "a2"})
 	h.submit("j", 2, 1000, 100*time.Millisecond)
 	if h.placed() != 2 {
 		t.Errorf("%d tasks placed", h.placed())
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -41,7 +41,7 @@
 	f := newOwnerFleet(2, 5)
 	first, second := f.entries[0], f.entries[1]
 	order := rankFor("j", f.agents)
-	first.SetRegistrars(order[1:])
+	first.SetRegistrars(f.now, order[1:])
 	f.submit(first, "j")
 	f.deliverAll()
 	if f.runs(first) != 2 {
@@ -128,3 +128,78 @@
 		t.Errorf("%d runs after the links are open again", f.runs(first))
 	}
 }
+
+// Guards against two owners of a job when all links of an entry were reset, or it has just started: registrars that the
+// owner did not ask granted the job in the moment before the links to the others were open.
+func TestJobWaitsForLinksThatAreBeingOpened(t *testing.T) {
+	f := newOwnerFleet(2, 6)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	for _, agent := range f.agents {
+		f.cut(second, agent)
+	}
+	f.connect(second, order[4])
+	f.submit(second, "j")
+	f.deliverAll()
+	if f.runs(second) != 0 {
+		t.Fatal("the second entry ordered tasks while the first one owns the job")
+	}
+	f.connect(second, order[1])
+	f.pass(40 * time.Millisecond)
+	if f.runs(second) != 0 {
+		t.Fatal("the second entry ordered tasks while the first one owns the job")
+	}
+	first.Abandon("j")
+	f.take(first)
+	f.endRun(first, run.Stopped)
+	f.endRun(first, run.Stopped)
+	f.deliverAll()
+	if f.runs(second) != 2 {
+		t.Errorf("%d runs at the second entry after the release", f.runs(second))
+	}
+}
+
+// Guards against jobs that wait although the links to their registrars are not about to open: agents that are gone stay
+// in the list for seconds.
+func TestJobWaitsForLinksOnlyForAShortTime(t *testing.T) {
+	f := newOwnerFleet(1, 6)
+	e := f.entries[0]
+	order := rankFor("j", f.agents)
+	f.disconnect(order[0])
+	f.disconnect(order[1])
+	f.submit(e, "j")
+	f.pass(registrarWait + 20*time.Millisecond)
+	if f.runs(e) != 2 {
+		t.Errorf("%d runs %s after the first two registrars were lost", f.runs(e), registrarWait)
+	}
+	f.submit(e, "k")
+	f.deliverAll()
+	if f.runs(e) != 4 {
+		t.Errorf("%d runs of a later job", f.runs(e))
+	}
+}
+
+// Guards against an entry that was cut off for long and takes the first link that is open again, to an agent that records no
+// owners, for a sign that there are no registrars.
+func TestCutOffEntryWaitsForRegistrars(t *testing.T) {
+	f := newOwnerFleet(2, 5)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	first.SetRegistrars(f.now, order[:4])
+	second.SetRegistrars(f.now, order[:4])
+	f.submit(first, "j")
+	f.deliverAll()
+	for _, agent := range f.agents {
+		f.cut(first, agent)
+	}
+	f.submit(second, "j")
+	f.pass(3 * time.Second)
+	clear(first.running)
+	f.connect(first, order[4])
+	f.pass(500 * time.Millisecond)
+	if f.runs(first) != 0 {
+		t.Error("the first entry ordered tasks of a job that the second one owns")
+	}
+}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -40,8 +40,11 @@
 	declaredErrors map[string]*declaredError   // by service
 	registrars     []string                    // agents that may record owners of jobs
 	ownerships     map[string]*ownership       // by job
-	lastRequest    uint64                      // number of the newest request for a job
-	singleServer   [1]*server                  // argument of dispatchTo, kept to avoid an allocation
+	// registrarListed holds when each registrar was first listed, connectedSince since when the entry has had a link.
+	registrarListed map[string]time.Time
+	connectedSince  time.Time
+	lastRequest     uint64     // number of the newest request for a job
+	singleServer    [1]*server // argument of dispatchTo, kept to avoid an allocation
 }
 
 // expectation is the number of agents that are expected to connect, until a time after the start of the
