Answer the callers of a pause before a job is admitted again

Cause: the outcomes of jobs that are given up after a pause waited until the entry had done what it was called for. If that was the submission of one of these jobs, the new caller was among those that the outcome went to.

What callers saw: 504 at once for a job that had just been submitted, and the job ran without a caller.

Change: outcomes are delivered as soon as the jobs are given up.

Evidence: TestSubmissionAfterPauseGetsItsOwnOutcome failed with "the new submission is answered with {Job:1 Code:2005 Effect:run ...}" and "job held: true, callers: 0" and passes.

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -152,6 +152,8 @@
 		e.scheduler.GiveUp(id, result.NotReady)
 	}
 	e.scheduler.Disown(now)
+	// A caller may submit one of these jobs again before the next tick, and must not get the outcome of the former submission.
+	e.flush()
 }
 
 // pauseThreshold returns the time since the last tick from which on the process counts as paused.
--- /dev/null
+++ b/daemon/runentry/ownership_test.go
@@ -0,0 +1,43 @@
+package runentry
+
+import (
+	"testing"
+	"time"
+
+	"poplargw.example/daemon/boottime"
+	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/route"
+	"poplargw.example/dispatch/run"
+)
+
+// newTestJob returns a job of one task that the server of newTestEntry can run.
+func newTestJob() jobs.Job {
+	return jobs.Job{ID: "1", Queue: route.Queue{Service: "svc", Attempts: 1, Stretch: 1.6}, Steps: []jobs.Step{
+		{Count: 1, Demand: run.Demand{CPU: 100}, Estimate: 100 * time.Millisecond},
+	}, Arrived: boottime.Now()}
+}
+
+// Guards against a caller that is answered with the outcome of a former submission: its job comes back to an entry that
+// gives up the former one because of a pause, and the new submission then runs without a caller.
+func TestSubmissionAfterPauseGetsItsOwnOutcome(t *testing.T) {
+	e, _ := newTestEntry(t)
+	former, done := make(chan jobs.Outcome, 1), make(chan jobs.Outcome, 1)
+	if o, ok := e.admit(newTestJob(), former); !ok {
+		t.Fatalf("job rejected: %+v", o)
+	}
+	e.mu.Lock()
+	e.lastTick = boottime.Now().Add(-2 * e.pauseThreshold())
+	e.mu.Unlock()
+	if o, ok := e.admit(newTestJob(), done); !ok {
+		t.Fatalf("job rejected: %+v", o)
+	}
+	if len(former) != 1 {
+		t.Error("the former submission continues after a pause")
+	}
+	if len(done) != 0 {
+		t.Errorf("the new submission is answered with %+v", <-done)
+	}
+	if held, _ := e.scheduler.Has("1"); held != (len(e.waiters["1"]) == 1) {
+		t.Errorf("job held: %t, callers: %d", held, len(e.waiters["1"]))
+	}
+}
