Keep registrars with a link while the store does not list them

Cause: the registrars followed the list of agents. When the store is down its keys expire, and entries see an empty or partial list for a while, although their links to the agents are open. With an empty list each entry began its jobs without any record; with different partial lists the entries asked different agents.

What callers saw: nothing yet.

Change: a registrar that is no longer listed remains one as long as its link is open.

Evidence: TestRegistrarsRemainWhileStoreListsNoAgents failed with "tasks were ordered before the agent has granted the job" and passes.

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -48,6 +48,7 @@
 	fleet           map[string]Agent  // all agents, by ID
 	agents          map[string]*agent // partners, by ID
 	partners        *partner.Set
+	registrars      []string                       // agents that record the owners of jobs
 	waiters         map[string][]chan jobs.Outcome // by job ID, one channel for each waiting caller
 	outOfService    domainSet
 	lastTick        time.Time
--- a/daemon/runentry/ownership_test.go
+++ b/daemon/runentry/ownership_test.go
@@ -41,3 +41,24 @@
 		t.Errorf("job held: %t, callers: %d", held, len(e.waiters["1"]))
 	}
 }
+
+// Guards against jobs that begin without a record of their owner while the store lists no agents, or only some of them:
+// the entries' links to the agents are still open.
+func TestRegistrarsRemainWhileStoreListsNoAgents(t *testing.T) {
+	e, a := newTestEntry(t)
+	e.SetAgents([]Agent{{ID: a.id, Address: "127.0.0.1:1", Domain: "d"}})
+	e.mu.Lock()
+	e.agents[a.id].conn = a.conn // SetAgents knows nothing of the link that newTestEntry opened
+	e.mu.Unlock()
+	e.scheduler.Report(boottime.Now(), a.id, jobs.Report{
+		Server: run.Server{Instance: "i", Service: "svc", State: run.Ready, Capacity: run.Demand{CPU: 8000, MemoryMB: 1000}},
+		Free:   run.Demand{CPU: 8000, MemoryMB: 1000}, RecordsOwners: true,
+	})
+	e.SetAgents(nil)
+	if o, ok := e.admit(newTestJob(), make(chan jobs.Outcome, 1)); !ok {
+		t.Fatalf("job rejected: %+v", o)
+	}
+	if _, runs := e.scheduler.Tasks(); runs != 0 {
+		t.Error("tasks were ordered before the agent has granted the job")
+	}
+}
--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -42,14 +42,27 @@
 		}
 		a.listed = ok
 	}
-	registrars := jobs.Registrars(slices.Collect(maps.Keys(e.fleet)))
-	e.scheduler.SetRegistrars(now, registrars)
-	e.partners.SetFleet(fleet, registrars...)
+	e.registrars = e.chooseRegistrars()
+	e.scheduler.SetRegistrars(now, e.registrars)
+	e.partners.SetFleet(fleet, e.registrars...)
 	e.updatePartners(now)
 	e.scheduler.SetExpectedAgents(now, e.partners.Len())
 	e.Log.Info(event.AgentsChanged, event.Fields{"listed": len(list), "partners": e.partners.Len()})
 }
 
+// chooseRegistrars returns the agents that record the owners of jobs. Present ones that still have a link remain although
+// they are not listed: keys also disappear during a store outage, at other moments for each agent, and other entries
+// rely on their records. The caller must hold e.mu.
+func (e *Entry) chooseRegistrars() []string {
+	candidates := slices.Collect(maps.Keys(e.fleet))
+	for _, id := range e.registrars {
+		if a := e.agents[id]; a != nil && !a.listed && a.conn != nil {
+			candidates = append(candidates, id)
+		}
+	}
+	return jobs.Registrars(candidates)
+}
+
 // updatePartners adds and removes partners according to the load. The caller must hold e.mu.
 func (e *Entry) updatePartners(now time.Time) {
 	e.removeAbsent(now)
