Count the gap between messages when a registrar takes an entry for lost

Cause: registrars granted the jobs of a lost entry 809 ms after its newest message to them. The sum behind that counts from the newest message to the agent of the run, which may be one heartbeat and one tick (140 ms) later.

What callers saw: nothing yet. With all stops lost, a run of a dead entry could overlap with one of the next owner by up to 90 ms.

--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -29,6 +29,9 @@
 	// idleHeartbeatInterval is the time between frames to an agent without runs of this entry. It is
 	// shorter than the lifetime of a start token.
 	idleHeartbeatInterval = 120 * time.Millisecond
+	// MaxSilence is the longest time between two messages of an entry over a link, as long as it has processor time: messages
+	// are sent with a tick.
+	MaxSilence = idleHeartbeatInterval + tickInterval
 	// dialTimeout bounds one attempt to open a link.
 	dialTimeout = 250 * time.Millisecond
 	// minRedialDelay and maxRedialDelay bound the delay between attempts, which doubles each time.
