Answer every entry that asked a restarted agent for a job

Cause: a restarted agent answers no request for 350 ms. Then it told only the entry that got the job. Another one that had asked never learned of the owner, so it did not withdraw its request at the second registrar; if that one had granted it the job, the two entries waited for each other. A request that arrived between the end of the 350 ms and the next tick was answered with the grant for the first entry that had asked, under that entry's request number: if the numbers were equal, both took the job for theirs.

What callers saw: nothing yet.

Change: the 350 ms end with a tick, which answers all requests. After that a job without an owner has no requests, and ticks no longer look at every job.

TestRestartedAgentLearnsOwnersBeforeItGrants expected the grant alone; it now expects it and the answer to the other request, and nothing else.

--- a/daemon/runagent/ownership.go
+++ b/daemon/runagent/ownership.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for _, job := range f.GetReleases() {
-		if grant, ok := a.owners.Release(now, s.entry, job); ok {
+		if grant, ok := a.owners.Release(s.entry, job); ok {
 			a.queueGrants([]owner.Answer{grant})
 		}
 	}
@@ -48,11 +48,11 @@
 	a.sendGrants(s)
 }
 
-// queueGrants adds grants to the answers for their entries. An entry without a link repeats its request over a new one.
+// queueGrants adds answers, most of them grants, to those for their entries. An entry without a link repeats its request over a new one.
 // The caller must hold a.mu.
 func (a *Agent) queueGrants(grants []owner.Answer) {
 	for _, g := range grants {
-		a.Log.Trace(event.OwnerAnswered, event.Fields{"job": g.Job, "entry": g.Entry, "granted": g.Granted, "owner": g.Entry})
+		a.Log.Trace(event.OwnerAnswered, event.Fields{"job": g.Job, "entry": g.Entry, "granted": g.Granted, "owner": a.owners.Owner(g.Job)})
 		if s := a.sessions[g.Entry]; s != nil {
 			s.answers = append(s.answers, g)
 		}
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -105,7 +105,7 @@
 		f.queue(agent, grants...)
 	}
 	for _, job := range b.Releases {
-		if a, ok := table.Release(f.now, e.name, job); ok {
+		if a, ok := table.Release(e.name, job); ok {
 			f.queue(agent, a)
 		}
 	}
--- a/dispatch/owner/owner.go
+++ b/dispatch/owner/owner.go
@@ -59,6 +59,7 @@
 type Table struct {
 	limits    Limits
 	startedAt time.Time
+	restored  bool // the RestoreWindow has passed
 	lastTick  time.Time
 	jobs      map[string]*record
 	// contacts holds the time of the newest message of each entry that owns a job or waits for one.
@@ -89,7 +90,7 @@
 }
 
 // Request records that the entry wants to own the job, and returns the answer. It returns false if the answer
-// follows after the RestoreWindow.
+// follows: Tick returns it after the RestoreWindow.
 func (t *Table) Request(now time.Time, entry string, in Request) (Answer, bool) {
 	t.contacts[entry] = now
 	r := t.record(in.Job)
@@ -101,12 +102,9 @@
 	if r.owner != "" {
 		return Answer{Entry: entry, Request: in}, true
 	}
-	return t.settle(now, in.Job, r)
+	return t.settle(in.Job, r)
 }
 
-// restoring reports whether owners from before the start of the agent may not have reported yet.
-func (t *Table) restoring(now time.Time) bool { return now.Sub(t.startedAt) < t.limits.RestoreWindow }
-
 func (t *Table) record(job string) *record {
 	r := t.jobs[job]
 	if r == nil {
@@ -125,7 +123,7 @@
 
 // Release records that the entry neither owns nor wants the job any more: none of its runs of the job is left. It
 // returns the resulting grant to another entry, if there is one.
-func (t *Table) Release(now time.Time, entry, job string) (Answer, bool) {
+func (t *Table) Release(entry, job string) (Answer, bool) {
 	r := t.jobs[job]
 	if r == nil {
 		return Answer{}, false
@@ -134,18 +132,19 @@
 	if r.owner == entry {
 		r.owner = ""
 	}
-	return t.settle(now, job, r)
+	return t.settle(job, r)
 }
 
-// settle grants a job without an owner to the next entry, or forgets a job that no entry wants.
-func (t *Table) settle(now time.Time, job string, r *record) (Answer, bool) {
+// settle grants a job without an owner to the next entry, or forgets a job that no entry wants. Until the RestoreWindow has
+// passed it grants nothing.
+func (t *Table) settle(job string, r *record) (Answer, bool) {
 	switch {
 	case r.owner != "":
 		return Answer{}, false
 	case len(r.waiting) == 0:
 		delete(t.jobs, job)
 		return Answer{}, false
-	case t.restoring(now):
+	case !t.restored:
 		return Answer{}, false
 	}
 	return t.grantNext(job, r), true
@@ -159,7 +158,7 @@
 	for _, job := range jobs {
 		owned[job] = true
 	}
-	grants = t.drop(now, entry, func(job string) bool { return !owned[job] })
+	grants = t.drop(entry, func(job string) bool { return !owned[job] })
 	if len(jobs) > 0 {
 		t.contacts[entry] = now
 	}
@@ -176,21 +175,21 @@
 }
 
 // drop removes the entry from the jobs that the filter accepts, and returns the grants to other entries.
-func (t *Table) drop(now time.Time, entry string, accepts func(job string) bool) []Answer {
+func (t *Table) drop(entry string, accepts func(job string) bool) []Answer {
 	var grants []Answer
 	for job, r := range t.jobs {
 		if !accepts(job) || r.owner != entry && !r.remove(entry) {
 			continue
 		}
-		if a, ok := t.Release(now, entry, job); ok {
+		if a, ok := t.Release(entry, job); ok {
 			grants = append(grants, a)
 		}
 	}
 	return grants
 }
 
-// Tick ends the ownerships of lost entries and returns the grants to others, also those that were held back during
-// the RestoreWindow.
+// Tick ends the ownerships of lost entries and returns the grants to others, and once the answers that were held back
+// during the RestoreWindow.
 func (t *Table) Tick(now time.Time) []Answer {
 	t.discountPause(now)
 	var grants []Answer
@@ -199,17 +198,27 @@
 			continue
 		}
 		delete(t.contacts, entry)
-		grants = append(grants, t.drop(now, entry, func(string) bool { return true })...)
+		grants = append(grants, t.drop(entry, func(string) bool { return true })...)
 	}
-	if t.restoring(now) {
-		return grants
+	if !t.restored && now.Sub(t.startedAt) >= t.limits.RestoreWindow {
+		t.restored = true
+		grants = append(grants, t.answerAll()...)
 	}
+	return grants
+}
+
+// answerAll returns the answers that were held back during the RestoreWindow.
+func (t *Table) answerAll() []Answer {
+	var answers []Answer
 	for job, r := range t.jobs {
-		if a, ok := t.settle(now, job, r); ok {
-			grants = append(grants, a)
+		if a, ok := t.settle(job, r); ok {
+			answers = append(answers, a)
+		}
+		for _, c := range r.waiting {
+			answers = append(answers, Answer{Entry: c.entry, Request: Request{Job: job, Number: c.number}})
 		}
 	}
-	return grants
+	return answers
 }
 
 // discountPause moves the contacts by the time for which the agent did not run.
--- a/dispatch/owner/owner_test.go
+++ b/dispatch/owner/owner_test.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,9 +41,9 @@
 	requireAnswer(t, a, ok, "a", 1, true)
 	a, ok = o.Request(now, "b", Request{"job", 2})
 	requireAnswer(t, a, ok, "b", 2, false)
-	a, ok = o.Release(now, "a", "job")
+	a, ok = o.Release("a", "job")
 	requireAnswer(t, a, ok, "b", 2, true)
-	if _, ok := o.Release(now, "b", "job"); ok || o.Len() != 0 {
+	if _, ok := o.Release("b", "job"); ok || o.Len() != 0 {
 		t.Errorf("%d jobs recorded after the last release", o.Len())
 	}
 }
@@ -106,8 +108,9 @@
 		now = now.Add(50 * time.Millisecond)
 		grants = o.Tick(now)
 	}
-	if len(grants) != 1 || grants[0] != (Answer{"b", Request{"other", 2}, true}) {
-		t.Errorf("grants %+v", grants)
+	slices.SortFunc(grants, func(a, b Answer) int { return cmp.Compare(a.Number, b.Number) })
+	if want := []Answer{{"b", Request{"job", 1}, false}, {"b", Request{"other", 2}, true}}; !slices.Equal(grants, want) {
+		t.Errorf("answers %+v, want %+v", grants, want)
 	}
 	if o.Owner("job") != "a" {
 		t.Errorf("owner %q", o.Owner("job"))
@@ -169,7 +172,7 @@
 				e := someEntry()
 				e.granted, e.number, e.contact = false, 0, now
 				o.Contact(now, e.name)
-				if a, ok := o.Release(now, e.name, "job"); ok {
+				if a, ok := o.Release(e.name, "job"); ok {
 					apply(a)
 				}
 			},
