Look in a tick only at jobs whose ownership may change

Cause: each tick went through all jobs in the order of their IDs and looked up their registrars.

Change: jobs that the entry owns are left alone until a link to an agent changes or no registrar has been heard for half the time after which the ownership lapses.

--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -29,6 +29,7 @@
 		sort.Slice(s.fleet, func(i, j int) bool { return s.fleet[i].agent < s.fleet[j].agent })
 	}
 	s.recordConnection(now)
+	s.linkChanges++
 	v.linked = true
 	v.reported = false
 	v.lastContact = now
@@ -49,6 +50,7 @@
 // claimed over a new link or have certainly ended.
 func (s *Scheduler) AgentDisconnected(agent string) {
 	if v := s.servers[agent]; v != nil {
+		s.linkChanges++
 		v.linked = false
 	}
 }
@@ -75,6 +77,9 @@
 	v.entries = r.Entries
 	v.othersSlowdown = r.OthersSlowdown
 	v.reportsCrashes = r.ReportsCrashes
+	if !v.reported || v.recordsOwners != r.RecordsOwners {
+		s.linkChanges++
+	}
 	v.recordsOwners = r.RecordsOwners
 	if s.bulkheads.recordOthers(now, r.Server.Service, r.OthersConfined) {
 		s.updateBulkheads(now)
@@ -314,6 +319,7 @@
 	if v.health != nil && v.health.Suspended() && len(s.suspended) < maxSuspended {
 		s.suspended[v.state.Instance] = v.health
 	}
+	s.linkChanges++
 	delete(s.servers, v.agent)
 	delete(s.dirty, v.agent)
 	s.fleet = slices.DeleteFunc(s.fleet, func(o *server) bool { return o == v })
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -56,6 +56,8 @@
 	// confirmed is the time of the newest message of a registrar that has granted the job; zero if none has, because
 	// none was reachable.
 	confirmed time.Time
+	// linkChanges is the value of Scheduler.linkChanges for which requests were sent last.
+	linkChanges uint64
 	// runs is the number of runs of the job that may not have ended, of all its submissions to this entry.
 	runs int
 }
@@ -147,6 +149,12 @@
 	return o.owned && !o.confirmed.IsZero() && now.Sub(o.confirmed) > s.limits.LostAfter-contactMargin
 }
 
+// settled reports whether nothing is due for a job: the entry owns it, no link has changed since, and a registrar was heard
+// not long ago. Most jobs are settled, so a tick costs little with many jobs.
+func (s *Scheduler) settled(now time.Time, o *ownership) bool {
+	return o.owned && o.linkChanges == s.linkChanges && (o.confirmed.IsZero() || now.Sub(o.confirmed) < (s.limits.LostAfter-contactMargin)/2)
+}
+
 // lapse ends the ownership of a job, and requests it again from the registrars. They keep the entry's record, if they
 // still have it, until the runs of the job have ended.
 func (s *Scheduler) lapse(now time.Time, o *ownership) {
@@ -174,6 +182,7 @@
 // sendRequests requests the job from the first registrars that are reachable, unless one of them has another owner. For
 // a job that the entry owns, it keeps that number of records when a registrar is lost.
 func (s *Scheduler) sendRequests(o *ownership) {
+	o.linkChanges = s.linkChanges
 	if s.heldElsewhere(o) {
 		return
 	}
@@ -398,9 +407,16 @@
 
 // ownershipsByJob returns the ownerships ordered by job, so that decisions are deterministic.
 func (s *Scheduler) ownershipsByJob() []*ownership {
-	list := make([]*ownership, 0, len(s.ownerships))
+	return s.selectOwnerships(func(*ownership) bool { return true })
+}
+
+// selectOwnerships returns the ownerships that the filter accepts, ordered by job.
+func (s *Scheduler) selectOwnerships(accepts func(*ownership) bool) []*ownership {
+	var list []*ownership
 	for _, o := range s.ownerships {
-		list = append(list, o)
+		if accepts(o) {
+			list = append(list, o)
+		}
 	}
 	slices.SortFunc(list, func(a, b *ownership) int { return cmp.Compare(a.job, b.job) })
 	return list
@@ -408,7 +424,8 @@
 
 // advanceOwnerships repeats what depends on time or on the links to registrars.
 func (s *Scheduler) advanceOwnerships(now time.Time) {
-	for _, o := range s.ownershipsByJob() {
+	for _, o := range s.selectOwnerships(func(o *ownership) bool { return !s.settled(now, o) }) {
+		s.confirm(o)
 		if s.lapsed(now, o) {
 			s.lapse(now, o)
 		}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -40,6 +40,8 @@
 	declaredErrors map[string]*declaredError   // by service
 	registrars     []string                    // agents that may record owners of jobs
 	ownerships     map[string]*ownership       // by job
+	// linkChanges counts the changes of which agents are reachable as registrars.
+	linkChanges uint64
 	// registrarListed holds when each registrar was first listed, connectedSince since when the entry has had a link.
 	registrarListed map[string]time.Time
 	connectedSince  time.Time
