Record the owner of a job at two agents before it begins

Cause: an entry whose other links were about to open began a job with the grant of the one registrar that it could reach. An entry without a link to that agent then began the same job.

What callers saw: nothing yet.

Change: while fewer than two registrars are reachable and links to others were lost or listed less than 300 ms ago, the job waits for these, 300 ms at most.

Evidence: TestJobBeginsWithTwoRecords failed with "4 runs of two tasks" and passes.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -210,25 +210,29 @@
 	return list
 }
 
-// awaitsLinks reports whether links are about to open to the registrars that most probably record the owner of the job, so
-// that those that can be asked may not know it. After a start, or when all links were reset, the links open in any order.
+// awaitsLinks reports whether links are about to open without which the entry may not learn of the owner of the job, or has
+// only one record of its own. After a start, or when all links were reset, the links open in any order.
 func (s *Scheduler) awaitsLinks(now time.Time, o *ownership) bool {
 	if now.Sub(s.waitingSince(o)) >= registrarWait {
 		return false
 	}
-	awaited := 0
+	reachable, awaited := 0, 0
 	for _, agent := range o.order {
-		if s.reachable(agent) {
-			return false
-		}
-		if s.linkAwaited(now, agent) {
+		switch {
+		case s.reachable(agent):
+			reachable++
+		case s.linkAwaited(now, agent):
 			awaited++
 		}
-		if awaited == registrarsPerJob {
+		// The owner asked the first two registrars, of which this entry may miss one.
+		if awaited == registrarsPerJob && reachable == 0 {
 			return true
 		}
+		if reachable == registrarsPerJob {
+			return false
+		}
 	}
-	return false
+	return awaited > 0
 }
 
 // linkAwaited reports whether the link to an unreachable registrar was lost, or the registrar was listed, so recently that
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -203,3 +203,23 @@
 		t.Error("the first entry ordered tasks of a job that the second one owns")
 	}
 }
+
+// Guards against a job whose owner is recorded at one agent only, because the links to the others were about to open when it
+// began: another entry may have no link to that agent.
+func TestJobBeginsWithTwoRecords(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	for _, agent := range f.agents {
+		f.cut(first, agent)
+	}
+	f.connect(first, order[0])
+	f.submit(first, "j")
+	f.deliverAll()
+	f.cut(second, order[0])
+	f.submit(second, "j")
+	f.deliverAll()
+	if n := f.runs(first) + f.runs(second); n > 2 {
+		t.Errorf("%d runs of two tasks", n)
+	}
+}
