Wait for a lost link from the end of the link on

Cause: whether the link to a registrar was about to open was judged by the agent's newest message. A silent link is closed 0.2 s after that message, and later after a pause, so that little or nothing was left of the 300 ms. An agent of an earlier version, which records no owners, counted as one whose link was about to open as long as it sent messages.

What callers saw: nothing yet. In a fleet with agents of two versions some jobs would have waited for 300 ms.

Change: the end of a link has a time. An agent with a link is waited for until its first report only.

The fleet of the ownership tests now delivers what has been on its way for 60 ms, and no heartbeat overtakes it.

Evidence: TestJobWaitsForLinksThatWereSilent failed with "the second entry ordered tasks while the first one owns the job", TestJobDoesNotWaitForAgentsThatRecordNoOwners with "0 runs"; both pass.

--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -141,7 +141,7 @@
 	}
 	// The agent may have been removed and added again since, with a new link.
 	if e.agents[a.id] == a && a.conn == nil {
-		e.scheduler.AgentDisconnected(a.id)
+		e.scheduler.AgentDisconnected(boottime.Now(), a.id)
 	}
 	e.Log.Info(event.LinkLost, event.Fields{"agent": a.id, "reason": err.Error()})
 }
--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -92,7 +92,7 @@
 // caller must hold e.mu.
 func (e *Entry) removePartner(a *agent) {
 	delete(e.agents, a.id)
-	e.scheduler.AgentDisconnected(a.id)
+	e.scheduler.AgentDisconnected(boottime.Now(), a.id)
 	e.scheduler.Release(a.id)
 	if a.cancel != nil {
 		a.cancel()
--- a/dispatch/jobs/capacity_test.go
+++ b/dispatch/jobs/capacity_test.go
@@ -131,7 +131,7 @@
 		return h
 	}
 	h := prepare()
-	h.AgentDisconnected("a0")
+	h.AgentDisconnected(h.now, "a0")
 	h.advance(20 * time.Millisecond)
 	if o, ended := h.outcomes["waiting"]; ended {
 		t.Errorf("rejected while the link to its backend server is down: %+v", o)
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -48,10 +48,10 @@
 
 // AgentDisconnected records the end of the link to an agent. Its runs keep their places until they are
 // claimed over a new link or have certainly ended.
-func (s *Scheduler) AgentDisconnected(agent string) {
+func (s *Scheduler) AgentDisconnected(now time.Time, agent string) {
 	if v := s.servers[agent]; v != nil {
 		s.linkChanges++
-		v.linked = false
+		v.linked, v.unlinkedAt = false, now
 	}
 }
 
--- a/dispatch/jobs/largefleet_test.go
+++ b/dispatch/jobs/largefleet_test.go
@@ -94,7 +94,7 @@
 func (sim *simulation) closeLink(i int, m *machine) {
 	m.linkedEntries = slices.DeleteFunc(m.linkedEntries, func(n int) bool { return n == i })
 	m.offers.Drop(ownerOf(i))
-	sim.entries[i].AgentDisconnected(m.id)
+	sim.entries[i].AgentDisconnected(sim.now, m.id)
 	sim.entries[i].Release(m.id)
 }
 
@@ -102,7 +102,7 @@
 func (sim *simulation) powerOff(m *machine) {
 	m.dead = true
 	for _, i := range m.linkedEntries {
-		sim.entries[i].AgentDisconnected(m.id)
+		sim.entries[i].AgentDisconnected(sim.now, m.id)
 	}
 	m.linkedEntries = nil
 }
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -239,8 +239,10 @@
 // it is probably about to open.
 func (s *Scheduler) linkAwaited(now time.Time, agent string) bool {
 	since := s.registrarListed[agent]
-	if v := s.servers[agent]; v != nil && v.lastContact.After(since) {
-		since = v.lastContact
+	if v := s.servers[agent]; v != nil && v.linked {
+		return !v.reported
+	} else if v != nil && v.unlinkedAt.After(since) {
+		since = v.unlinkedAt
 	}
 	return now.Sub(since) < registrarWait
 }
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -15,13 +15,27 @@
 
 var ownerLimits = owner.Limits{LostAfter: testLimits.LostAfter, RestoreWindow: 350 * time.Millisecond, MaxTickGap: 100 * time.Millisecond}
 
+// maxDelay is the longest time for which a frame or an answer is on its way. Heartbeats do not overtake it.
+const maxDelay = 60 * time.Millisecond
+
+// sentFrame and sentAnswer are what is on its way, with the time when it was sent.
+type sentFrame struct {
+	Batch
+	at time.Time
+}
+
+type sentAnswer struct {
+	owner.Answer
+	at time.Time
+}
+
 // ownerEntry is one entry of an ownerFleet.
 type ownerEntry struct {
 	*Scheduler
 	name string
 	// frames and answers are on their way to and from each agent, in order.
-	frames  map[string][]Batch
-	answers map[string][]owner.Answer
+	frames  map[string][]sentFrame
+	answers map[string][]sentAnswer
 	running map[run.Ref]string // agents of the runs that may not have ended
 	linked  map[string]bool    // agents with an open link
 	paused  bool               // the entry does not run, and its messages wait
@@ -33,12 +47,14 @@
 	agents  []string
 	tables  map[string]*owner.Table
 	entries []*ownerEntry
+	// heard holds when each agent had the newest message of each entry.
+	heard map[*ownerEntry]map[string]time.Time
 }
 
 func newOwnerFleet(entries, agents int) *ownerFleet {
 	limits := testLimits
 	limits.ResubmitAfter = 1300 * time.Millisecond
-	f := &ownerFleet{now: time.Unix(1000, 0), tables: map[string]*owner.Table{}}
+	f := &ownerFleet{now: time.Unix(1000, 0), tables: map[string]*owner.Table{}, heard: map[*ownerEntry]map[string]time.Time{}}
 	for i := range agents {
 		agent := fmt.Sprintf("a%d", i)
 		f.agents = append(f.agents, agent)
@@ -46,9 +62,10 @@
 		f.tables[agent].Tick(f.now)
 	}
 	for i := range entries {
-		e := &ownerEntry{Scheduler: New(limits), name: fmt.Sprintf("e%d", i), frames: map[string][]Batch{}, answers: map[string][]owner.Answer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
+		e := &ownerEntry{Scheduler: New(limits), name: fmt.Sprintf("e%d", i), frames: map[string][]sentFrame{}, answers: map[string][]sentAnswer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
 		e.SetRegistrars(f.now, f.agents)
 		f.entries = append(f.entries, e)
+		f.heard[e] = map[string]time.Time{}
 		for _, agent := range f.agents {
 			f.connect(e, agent)
 		}
@@ -78,14 +95,14 @@
 func (f *ownerFleet) cut(e *ownerEntry, agent string) {
 	e.frames[agent], e.answers[agent] = nil, nil
 	e.linked[agent] = false
-	e.AgentDisconnected(agent)
+	e.AgentDisconnected(f.now, agent)
 }
 
 // take puts the batches of an entry on their way.
 func (f *ownerFleet) take(e *ownerEntry) {
 	_, batches := e.Take()
 	for _, b := range batches {
-		e.frames[b.Agent] = append(e.frames[b.Agent], b)
+		e.frames[b.Agent] = append(e.frames[b.Agent], sentFrame{b, f.now})
 		for _, o := range b.Orders {
 			e.running[o.Ref] = b.Agent
 		}
@@ -94,12 +111,13 @@
 
 // deliverFrame delivers the next frame of an entry to an agent.
 func (f *ownerFleet) deliverFrame(e *ownerEntry, agent string) {
-	if len(e.frames[agent]) == 0 || e.paused {
+	if len(e.frames[agent]) == 0 {
 		return
 	}
 	b, table := e.frames[agent][0], f.tables[agent]
 	e.frames[agent] = e.frames[agent][1:]
 	table.Contact(f.now, e.name)
+	f.heard[e][agent] = b.at
 	if b.Seq == 1 {
 		grants, _ := table.Restore(f.now, e.name, b.Owned)
 		f.queue(agent, grants...)
@@ -120,7 +138,7 @@
 	for _, a := range answers {
 		for _, e := range f.entries {
 			if e.name == a.Entry {
-				e.answers[agent] = append(e.answers[agent], a)
+				e.answers[agent] = append(e.answers[agent], sentAnswer{a, f.now})
 			}
 		}
 	}
@@ -133,17 +151,28 @@
 	}
 	a := e.answers[agent][0]
 	e.answers[agent] = e.answers[agent][1:]
+	e.RecordMessage(f.now, agent)
 	e.JobAnswered(f.now, agent, a.Request, a.Granted)
 	f.take(e)
 }
 
+// deliverDelayed delivers what has been on its way between an entry and an agent for maxDelay.
+func (f *ownerFleet) deliverDelayed(e *ownerEntry, agent string) {
+	for len(e.frames[agent]) > 0 && f.now.Sub(e.frames[agent][0].at) >= maxDelay {
+		f.deliverFrame(e, agent)
+	}
+	for !e.paused && len(e.answers[agent]) > 0 && f.now.Sub(e.answers[agent][0].at) >= maxDelay {
+		f.deliverAnswer(e, agent)
+	}
+}
+
 // deliverAll delivers all frames and answers until none is on its way.
 func (f *ownerFleet) deliverAll() {
 	for busy := true; busy; {
 		busy = false
 		for _, e := range f.entries {
 			for _, agent := range f.agents {
-				busy = busy || !e.paused && len(e.frames[agent])+len(e.answers[agent]) > 0
+				busy = busy || len(e.frames[agent]) > 0 || !e.paused && len(e.answers[agent]) > 0
 				f.deliverFrame(e, agent)
 				f.deliverAnswer(e, agent)
 			}
@@ -156,8 +185,10 @@
 	f.now = f.now.Add(d)
 	for _, agent := range f.agents {
 		for _, e := range f.entries {
-			if e.linked[agent] && !e.paused {
+			f.deliverDelayed(e, agent)
+			if e.linked[agent] && !e.paused && len(e.frames[agent])+len(e.answers[agent]) == 0 {
 				f.tables[agent].Contact(f.now, e.name)
+				f.heard[e][agent] = f.now
 				e.RecordMessage(f.now, agent)
 			}
 		}
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -223,3 +223,41 @@
 		t.Errorf("%d runs of two tasks", n)
 	}
 }
+
+// Guards against links that are not waited for because they were silent before they were closed: an entry notices a silent
+// agent after 0.2 s, and after a pause later still.
+func TestJobWaitsForLinksThatWereSilent(t *testing.T) {
+	f := newOwnerFleet(2, 6)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	second.paused = true
+	f.pass(registrarWait + 100*time.Millisecond)
+	second.paused = false
+	for _, agent := range f.agents {
+		f.cut(second, agent)
+	}
+	f.connect(second, order[4])
+	f.connect(second, order[5])
+	f.submit(second, "j")
+	f.deliverAll()
+	if f.runs(second) != 0 {
+		t.Error("the second entry ordered tasks while the first one owns the job")
+	}
+}
+
+// Guards against jobs that wait for agents of an earlier version, which record no owners and never will, beside others.
+func TestJobDoesNotWaitForAgentsThatRecordNoOwners(t *testing.T) {
+	f := newOwnerFleet(1, 6)
+	e := f.entries[0]
+	order := rankFor("j", f.agents)
+	for _, agent := range order[:3] {
+		e.Report(f.now, agent, Report{Server: serverOf(agent, 64000), Free: run.Demand{CPU: 64000, MemoryMB: 1 << 20}})
+	}
+	f.submit(e, "j")
+	f.deliverAll()
+	if f.runs(e) != 2 {
+		t.Errorf("%d runs", f.runs(e))
+	}
+}
--- a/dispatch/jobs/replay_test.go
+++ b/dispatch/jobs/replay_test.go
@@ -715,7 +715,7 @@
 	for _, m := range sim.machines[:4] {
 		m.dead = true
 		for _, s := range sim.entries {
-			s.AgentDisconnected(m.id)
+			s.AgentDisconnected(sim.now, m.id)
 		}
 	}
 	sim.measureFrom, sim.measureUntil = sim.now.Add(time.Second), sim.now.Add(5*time.Second)
--- a/dispatch/jobs/scheduler_test.go
+++ b/dispatch/jobs/scheduler_test.go
@@ -159,7 +159,7 @@
 	h := newHarness(t, 1, 10_000)
 	h.submit("j", 1, 3000, 400*time.Millisecond)
 	h.connect("a1", 10_000)
-	h.AgentDisconnected("a0")
+	h.AgentDisconnected(h.now, "a0")
 	h.advance(testLimits.LostAfter - time.Millisecond)
 	if len(h.orders["a1"]) != 0 {
 		t.Fatal("the task was placed again before Limits.LostAfter passed")
@@ -180,7 +180,7 @@
 	h := newHarness(t, 1, 10_000)
 	h.submit("j", 1, 3000, 400*time.Millisecond)
 	ref := h.orders["a0"][0].Ref
-	h.AgentDisconnected("a0")
+	h.AgentDisconnected(h.now, "a0")
 	h.advance(300 * time.Millisecond)
 	h.AgentConnected(h.now, "a0")
 	h.take()
@@ -215,7 +215,7 @@
 	h := newHarness(t, 1, 10_000)
 	h.submit("ran", 1, 3000, 100*time.Millisecond)
 	h.submit("refused", 1, 3000, 100*time.Millisecond)
-	h.AgentDisconnected("a0")
+	h.AgentDisconnected(h.now, "a0")
 	for _, o := range append([]Order(nil), h.orders["a0"]...) {
 		if o.Ref.Task == run.TaskName("refused", 0, 0, 0) {
 			h.endRun("a0", o.Ref, run.NotRun, result.NoFreeSlot)
@@ -261,7 +261,7 @@
 			s.State = run.Draining
 			h.Report(h.now, "a0", Report{Server: s, Free: s.Capacity})
 		},
-		"no link": func(h *harness) { h.AgentDisconnected("a0") },
+		"no link": func(h *harness) { h.AgentDisconnected(h.now, "a0") },
 		"out":     func(h *harness) { h.SetDomainsOut([]string{"d-a0"}) },
 	}
 	for name, change := range changes {
