Wait for links also when those of several entries were reset together

Cause: a job waited only while no registrar was reachable, or one. Two entries whose links were reset at the same moment could each have opened two, one of them first in the job's order, and share none.

What callers saw: nothing yet.

Change: while links to two or more registrars are about to open and one of them comes before the second reachable one, the job waits, 300 ms at most as before. The loss of a single agent delays no job. TestJobWaitsForLinksThatAreBeingOpened lets these 300 ms pass before it expects the job to begin.

Evidence: TestTwoEntriesWithResetLinksShareRegistrar failed with "4 runs of two tasks" and passes.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -211,12 +211,14 @@
 }
 
 // awaitsLinks reports whether links are about to open without which the entry may not learn of the owner of the job, or has
-// only one record of its own. After a start, or when all links were reset, the links open in any order.
+// only one record of its own. After a start, or when all links were reset, the links open in any order, also at several
+// entries at the same time. A single link that is missing does no harm: two entries that each miss one still share a
+// registrar.
 func (s *Scheduler) awaitsLinks(now time.Time, o *ownership) bool {
 	if now.Sub(s.waitingSince(o)) >= registrarWait {
 		return false
 	}
-	reachable, awaited := 0, 0
+	reachable, awaited, awaitedBefore := 0, 0, 0
 	for _, agent := range o.order {
 		switch {
 		case s.reachable(agent):
@@ -224,15 +226,11 @@
 		case s.linkAwaited(now, agent):
 			awaited++
 		}
-		// The owner asked the first two registrars, of which this entry may miss one.
-		if awaited == registrarsPerJob && reachable == 0 {
-			return true
-		}
-		if reachable == registrarsPerJob {
-			return false
+		if reachable < registrarsPerJob {
+			awaitedBefore = awaited
 		}
 	}
-	return awaited > 0
+	return awaitedBefore > 0 && (awaited >= registrarsPerJob || reachable < registrarsPerJob)
 }
 
 // linkAwaited reports whether the link to an unreachable registrar was lost, or the registrar was listed, so recently that
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -155,7 +155,7 @@
 	f.take(first)
 	f.endRun(first, run.Stopped)
 	f.endRun(first, run.Stopped)
-	f.deliverAll()
+	f.pass(registrarWait)
 	if f.runs(second) != 2 {
 		t.Errorf("%d runs at the second entry after the release", f.runs(second))
 	}
@@ -261,3 +261,24 @@
 		t.Errorf("%d runs", f.runs(e))
 	}
 }
+
+// Guards against two owners of a job when the links of two entries were reset at the same time: each has opened some of them,
+// and no registrar is among those of both.
+func TestTwoEntriesWithResetLinksShareRegistrar(t *testing.T) {
+	f := newOwnerFleet(2, 6)
+	order := rankFor("j", f.agents)
+	for _, e := range f.entries {
+		for _, agent := range f.agents {
+			f.cut(e, agent)
+		}
+	}
+	for i, e := range f.entries {
+		f.connect(e, order[i])
+		f.connect(e, order[i+2])
+		f.submit(e, "j")
+		f.deliverAll()
+	}
+	if n := f.runs(f.entries[0]) + f.runs(f.entries[1]); n > 2 {
+		t.Errorf("%d runs of two tasks", n)
+	}
+}
