Keep the record of a lapsed ownership while its runs are left

Cause: the list of owned jobs in the first frame of a link did not contain a job whose ownership had lapsed, so the agent dropped the record and granted the job to the next entry. An ownership lapses 0.2 s before the agents take the entry for lost, so its runs may go on.

Change: the list contains the jobs of which the entry has runs left. Their ownership is requested besides.

Evidence: TestRecordRemainsForRunsOfLapsedOwnership failed with "the second entry ordered tasks while runs of the first one are left" and passes.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -384,16 +384,18 @@
 	}
 }
 
-// restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record,
-// and the requests that have no grant yet.
+// restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record, or of
+// which it has runs left, and the requests for those that it does not own.
 func (s *Scheduler) restoreOwnerships(agent string, b *Batch) {
 	for _, o := range s.ownershipsByJob() {
 		r := o.request(agent)
-		switch {
-		case r == nil || r.state == withdrawn:
-		case o.owned:
+		if r == nil || r.state == withdrawn {
+			continue
+		}
+		if o.owned || o.runs > 0 {
 			b.Owned = append(b.Owned, o.job)
-		default:
+		}
+		if !o.owned {
 			s.sendRequest(o, r, b)
 		}
 	}
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -282,3 +282,25 @@
 		t.Errorf("%d runs of two tasks", n)
 	}
 }
+
+// Guards against an entry whose record is dropped with a new link although its runs go on: its ownership lapsed while it had
+// no links, but the agents have not lost it yet.
+func TestRecordRemainsForRunsOfLapsedOwnership(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	f.submit(first, "j")
+	f.deliverAll()
+	f.submit(second, "j")
+	f.deliverAll()
+	for _, agent := range f.agents {
+		f.cut(first, agent)
+	}
+	f.pass(testLimits.LostAfter - contactMargin/2)
+	for _, agent := range f.agents {
+		f.connect(first, agent)
+	}
+	f.pass(100 * time.Millisecond)
+	if f.runs(second) != 0 {
+		t.Error("the second entry ordered tasks while runs of the first one are left")
+	}
+}
