--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -48,7 +48,7 @@
 	fleet           map[string]Agent  // all agents, by ID
 	agents          map[string]*agent // partners, by ID
 	partners        *partner.Set
-	registrars      []string                       // agents that record the owners of jobs; kept while no agent is listed
+	registrars      []string                       // agents that record the owners of jobs
 	waiters         map[string][]chan jobs.Outcome // by job ID, one channel for each waiting caller
 	outOfService    domainSet
 	lastTick        time.Time
@@ -153,7 +153,9 @@
 	for id := range e.waiters {
 		e.scheduler.GiveUp(id, result.NotReady)
 	}
-	e.scheduler.Disown()
+	e.scheduler.Disown(now)
+	// A caller may submit one of these jobs again before the next tick, and must not get the outcome of the former submission.
+	e.flush()
 }
 
 // startTick records the time of a tick and the processor time used so far. The caller must hold e.mu.
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -29,6 +29,9 @@
 	// idleHeartbeatInterval is the time between frames to an agent without runs of this entry. It is
 	// shorter than the lifetime of a start token.
 	idleHeartbeatInterval = 120 * time.Millisecond
+	// MaxSilence is the longest time between two messages of an entry over a link, as long as it has processor time: messages
+	// are sent with a tick.
+	MaxSilence = idleHeartbeatInterval + tickInterval
 	// dialTimeout bounds one attempt to open a link.
 	dialTimeout = 250 * time.Millisecond
 	// minRedialDelay and maxRedialDelay bound the delay between attempts, which doubles each time.
@@ -139,7 +142,7 @@
 	}
 	// The agent may have been removed and added again since, with a new link.
 	if e.agents[a.id] == a && a.conn == nil {
-		e.scheduler.AgentDisconnected(a.id)
+		e.scheduler.AgentDisconnected(boottime.Now(), a.id)
 	}
 	e.Log.Info(event.LinkLost, event.Fields{"agent": a.id, "reason": err.Error()})
 }
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -28,6 +28,8 @@
 		s.fleet = append(s.fleet, v)
 		sort.Slice(s.fleet, func(i, j int) bool { return s.fleet[i].agent < s.fleet[j].agent })
 	}
+	s.recordConnection(now)
+	s.linkChanges++
 	v.linked = true
 	v.reported = false
 	v.lastContact = now
@@ -41,14 +43,15 @@
 			b.Stops = append(b.Stops, a.ref)
 		}
 	}
-	s.restoreOwnerships(now, agent, b)
+	s.restoreOwnerships(agent, b)
 }
 
 // AgentDisconnected records the end of the link to an agent. Its runs keep their places until they are
 // claimed over a new link or have certainly ended.
-func (s *Scheduler) AgentDisconnected(agent string) {
+func (s *Scheduler) AgentDisconnected(now time.Time, agent string) {
 	if v := s.servers[agent]; v != nil {
-		v.linked = false
+		s.linkChanges++
+		v.linked, v.unlinkedAt = false, now
 	}
 }
 
@@ -74,6 +77,9 @@
 	v.entries = r.Entries
 	v.othersSlowdown = r.OthersSlowdown
 	v.reportsCrashes = r.ReportsCrashes
+	if !v.reported || v.recordsOwners != r.RecordsOwners {
+		s.linkChanges++
+	}
 	v.recordsOwners = r.RecordsOwners
 	if s.bulkheads.recordOthers(now, r.Server.Service, r.OthersConfined) {
 		s.updateBulkheads(now)
@@ -313,6 +319,7 @@
 	if v.health != nil && v.health.Suspended() && len(s.suspended) < maxSuspended {
 		s.suspended[v.state.Instance] = v.health
 	}
+	s.linkChanges++
 	delete(s.servers, v.agent)
 	delete(s.dirty, v.agent)
 	s.fleet = slices.DeleteFunc(s.fleet, func(o *server) bool { return o == v })
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -20,10 +20,12 @@
 	registrarsPerJob = 2
 	// MaxRegistrars bounds the number of agents that record owners, because each entry needs a link to all of them.
 	MaxRegistrars = 8
-	// laterAnswerWait is how long an entry waits for the answer of the second registrar once the first one has granted a
-	// job. Answers take one to three milliseconds between failure domains. The second answer matters while entries
-	// have different lists of agents, and therefore different first registrars.
-	laterAnswerWait = 20 * time.Millisecond
+	// contactMargin is how long before registrars may take the entry for lost its ownership ends here: the newest message
+	// that they have is older than their newest answer, and a tick may be late.
+	contactMargin = 200 * time.Millisecond
+	// registrarWait is how long a job waits for links to registrars that were lost or have been listed only just now. A lost
+	// link is dialed again at once, and one attempt takes 250 ms at most.
+	registrarWait = 300 * time.Millisecond
 )
 
 // requestState is the state of the request for a job at one registrar.
@@ -41,7 +43,6 @@
 	agent  string
 	number uint64
 	state  requestState
-	sent   time.Time
 }
 
 // ownership is what the entry knows of the owner of one job.
@@ -49,9 +50,14 @@
 	job      string
 	order    []string // registrars, the same order at all entries
 	requests []*request
-	// owned is set once the registrars have granted the job. It stays set until the release.
+	// owned is set once the registrars have granted the job, until it is released or lapses.
 	owned bool
-	since time.Time // of the first request
+	since time.Time // of the submission, or when the ownership lapsed
+	// confirmed is the time of the newest message of a registrar that has granted the job; zero if none has, because
+	// none was reachable.
+	confirmed time.Time
+	// linkChanges is the value of Scheduler.linkChanges for which requests were sent last.
+	linkChanges uint64
 	// runs is the number of runs of the job that may not have ended, of all its submissions to this entry.
 	runs int
 }
@@ -65,9 +71,25 @@
 	return nil
 }
 
+// granted reports whether the agent has granted the job.
+func (o *ownership) granted(agent string) bool {
+	r := o.request(agent)
+	return r != nil && r.state == granted
+}
+
 // SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
 // MaxRegistrars. Without registrars, an entry owns each job that it admits.
-func (s *Scheduler) SetRegistrars(agents []string) { s.registrars = slices.Clone(agents) }
+func (s *Scheduler) SetRegistrars(now time.Time, agents []string) {
+	s.registrars = slices.Clone(agents)
+	listed := make(map[string]time.Time, len(agents))
+	for _, agent := range agents {
+		listed[agent] = now
+		if before, ok := s.registrarListed[agent]; ok {
+			listed[agent] = before
+		}
+	}
+	s.registrarListed = listed
+}
 
 // Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
 func Registrars(fleet []string) []string {
@@ -90,24 +112,67 @@
 
 // own requests the ownership of a job that has been admitted, unless the entry has it from a former submission.
 func (s *Scheduler) own(now time.Time, j *job) {
-	if s.ownerships[j.ID] == nil {
-		s.ownerships[j.ID] = &ownership{job: j.ID, order: rankFor(j.ID, s.registrars), since: now}
+	o := s.ownerships[j.ID]
+	if o == nil {
+		o = &ownership{job: j.ID, order: rankFor(j.ID, s.registrars)}
+		s.ownerships[j.ID] = o
 	}
-	s.advance(now, s.ownerships[j.ID])
+	o.since = now
+	s.advance(now, o)
 }
 
 // advance sends the requests that are due and lets the job begin if the entry owns it by now.
 func (s *Scheduler) advance(now time.Time, o *ownership) {
-	s.sendRequests(now, o)
+	s.sendRequests(o)
 	o.owned = o.owned || s.conceded(now, o)
+	s.confirm(o)
 	j := s.jobs[o.job]
-	if j == nil || j.mayOrder || !o.owned || o.runs > 0 {
+	if j == nil || j.mayOrder || !o.owned || o.runs > 0 && !j.begun {
 		return
 	}
-	j.mayOrder = true
+	j.mayOrder, j.begun = true, true
 	s.dispatchJob(now, j)
 }
 
+// confirm records the newest message of the registrars that have granted the job.
+func (s *Scheduler) confirm(o *ownership) {
+	for _, r := range o.requests {
+		if v := s.servers[r.agent]; r.state == granted && s.reachable(r.agent) && v.lastContact.After(o.confirmed) {
+			o.confirmed = v.lastContact
+		}
+	}
+}
+
+// lapsed reports whether the registrars of a job that the entry owns may have taken it for lost and granted the job to
+// another entry.
+func (s *Scheduler) lapsed(now time.Time, o *ownership) bool {
+	return o.owned && !o.confirmed.IsZero() && now.Sub(o.confirmed) > s.limits.LostAfter-contactMargin
+}
+
+// settled reports whether nothing is due for a job: the entry owns it, no link has changed since, and a registrar was heard
+// not long ago. Most jobs are settled, so a tick costs little with many jobs.
+func (s *Scheduler) settled(now time.Time, o *ownership) bool {
+	return o.owned && o.linkChanges == s.linkChanges && (o.confirmed.IsZero() || now.Sub(o.confirmed) < (s.limits.LostAfter-contactMargin)/2)
+}
+
+// lapse ends the ownership of a job, and requests it again from the registrars. They keep the entry's record, if they
+// still have it, until the runs of the job have ended.
+func (s *Scheduler) lapse(now time.Time, o *ownership) {
+	o.owned, o.since, o.confirmed = false, now, time.Time{}
+	if j := s.jobs[o.job]; j != nil {
+		j.mayOrder = false
+	}
+	for _, r := range o.requests {
+		if r.state == withdrawn {
+			continue
+		}
+		r.state, r.number = requested, 0 // no answer has this number
+		if v := s.servers[r.agent]; v != nil && v.linked {
+			s.sendRequest(o, r, s.batch(v))
+		}
+	}
+}
+
 // reachable reports whether the agent records owners and has answered over the present link.
 func (s *Scheduler) reachable(agent string) bool {
 	v := s.servers[agent]
@@ -116,72 +181,115 @@
 
 // sendRequests requests the job from the first registrars that are reachable, unless one of them has another owner. For
 // a job that the entry owns, it keeps that number of records when a registrar is lost.
-func (s *Scheduler) sendRequests(now time.Time, o *ownership) {
+func (s *Scheduler) sendRequests(o *ownership) {
+	o.linkChanges = s.linkChanges
 	if s.heldElsewhere(o) {
 		return
 	}
 	o.requests = slices.DeleteFunc(o.requests, func(r *request) bool { return r.state == withdrawn })
-	n := 0
-	for _, agent := range o.order {
-		if n == registrarsPerJob {
-			return
-		}
-		if !s.reachable(agent) {
-			continue
-		}
-		n++
+	for _, agent := range s.reachableRegistrars(o) {
 		if o.request(agent) == nil {
 			r := &request{agent: agent}
 			o.requests = append(o.requests, r)
-			s.sendRequest(now, o, r, s.batch(s.servers[agent]))
+			s.sendRequest(o, r, s.batch(s.servers[agent]))
 		}
 	}
 }
 
+// reachableRegistrars returns the first registrarsPerJob reachable registrars of a job.
+func (s *Scheduler) reachableRegistrars(o *ownership) []string {
+	list := make([]string, 0, registrarsPerJob)
+	for _, agent := range o.order {
+		if len(list) == registrarsPerJob {
+			break
+		}
+		if s.reachable(agent) {
+			list = append(list, agent)
+		}
+	}
+	return list
+}
+
+// awaitsLinks reports whether links are about to open without which the entry may not learn of the owner of the job, or has
+// only one record of its own. After a start, or when all links were reset, the links open in any order, also at several
+// entries at the same time. A single link that is missing does no harm: two entries that each miss one still share a
+// registrar.
+func (s *Scheduler) awaitsLinks(now time.Time, o *ownership) bool {
+	if now.Sub(s.waitingSince(o)) >= registrarWait {
+		return false
+	}
+	reachable, awaited, awaitedBefore := 0, 0, 0
+	for _, agent := range o.order {
+		switch {
+		case s.reachable(agent):
+			reachable++
+		case s.linkAwaited(now, agent):
+			awaited++
+		}
+		if reachable < registrarsPerJob {
+			awaitedBefore = awaited
+		}
+	}
+	return awaitedBefore > 0 && (awaited >= registrarsPerJob || reachable < registrarsPerJob)
+}
+
+// linkAwaited reports whether the link to an unreachable registrar was lost, or the registrar was listed, so recently that
+// it is probably about to open.
+func (s *Scheduler) linkAwaited(now time.Time, agent string) bool {
+	since := s.registrarListed[agent]
+	if v := s.servers[agent]; v != nil && v.linked {
+		return !v.reported
+	} else if v != nil && v.unlinkedAt.After(since) {
+		since = v.unlinkedAt
+	}
+	return now.Sub(since) < registrarWait
+}
+
+// waitingSince returns the time from which on a job has waited for the registrars, with a link to any agent.
+func (s *Scheduler) waitingSince(o *ownership) time.Time {
+	if s.connectedSince.After(o.since) {
+		return s.connectedSince
+	}
+	return o.since
+}
+
+// recordConnection notes the time of a link if the entry had none before.
+func (s *Scheduler) recordConnection(now time.Time) {
+	if !s.connected() {
+		s.connectedSince = now
+	}
+}
+
+// connected reports whether the entry has a link to any agent.
+func (s *Scheduler) connected() bool {
+	return slices.ContainsFunc(s.fleet, func(v *server) bool { return v.linked })
+}
+
 // heldElsewhere reports whether a reachable registrar has another owner.
 func (s *Scheduler) heldElsewhere(o *ownership) bool {
 	return slices.ContainsFunc(o.requests, func(r *request) bool { return r.state == held && s.reachable(r.agent) })
 }
 
 // sendRequest adds a request to a batch for the registrar.
-func (s *Scheduler) sendRequest(now time.Time, o *ownership, r *request, b *Batch) {
+func (s *Scheduler) sendRequest(o *ownership, r *request, b *Batch) {
 	s.lastRequest++
-	r.number, r.state, r.sent = s.lastRequest, requested, now
+	r.number, r.state = s.lastRequest, requested
 	b.Requests = append(b.Requests, owner.Request{Job: o.job, Number: r.number})
 }
 
-// conceded reports whether the entry owns the job: the first reachable registrar has granted it, the second one has
-// answered or had the time to, and none has another owner. Without a reachable registrar the job begins if there are none, or once every run from before the submission
-// has certainly ended.
+// conceded reports whether the entry owns the job: the first reachable registrars have all granted it, and none has
+// another owner. A single grant is not enough: that registrar may be new, or may have had no link to the owner for a
+// while; the owner is recorded at two. Without a reachable registrar the job begins if there are none, or once every run
+// from before the submission has certainly ended.
 func (s *Scheduler) conceded(now time.Time, o *ownership) bool {
 	if s.heldElsewhere(o) {
 		return false
 	}
-	first := true
-	for _, r := range s.reachableRequests(o) {
-		if r.state != granted && (first || now.Sub(r.sent) < laterAnswerWait) {
-			return false
-		}
-		first = false
-	}
-	if !first {
-		return true
-	}
-	return s.withoutRegistrars(o) || now.Sub(o.since) > s.limits.ResubmitAfter
-}
-
-// reachableRequests returns the requests at the first reachable registrars, in order.
-func (s *Scheduler) reachableRequests(o *ownership) []*request {
-	var list []*request
-	for _, agent := range o.order {
-		if len(list) == registrarsPerJob {
-			break
-		}
-		if r := o.request(agent); r != nil && s.reachable(agent) {
-			list = append(list, r)
-		}
+	registrars := s.reachableRegistrars(o)
+	if len(registrars) == 0 {
+		return s.withoutRegistrars(o) || s.connected() && now.Sub(s.waitingSince(o)) > s.limits.ResubmitAfter
 	}
-	return list
+	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) }) && !s.awaitsLinks(now, o)
 }
 
 // withoutRegistrars reports whether no agent records owners, as far as the entry knows: there are none, or those that
@@ -226,11 +334,16 @@
 	}
 }
 
-// releaseAt tells a registrar that the entry does not own or want a job.
+// releaseAt tells a registrar that the entry does not own or want a job. It drops a request that the same frame would
+// carry, because agents handle the releases of a frame first.
 func (s *Scheduler) releaseAt(agent, id string) {
-	if v := s.servers[agent]; v != nil && v.linked {
-		s.batch(v).Releases = append(s.batch(v).Releases, id)
+	v := s.servers[agent]
+	if v == nil || !v.linked {
+		return
 	}
+	b := s.batch(v)
+	b.Requests = slices.DeleteFunc(b.Requests, func(r owner.Request) bool { return r.Job == id })
+	b.Releases = append(b.Releases, id)
 }
 
 // runOrdered and runEnded count the runs of a job that may not have ended.
@@ -263,29 +376,27 @@
 	}
 }
 
-// Disown gives up all ownerships, because the process did not run for so long that its agents may have granted them to
-// others.
-func (s *Scheduler) Disown() {
+// Disown ends all ownerships, because the process did not run for so long that agents may have granted the jobs to
+// others. What is left of their runs keeps its record until it has ended.
+func (s *Scheduler) Disown(now time.Time) {
 	for _, o := range s.ownershipsByJob() {
-		o.owned = false
-		for _, r := range o.requests {
-			s.releaseAt(r.agent, o.job)
-		}
-		o.requests = nil
+		s.lapse(now, o)
 	}
 }
 
-// restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record,
-// and the requests that have no grant yet.
-func (s *Scheduler) restoreOwnerships(now time.Time, agent string, b *Batch) {
+// restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record, or of
+// which it has runs left, and the requests for those that it does not own.
+func (s *Scheduler) restoreOwnerships(agent string, b *Batch) {
 	for _, o := range s.ownershipsByJob() {
 		r := o.request(agent)
-		switch {
-		case r == nil || r.state == withdrawn:
-		case o.owned:
+		if r == nil || r.state == withdrawn {
+			continue
+		}
+		if o.owned || o.runs > 0 {
 			b.Owned = append(b.Owned, o.job)
-		default:
-			s.sendRequest(now, o, r, b)
+		}
+		if !o.owned {
+			s.sendRequest(o, r, b)
 		}
 	}
 }
@@ -302,9 +413,16 @@
 
 // ownershipsByJob returns the ownerships ordered by job, so that decisions are deterministic.
 func (s *Scheduler) ownershipsByJob() []*ownership {
-	list := make([]*ownership, 0, len(s.ownerships))
+	return s.selectOwnerships(func(*ownership) bool { return true })
+}
+
+// selectOwnerships returns the ownerships that the filter accepts, ordered by job.
+func (s *Scheduler) selectOwnerships(accepts func(*ownership) bool) []*ownership {
+	var list []*ownership
 	for _, o := range s.ownerships {
-		list = append(list, o)
+		if accepts(o) {
+			list = append(list, o)
+		}
 	}
 	slices.SortFunc(list, func(a, b *ownership) int { return cmp.Compare(a.job, b.job) })
 	return list
@@ -312,7 +430,11 @@
 
 // advanceOwnerships repeats what depends on time or on the links to registrars.
 func (s *Scheduler) advanceOwnerships(now time.Time) {
-	for _, o := range s.ownershipsByJob() {
+	for _, o := range s.selectOwnerships(func(o *ownership) bool { return !s.settled(now, o) }) {
+		s.confirm(o)
+		if s.lapsed(now, o) {
+			s.lapse(now, o)
+		}
 		s.advance(now, o)
 	}
 }
