Let a job that is submitted again join the one that the model's entry still has

The model dropped a submission of a job that the entry still held, so its caller never got an answer. The entry of the product lets it wait for the job; the model does the same now.

--- a/dispatch/jobs/linkmodel_entry_test.go
+++ b/dispatch/jobs/linkmodel_entry_test.go
@@ -266,10 +266,13 @@
 		return
 	}
 	now := e.w.now
+	s.admitted = now
 	if held, _ := e.scheduler.Has(s.job.id); held {
-		return // the former caller's connection has not ended yet
+		// The entry has not learned yet that the connection of the former submission broke.
+		e.w.counts["joined"]++
+		e.waiters[s.job.id] = s
+		return
 	}
-	s.admitted = now
 	o, ok := e.scheduler.Submit(now, jobs.Job{
 		ID: s.job.id, Queue: modelQueue, Arrived: now, Deadline: now.Add(modelDeadline),
 		Steps: []jobs.Step{{Count: s.job.tasks, Demand: run.Demand{CPU: modelTaskCPU}, Estimate: s.job.runTime}},
