Keep the records of a job that has runs left when another entry holds it

Cause: an entry that learned of another owner withdrew its records at the later registrars, also while it had runs of the job left after its ownership had ended. The other entry was then granted the job there too, and began.

What callers saw: nothing yet.

Change: requests are withdrawn when no run is left.

Evidence: TestRecordsOfJobWithRunsAreNotWithdrawn failed with "the second entry ordered tasks while runs of the first one are left" and passes.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -123,6 +123,7 @@
 
 // advance sends the requests that are due and lets the job begin if the entry owns it by now.
 func (s *Scheduler) advance(now time.Time, o *ownership) {
+	s.withdraw(o)
 	s.sendRequests(o)
 	o.owned = o.owned || s.conceded(now, o)
 	s.confirm(o)
@@ -317,17 +318,27 @@
 	}
 	if isGranted {
 		r.state = granted
-	} else if r.state = held; !o.owned {
-		s.withdrawAfter(o, agent)
+	} else {
+		r.state = held
 	}
 	s.advance(now, o)
 }
 
-// withdrawAfter withdraws the requests at the registrars that come after the given one, which has another owner, so
-// that two entries never wait for each other.
-func (s *Scheduler) withdrawAfter(o *ownership, agent string) {
+// withdraw withdraws the requests at the registrars that come after one which has another owner, so that two entries never
+// wait for each other. An entry that has runs of the job left keeps its records until they have ended.
+func (s *Scheduler) withdraw(o *ownership) {
+	if o.owned || o.runs > 0 {
+		return
+	}
+	first := slices.IndexFunc(o.order, func(agent string) bool {
+		r := o.request(agent)
+		return r != nil && r.state == held && s.reachable(agent)
+	})
+	if first < 0 {
+		return
+	}
 	for _, r := range o.requests {
-		if r.state != withdrawn && slices.Index(o.order, r.agent) > slices.Index(o.order, agent) {
+		if r.state != withdrawn && slices.Index(o.order, r.agent) > first {
 			r.state = withdrawn
 			s.releaseAt(r.agent, o.job)
 		}
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -304,3 +304,31 @@
 		t.Error("the second entry ordered tasks while runs of the first one are left")
 	}
 }
+
+// Guards against an entry that withdraws its record of a job of which it has runs left: its ownership has lapsed, and the
+// first registrar, to which it had no link for long, has granted the job to another entry.
+func TestRecordsOfJobWithRunsAreNotWithdrawn(t *testing.T) {
+	f := newOwnerFleet(2, 4)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.cut(first, order[0])
+	f.pass(testLimits.LostAfter + 100*time.Millisecond)
+	f.submit(second, "j")
+	f.deliverAll()
+	first.Disown(f.now)
+	f.take(first)
+	f.connect(first, order[0])
+	f.pass(100 * time.Millisecond)
+	if f.runs(second) != 0 {
+		t.Fatal("the second entry ordered tasks while runs of the first one are left")
+	}
+	first.Abandon("j")
+	f.endRun(first, run.Stopped)
+	f.endRun(first, run.Stopped)
+	f.deliverAll()
+	if f.runs(second) != 2 {
+		t.Errorf("%d runs at the second entry after those of the first one", f.runs(second))
+	}
+}
