Count agents that are down when a job waits for reset links

Cause: an entry that missed one registrar because its link had just been reset did not wait, although another registrar was down for all. The owner, whose records were at these two, had not yet made another one.

What callers saw: nothing yet.

Evidence: TestJobWaitsForResetLinksWhileAnAgentIsDown failed with "4 runs of two tasks" and passes.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -219,19 +219,19 @@
 	if now.Sub(s.waitingSince(o)) >= registrarWait {
 		return false
 	}
-	reachable, awaited, awaitedBefore := 0, 0, 0
+	reachable, missing := 0, 0
+	awaitedBefore := false // before the last registrar in use
 	for _, agent := range o.order {
-		switch {
-		case s.reachable(agent):
+		if s.reachable(agent) {
 			reachable++
-		case s.linkAwaited(now, agent):
-			awaited++
+			continue
 		}
-		if reachable < registrarsPerJob {
-			awaitedBefore = awaited
+		if v := s.servers[agent]; v == nil || !v.linked || !v.reported {
+			missing++
 		}
+		awaitedBefore = awaitedBefore || reachable < registrarsPerJob && s.linkAwaited(now, agent)
 	}
-	return awaitedBefore > 0 && (awaited >= registrarsPerJob || reachable < registrarsPerJob)
+	return awaitedBefore && (missing >= registrarsPerJob || reachable < registrarsPerJob)
 }
 
 // linkAwaited reports whether the link to an unreachable registrar was lost, or the registrar was listed, so recently that
--- a/dispatch/jobs/ownershipfaults_test.go
+++ b/dispatch/jobs/ownershipfaults_test.go
@@ -332,3 +332,22 @@
 		t.Errorf("%d runs at the second entry after those of the first one", f.runs(second))
 	}
 }
+
+// Guards against two owners of a job when one agent is down and the links of an entry to the others are reset: the owner,
+// which has just lost its record at the agent that is down, has not made another one yet.
+func TestJobWaitsForResetLinksWhileAnAgentIsDown(t *testing.T) {
+	f := newOwnerFleet(2, 6)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.cut(second, order[0])
+	f.pass(registrarWait + 100*time.Millisecond)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.cut(first, order[0])
+	f.cut(second, order[1])
+	f.submit(second, "j")
+	f.deliverAll()
+	if n := f.runs(first) + f.runs(second); n > 2 {
+		t.Errorf("%d runs of two tasks", n)
+	}
+}
