--- /dev/null
+++ b/dispatch/jobs/ownerrequests.go
@@ -0,0 +1,106 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"poplargw.example/dispatch/owner"
+)
+
+// sendRequests requests the job from the first registrars that are reachable, unless one of them has another owner. For
+// a job that the entry owns, it keeps that number of records when a registrar is lost.
+func (s *Scheduler) sendRequests(o *ownership) {
+	o.linkChanges = s.linkChanges
+	if s.heldElsewhere(o) {
+		return
+	}
+	o.requests = slices.DeleteFunc(o.requests, func(r *request) bool { return r.state == withdrawn })
+	for _, agent := range s.reachableRegistrars(o) {
+		if o.request(agent) == nil {
+			r := &request{agent: agent}
+			o.requests = append(o.requests, r)
+			s.sendRequest(o, r, s.batch(s.servers[agent]))
+		}
+	}
+}
+
+// heldElsewhere reports whether a reachable registrar has another owner.
+func (s *Scheduler) heldElsewhere(o *ownership) bool {
+	return slices.ContainsFunc(o.requests, func(r *request) bool { return r.state == held && s.reachable(r.agent) })
+}
+
+// sendRequest adds a request to a batch for the registrar.
+func (s *Scheduler) sendRequest(o *ownership, r *request, b *Batch) {
+	s.lastRequest++
+	r.number, r.state = s.lastRequest, requested
+	b.Requests = append(b.Requests, owner.Request{Job: o.job, Number: r.number})
+}
+
+// JobAnswered records the answer of a registrar to a request. Answers to requests that were withdrawn or repeated
+// since are ignored.
+func (s *Scheduler) JobAnswered(now time.Time, agent string, in owner.Request, isGranted bool) {
+	o := s.ownerships[in.Job]
+	if o == nil {
+		return
+	}
+	r := o.request(agent)
+	if r == nil || r.number != in.Number || r.state == withdrawn {
+		return
+	}
+	if isGranted {
+		r.state = granted
+	} else {
+		r.state = held
+	}
+	s.advance(now, o)
+}
+
+// withdraw withdraws the requests at the registrars that come after one which has another owner, so that two entries never
+// wait for each other. An entry that has runs of the job left keeps its records until they have ended.
+func (s *Scheduler) withdraw(o *ownership) {
+	if o.owned || o.runs > 0 {
+		return
+	}
+	first := slices.IndexFunc(o.order, func(agent string) bool {
+		r := o.request(agent)
+		return r != nil && r.state == held && s.reachable(agent)
+	})
+	if first < 0 {
+		return
+	}
+	for _, r := range o.requests {
+		if r.state != withdrawn && slices.Index(o.order, r.agent) > first {
+			r.state = withdrawn
+			s.releaseAt(r.agent, o.job)
+		}
+	}
+}
+
+// releaseAt tells a registrar that the entry does not own or want a job. It drops a request that the same frame would
+// carry, because agents handle the releases of a frame first.
+func (s *Scheduler) releaseAt(agent, id string) {
+	v := s.servers[agent]
+	if v == nil || !v.linked {
+		return
+	}
+	b := s.batch(v)
+	b.Requests = slices.DeleteFunc(b.Requests, func(r owner.Request) bool { return r.Job == id })
+	b.Releases = append(b.Releases, id)
+}
+
+// restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record, or of
+// which it has runs left, and the requests for those that it does not own.
+func (s *Scheduler) restoreOwnerships(agent string, b *Batch) {
+	for _, o := range s.ownershipsByJob() {
+		r := o.request(agent)
+		if r == nil || r.state == withdrawn {
+			continue
+		}
+		if o.owned || o.runs > 0 {
+			b.Owned = append(b.Owned, o.job)
+		}
+		if !o.owned {
+			s.sendRequest(o, r, b)
+		}
+	}
+}
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -4,9 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"poplargw.example/dispatch/owner"
-	"poplargw.example/dispatch/rendezvous"
 )
 
 // An entry orders tasks of a job only while it owns the job: a caller may submit a job to another entry, or once
@@ -77,39 +74,6 @@
 	return r != nil && r.state == granted
 }
 
-// SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
-// MaxRegistrars. Without registrars, an entry owns each job that it admits.
-func (s *Scheduler) SetRegistrars(now time.Time, agents []string) {
-	s.registrars = slices.Clone(agents)
-	listed := make(map[string]time.Time, len(agents))
-	for _, agent := range agents {
-		listed[agent] = now
-		if before, ok := s.registrarListed[agent]; ok {
-			listed[agent] = before
-		}
-	}
-	s.registrarListed = listed
-}
-
-// Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
-func Registrars(fleet []string) []string {
-	list := rankFor("registrars", fleet)
-	return list[:min(MaxRegistrars, len(list))]
-}
-
-// rankFor returns the agents by their rendezvous scores for a key, highest first.
-func rankFor(key string, agents []string) []string {
-	scores := make(map[string]uint64, len(agents))
-	for _, a := range agents {
-		scores[a] = rendezvous.Score(a, []byte(key))
-	}
-	list := slices.Clone(agents)
-	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
-	})
-	return list
-}
-
 // own requests the ownership of a job that has been admitted, unless the entry has it from a former submission.
 func (s *Scheduler) own(now time.Time, j *job) {
 	o := s.ownerships[j.ID]
@@ -174,110 +138,6 @@
 	}
 }
 
-// reachable reports whether the agent records owners and has answered over the present link.
-func (s *Scheduler) reachable(agent string) bool {
-	v := s.servers[agent]
-	return v != nil && v.linked && v.reported && v.recordsOwners
-}
-
-// sendRequests requests the job from the first registrars that are reachable, unless one of them has another owner. For
-// a job that the entry owns, it keeps that number of records when a registrar is lost.
-func (s *Scheduler) sendRequests(o *ownership) {
-	o.linkChanges = s.linkChanges
-	if s.heldElsewhere(o) {
-		return
-	}
-	o.requests = slices.DeleteFunc(o.requests, func(r *request) bool { return r.state == withdrawn })
-	for _, agent := range s.reachableRegistrars(o) {
-		if o.request(agent) == nil {
-			r := &request{agent: agent}
-			o.requests = append(o.requests, r)
-			s.sendRequest(o, r, s.batch(s.servers[agent]))
-		}
-	}
-}
-
-// reachableRegistrars returns the first registrarsPerJob reachable registrars of a job.
-func (s *Scheduler) reachableRegistrars(o *ownership) []string {
-	list := make([]string, 0, registrarsPerJob)
-	for _, agent := range o.order {
-		if len(list) == registrarsPerJob {
-			break
-		}
-		if s.reachable(agent) {
-			list = append(list, agent)
-		}
-	}
-	return list
-}
-
-// awaitsLinks reports whether links are about to open without which the entry may not learn of the owner of the job, or has
-// only one record of its own. After a start, or when all links were reset, the links open in any order, also at several
-// entries at the same time. A single link that is missing does no harm: two entries that each miss one still share a
-// registrar.
-func (s *Scheduler) awaitsLinks(now time.Time, o *ownership) bool {
-	if now.Sub(s.waitingSince(o)) >= registrarWait {
-		return false
-	}
-	reachable, missing := 0, 0
-	awaitedBefore := false // before the last registrar in use
-	for _, agent := range o.order {
-		if s.reachable(agent) {
-			reachable++
-			continue
-		}
-		if v := s.servers[agent]; v == nil || !v.linked || !v.reported {
-			missing++
-		}
-		awaitedBefore = awaitedBefore || reachable < registrarsPerJob && s.linkAwaited(now, agent)
-	}
-	return awaitedBefore && (missing >= registrarsPerJob || reachable < registrarsPerJob)
-}
-
-// linkAwaited reports whether the link to an unreachable registrar was lost, or the registrar was listed, so recently that
-// it is probably about to open.
-func (s *Scheduler) linkAwaited(now time.Time, agent string) bool {
-	since := s.registrarListed[agent]
-	if v := s.servers[agent]; v != nil && v.linked {
-		return !v.reported
-	} else if v != nil && v.unlinkedAt.After(since) {
-		since = v.unlinkedAt
-	}
-	return now.Sub(since) < registrarWait
-}
-
-// waitingSince returns the time from which on a job has waited for the registrars, with a link to any agent.
-func (s *Scheduler) waitingSince(o *ownership) time.Time {
-	if s.connectedSince.After(o.since) {
-		return s.connectedSince
-	}
-	return o.since
-}
-
-// recordConnection notes the time of a link if the entry had none before.
-func (s *Scheduler) recordConnection(now time.Time) {
-	if !s.connected() {
-		s.connectedSince = now
-	}
-}
-
-// connected reports whether the entry has a link to any agent.
-func (s *Scheduler) connected() bool {
-	return slices.ContainsFunc(s.fleet, func(v *server) bool { return v.linked })
-}
-
-// heldElsewhere reports whether a reachable registrar has another owner.
-func (s *Scheduler) heldElsewhere(o *ownership) bool {
-	return slices.ContainsFunc(o.requests, func(r *request) bool { return r.state == held && s.reachable(r.agent) })
-}
-
-// sendRequest adds a request to a batch for the registrar.
-func (s *Scheduler) sendRequest(o *ownership, r *request, b *Batch) {
-	s.lastRequest++
-	r.number, r.state = s.lastRequest, requested
-	b.Requests = append(b.Requests, owner.Request{Job: o.job, Number: r.number})
-}
-
 // conceded reports whether the entry owns the job: the first reachable registrars have all granted it, and none has
 // another owner. A single grant is not enough: that registrar may be new, or may have had no link to the owner for a
 // while; the owner is recorded at two. Without a reachable registrar the job begins if there are none, or once every run
@@ -293,70 +153,6 @@
 	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) }) && !s.awaitsLinks(now, o)
 }
 
-// withoutRegistrars reports whether no agent records owners, as far as the entry knows: there are none, or those that
-// it has reports of are of an earlier version.
-func (s *Scheduler) withoutRegistrars(o *ownership) bool {
-	if len(o.order) == 0 {
-		return true
-	}
-	return slices.ContainsFunc(o.order, func(agent string) bool {
-		v := s.servers[agent]
-		return v != nil && v.linked && v.reported && !v.recordsOwners
-	})
-}
-
-// JobAnswered records the answer of a registrar to a request. Answers to requests that were withdrawn or repeated
-// since are ignored.
-func (s *Scheduler) JobAnswered(now time.Time, agent string, in owner.Request, isGranted bool) {
-	o := s.ownerships[in.Job]
-	if o == nil {
-		return
-	}
-	r := o.request(agent)
-	if r == nil || r.number != in.Number || r.state == withdrawn {
-		return
-	}
-	if isGranted {
-		r.state = granted
-	} else {
-		r.state = held
-	}
-	s.advance(now, o)
-}
-
-// withdraw withdraws the requests at the registrars that come after one which has another owner, so that two entries never
-// wait for each other. An entry that has runs of the job left keeps its records until they have ended.
-func (s *Scheduler) withdraw(o *ownership) {
-	if o.owned || o.runs > 0 {
-		return
-	}
-	first := slices.IndexFunc(o.order, func(agent string) bool {
-		r := o.request(agent)
-		return r != nil && r.state == held && s.reachable(agent)
-	})
-	if first < 0 {
-		return
-	}
-	for _, r := range o.requests {
-		if r.state != withdrawn && slices.Index(o.order, r.agent) > first {
-			r.state = withdrawn
-			s.releaseAt(r.agent, o.job)
-		}
-	}
-}
-
-// releaseAt tells a registrar that the entry does not own or want a job. It drops a request that the same frame would
-// carry, because agents handle the releases of a frame first.
-func (s *Scheduler) releaseAt(agent, id string) {
-	v := s.servers[agent]
-	if v == nil || !v.linked {
-		return
-	}
-	b := s.batch(v)
-	b.Requests = slices.DeleteFunc(b.Requests, func(r owner.Request) bool { return r.Job == id })
-	b.Releases = append(b.Releases, id)
-}
-
 // runOrdered and runEnded count the runs of a job that may not have ended.
 func (s *Scheduler) runOrdered(id string) {
 	if o := s.ownerships[id]; o != nil {
@@ -395,23 +191,6 @@
 	}
 }
 
-// restoreOwnerships adds to the first frame over a new link to an agent the jobs that the entry owns by its record, or of
-// which it has runs left, and the requests for those that it does not own.
-func (s *Scheduler) restoreOwnerships(agent string, b *Batch) {
-	for _, o := range s.ownershipsByJob() {
-		r := o.request(agent)
-		if r == nil || r.state == withdrawn {
-			continue
-		}
-		if o.owned || o.runs > 0 {
-			b.Owned = append(b.Owned, o.job)
-		}
-		if !o.owned {
-			s.sendRequest(o, r, b)
-		}
-	}
-}
-
 // HasOwnerships reports whether the agent records this entry as the owner of a job, or may do so.
 func (s *Scheduler) HasOwnerships(agent string) bool {
 	for _, o := range s.ownerships {
