--- /dev/null
+++ b/dispatch/jobs/links.go
@@ -0,0 +1,64 @@
+package jobs
+
+import (
+	"sort"
+	"time"
+
+	"poplargw.example/dispatch/run"
+)
+
+// AgentConnected records a new link to an agent, claims the runs that were ordered there, and repeats the
+// stops that were requested.
+func (s *Scheduler) AgentConnected(now time.Time, agent string) {
+	v := s.servers[agent]
+	if v == nil {
+		v = &server{agent: agent, runs: map[run.Ref]*attempt{}, lagFactor: 1}
+		s.servers[agent] = v
+		s.fleet = append(s.fleet, v)
+		sort.Slice(s.fleet, func(i, j int) bool { return s.fleet[i].agent < s.fleet[j].agent })
+	}
+	s.recordConnection(now)
+	s.linkChanges++
+	v.linked = true
+	v.reported = false
+	v.lastContact = now
+	v.seq = 0
+	v.unacked = nil
+	v.batch = Batch{}
+	b := s.batch(v)
+	for _, a := range v.runsInOrder() {
+		b.Claims = append(b.Claims, Claim{Ref: a.ref, Demand: a.demand, Age: now.Sub(a.orderedAt)})
+		if a.stopRequested {
+			b.Stops = append(b.Stops, a.ref)
+		}
+	}
+	s.restoreOwnerships(agent, b)
+}
+
+// AgentDisconnected records the end of the link to an agent. Its runs keep their places until they are
+// claimed over a new link or have certainly ended.
+func (s *Scheduler) AgentDisconnected(now time.Time, agent string) {
+	if v := s.servers[agent]; v != nil {
+		s.linkChanges++
+		v.linked, v.unlinkedAt = false, now
+	}
+}
+
+// RecordMessage records that a message of the agent has arrived.
+func (s *Scheduler) RecordMessage(now time.Time, agent string) {
+	if v := s.servers[agent]; v != nil && v.linked {
+		v.lastContact = now
+	}
+}
+
+// Silent returns the agents with a link from which nothing was received for longer than
+// Limits.SilenceLimit. The caller closes the links.
+func (s *Scheduler) Silent(now time.Time) []string {
+	var silent []string
+	for _, v := range s.fleet {
+		if v.linked && now.Sub(v.lastContact) > s.limits.SilenceLimit {
+			silent = append(silent, v.agent)
+		}
+	}
+	return silent
+}
--- /dev/null
+++ b/dispatch/jobs/tick.go
@@ -0,0 +1,15 @@
+package jobs
+
+import "time"
+
+// Tick does the periodic work: it ends the runs of lost agents, moves stragglers, rejects or ends jobs
+// that cannot finish in time, and places waiting tasks.
+func (s *Scheduler) Tick(now time.Time) {
+	s.endLostRuns(now)
+	s.advanceOwnerships(now)
+	s.updateBulkheads(now)
+	s.moveStragglers(now)
+	s.updateSlowdowns()
+	s.review(now)
+	s.dispatch(now)
+}
