Let one fixture serve the tests of a shrunk capacity

Both tests repeated the steps up to the announcement of the smaller capacity. No check is changed; newShrunkFixture contains the check of the first order. Ran: gofmt, go vet and staticcheck of dispatch/runtable, go test ./dispatch/runtable.

--- a/dispatch/runtable/capacity_test.go
+++ b/dispatch/runtable/capacity_test.go
@@ -34,18 +34,26 @@
 	"gpu":    {CPU: 8000, MemoryMB: 800, GPU: 1},
 }
 
+// newShrunkFixture returns a fixture whose backend server runs a task that uses halfCapacity, and then announces
+// the given capacity.
+func newShrunkFixture(t *testing.T, capacity run.Demand) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	f.announceCapacity(fullCapacity)
+	if code := f.orderDemand(ref("a", 1), halfCapacity); code != 0 {
+		t.Fatalf("order before the change: code %d", code)
+	}
+	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.announceCapacity(capacity)
+	return f
+}
+
 // Guards against a start on a backend server whose capacity has shrunk below what runs there, also while the
 // run that uses it is being stopped, and against one that stays refused when the capacity has grown again.
 func TestShrunkCapacityRefusesOrders(t *testing.T) {
 	for name, capacity := range shrunkCapacities {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
-			f.announceCapacity(fullCapacity)
-			if code := f.orderDemand(ref("a", 1), halfCapacity); code != 0 {
-				t.Fatalf("order before the change: code %d", code)
-			}
-			f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
-			f.announceCapacity(capacity)
+			f := newShrunkFixture(t, capacity)
 			if code := f.orderDemand(ref("b", 1), smallDemand); code != result.NoFreeSlot {
 				t.Errorf("order at the shrunk capacity: code %d", code)
 			}
@@ -66,13 +74,7 @@
 func TestOverusedResourceIsNotOffered(t *testing.T) {
 	for name, capacity := range shrunkCapacities {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
-			f.announceCapacity(fullCapacity)
-			if code := f.orderDemand(ref("a", 1), halfCapacity); code != 0 {
-				t.Fatalf("order before the change: code %d", code)
-			}
-			f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
-			f.announceCapacity(capacity)
+			f := newShrunkFixture(t, capacity)
 			f.Request(f.now, "e2", f.now, smallDemand)
 			f.Offer(f.now)
 			free := f.Free()
