--- a/daemon/runentry/pause_test.go
+++ b/daemon/runentry/pause_test.go
@@ -12,18 +12,25 @@
 	"poplargw.example/dispatch/run"
 )
 
-// Guards against an entry that continues a job after a pause in which its caller may have submitted the job to
-// another entry, and against one that gives up jobs after a short pause.
-func TestJobsAreGivenUpAfterPause(t *testing.T) {
-	e, _ := newTestEntry(t)
+// admitTestJob submits a job of one task with the given ID and returns the channel that gets its outcome.
+func admitTestJob(t *testing.T, e *Entry, id string) <-chan jobs.Outcome {
+	t.Helper()
 	done := make(chan jobs.Outcome, 1)
-	j := jobs.Job{ID: "1", Queue: route.Queue{Service: "svc", Attempts: 1, Stretch: 1.6}, Steps: []jobs.Step{
+	j := jobs.Job{ID: id, Queue: route.Queue{Service: "svc", Attempts: 1, Stretch: 1.6}, Steps: []jobs.Step{
 		{Count: 1, Demand: run.Demand{CPU: 100}, Estimate: 100 * time.Millisecond},
 	}, Arrived: boottime.Now()}
 	if o, ok := e.admit(j, done); !ok {
 		t.Fatalf("job rejected: %+v", o)
 	}
-	if _, started := e.scheduler.Has(j.ID); !started {
+	return done
+}
+
+// Guards against an entry that continues a job after a pause in which its caller may have submitted the job to
+// another entry, and against one that gives up jobs after a short pause.
+func TestJobsAreGivenUpAfterPause(t *testing.T) {
+	e, _ := newTestEntry(t)
+	done := admitTestJob(t, e, "1")
+	if _, started := e.scheduler.Has("1"); !started {
 		t.Fatal("the job has not started")
 	}
 	now := boottime.Now()
@@ -51,13 +58,7 @@
 // report runs that were stopped during the pause, and may be handled before the next tick.
 func TestFrameAfterPauseOrdersNothing(t *testing.T) {
 	e, a := newTestEntry(t)
-	done := make(chan jobs.Outcome, 1)
-	j := jobs.Job{ID: "1", Queue: route.Queue{Service: "svc", Attempts: 1, Stretch: 1.6}, Steps: []jobs.Step{
-		{Count: 1, Demand: run.Demand{CPU: 100}, Estimate: 100 * time.Millisecond},
-	}, Arrived: boottime.Now()}
-	if o, ok := e.admit(j, done); !ok {
-		t.Fatalf("job rejected: %+v", o)
-	}
+	done := admitTestJob(t, e, "1")
 	e.mu.Lock()
 	e.lastTick = boottime.Now().Add(-2 * e.pauseThreshold())
 	_, before := e.scheduler.Tasks()
