Let one server hold calls in the tests of transport

TestResetUsesNewPortAndFailsCallsInFlight and TestRepeatedResetKeepsNewConnection repeated the server that holds a call, and the call. No check is changed.

--- a/daemon/transport/harness_test.go
+++ b/daemon/transport/harness_test.go
@@ -47,6 +47,23 @@
 	return s
 }
 
+// startHoldingServer starts a server that answers a call with the remote address that it sees. It answers a call with
+// the body "wait" only once release is closed, and closes started when that call arrives.
+func startHoldingServer(t testing.TB, kind string, conf *tls.Config) (s Server, started <-chan struct{}, release chan struct{}) {
+	t.Helper()
+	arrived := make(chan struct{})
+	release = make(chan struct{})
+	s = startServer(t, kind, conf, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if string(body) == "wait" {
+			close(arrived)
+			<-release
+		}
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	}))
+	return s, arrived, release
+}
+
 // serve runs s until the end of the test.
 func serve(t testing.TB, s Server) {
 	done := make(chan error, 1)
@@ -86,6 +103,16 @@
 	return string(answer), err
 }
 
+// postAsync makes one call with c in a goroutine and returns a channel that gets its error.
+func postAsync(t testing.TB, c Client, addr, body string) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := post(t.Context(), c, addr, body)
+		done <- err
+	}()
+	return done
+}
+
 // echoRemoteAddr responds with the client's address, which identifies the connection.
 func echoRemoteAddr(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
--- a/daemon/transport/transport_test.go
+++ b/daemon/transport/transport_test.go
@@ -48,26 +48,14 @@
 func TestResetUsesNewPortAndFailsCallsInFlight(t *testing.T) {
 	forEachKind(t, func(t *testing.T, kind string) {
 		conf := testTLS(t)
-		started, release := make(chan struct{}), make(chan struct{})
-		s := startServer(t, kind, conf, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			body, _ := io.ReadAll(r.Body)
-			if string(body) == "wait" {
-				close(started)
-				<-release
-			}
-			_, _ = io.WriteString(w, r.RemoteAddr)
-		}))
+		s, started, release := startHoldingServer(t, kind, conf)
 		t.Cleanup(func() { close(release) })
 		c := newTestClient(t, kind, conf)
 		before, err := post(t.Context(), c, s.Addr(), "")
 		if err != nil {
 			t.Fatal(err)
 		}
-		waiting := make(chan error, 1)
-		go func() {
-			_, err := post(t.Context(), c, s.Addr(), "wait")
-			waiting <- err
-		}()
+		waiting := postAsync(t, c, s.Addr(), "wait")
 		<-started
 		c.Reset(s.Addr())
 		if err := <-waiting; err == nil {
@@ -88,24 +76,14 @@
 func TestRepeatedResetKeepsNewConnection(t *testing.T) {
 	forEachKind(t, func(t *testing.T, kind string) {
 		conf := testTLS(t)
-		started, release := make(chan struct{}), make(chan struct{})
-		s := startServer(t, kind, conf, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if body, _ := io.ReadAll(r.Body); string(body) == "wait" {
-				close(started)
-				<-release
-			}
-		}))
+		s, started, release := startHoldingServer(t, kind, conf)
 		c := newTestClient(t, kind, conf)
 		c.(*client).resetGrace = time.Hour
 		if _, err := post(t.Context(), c, s.Addr(), ""); err != nil {
 			t.Fatal(err)
 		}
 		c.Reset(s.Addr())
-		waiting := make(chan error, 1)
-		go func() {
-			_, err := post(t.Context(), c, s.Addr(), "wait")
-			waiting <- err
-		}()
+		waiting := postAsync(t, c, s.Addr(), "wait")
 		<-started
 		c.Reset(s.Addr())
 		close(release)
