Let one package repeat the periodic work of the daemons

Six loops in daemon/agent, daemon/runagent and daemon/runentry repeated a call at an interval or waited for a condition, until the context ends. daemon/periodic has each of the two once.

Behaviour is unchanged: the bodies are those of the former loops.

--- a/daemon/agent/drain.go
+++ b/daemon/agent/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/periodic"
 )
 
 // drainPollInterval is how often Drain checks whether it is done.
@@ -20,15 +21,9 @@
 	a.notifyAll()
 	a.opts.Log.Info(event.AgentDrainStarted, event.Fields{"running": len(a.runs)})
 	a.mu.Unlock()
-	tick := time.NewTicker(drainPollInterval)
-	defer tick.Stop()
-	for !a.idle() {
-		select {
-		case <-ctx.Done():
-			a.opts.Log.Error(event.AgentDrainTimedOut, event.Fields{"running": a.Status().Running})
-			return ctx.Err()
-		case <-tick.C:
-		}
+	if err := periodic.Wait(ctx, drainPollInterval, a.idle); err != nil {
+		a.opts.Log.Error(event.AgentDrainTimedOut, event.Fields{"running": a.Status().Running})
+		return err
 	}
 	a.opts.Log.Info(event.AgentDrainEnded, event.Fields{})
 	return nil
--- a/daemon/agent/sweep.go
+++ b/daemon/agent/sweep.go
@@ -2,23 +2,15 @@
 
 import (
 	"context"
-	"time"
 
 	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/periodic"
 )
 
 // sweep calls sweepOnce every sweepInterval until ctx ends.
 func (a *Agent) sweep(ctx context.Context) error {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			a.sweepOnce()
-		}
-	}
+	periodic.Run(ctx, sweepInterval, a.sweepOnce)
+	return nil
 }
 
 // sweepOnce removes backend servers with an expired lease, expired start records,
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -15,6 +15,7 @@
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/link"
+	"poplargw.example/daemon/periodic"
 	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/run"
 	"poplargw.example/dispatch/runtable"
@@ -176,16 +177,7 @@
 	a.table.Drain()
 	a.sendStateToAll()
 	a.mu.Unlock()
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for !a.drained(boottime.Now()) {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
+	return periodic.Wait(ctx, drainPollInterval, func() bool { return a.drained(boottime.Now()) })
 }
 
 // runCount returns the number of runs that may be on the backend server.
@@ -270,16 +262,7 @@
 
 // sweepLoop calls sweep every sweepInterval until ctx ends.
 func (a *Agent) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			a.sweep(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
+	periodic.Run(ctx, sweepInterval, func() { a.sweep(ctx) })
 }
 
 // sweep ends runs whose lease has expired, stops runs whose entry is silent, responds to claims and sends
--- a/daemon/runentry/drain.go
+++ b/daemon/runentry/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poplargw.example/daemon/boottime"
+	"poplargw.example/daemon/periodic"
 )
 
 // drainPollInterval is how often Drain checks whether every caller has been answered.
@@ -16,14 +17,5 @@
 func (e *Entry) Drain(ctx context.Context, gracePeriod time.Duration) error {
 	boottime.Sleep(ctx, gracePeriod)
 	e.Leave()
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for !e.Idle() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
+	return periodic.Wait(ctx, drainPollInterval, e.Idle)
 }
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -16,6 +16,7 @@
 
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/periodic"
 	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/lag"
 	"poplargw.example/dispatch/partner"
@@ -102,24 +103,10 @@
 func (e *Entry) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return e.dialPartners(ctx, g) })
-	g.Go(func() error { e.tickLoop(ctx); return nil })
+	g.Go(func() error { periodic.Run(ctx, tickInterval, e.tick); return nil })
 	return g.Wait()
 }
 
-// tickLoop calls tick every tickInterval until ctx ends.
-func (e *Entry) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			e.tick()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // tick does the periodic work: it closes silent links, advances the scheduler, adjusts the partners, and
 // sends orders and heartbeats.
 func (e *Entry) tick() {
