--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -6,7 +6,6 @@
 
 	"poplargw.example/dispatch/estimate"
 	"poplargw.example/dispatch/health"
-	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 )
 
@@ -179,93 +178,6 @@
 	return j != nil, j != nil && !j.startedAt.IsZero()
 }
 
-// Submit admits a job or rejects it. If it returns false, the outcome is final, and this entry has run nothing of
-// the job.
-func (s *Scheduler) Submit(now time.Time, in Job) (Outcome, bool) {
-	if f := Check(in); f != nil {
-		return rejectionOf(in.ID, f.Code), false
-	}
-	if code := s.refusalCode(now, in); code != 0 {
-		return Outcome{Job: in.ID, Code: code, Effect: result.NotRun, RetryAfter: defaultRetryAfter}, false
-	}
-	j := newJob(in)
-	s.bulkheads.service(in.Queue.Service).kind(in.Queue.Name).arrived = now
-	if s.exhausted(j) {
-		return Outcome{Job: in.ID, Code: result.ServerCrashes, Effect: result.Run, LatencyObjective: j.latencyObjective()}, false
-	}
-	j.queueKey = s.queueKeyOf(j)
-	if wait, ok := s.admissible(now, j); !ok {
-		return s.rejection(now, j, wait), false
-	}
-	s.recordAdmission(now, j)
-	s.arrivals++
-	j.arrivalNumber = s.arrivals
-	s.jobs[j.ID] = j
-	s.enqueue(now, j)
-	s.own(now, j)
-	return Outcome{}, true
-}
-
-// defaultRetryAfter is the retry advice when the entry cannot tell when there will be capacity.
-const defaultRetryAfter = time.Second
-
-// refusalCode returns the code with which a job is refused because the entry is stopping or no backend
-// server can run it, or 0. During warm-up, jobs are held for the first server of their service.
-func (s *Scheduler) refusalCode(now time.Time, in Job) result.Code {
-	if s.leaving {
-		return result.Draining
-	}
-	known := false
-	for _, v := range s.fleet {
-		if !v.acceptsTasks(s.outOfService) || v.state.Service != in.Queue.Service {
-			continue
-		}
-		known = true
-	}
-	if !known && s.WarmingUp(now) {
-		return 0
-	}
-	if !known {
-		return result.NotReady
-	}
-	for _, step := range in.Steps {
-		if s.fitsAnywhere(in.Queue.Service, step) {
-			continue
-		}
-		if s.partial {
-			s.jobRefused = true
-			return result.NotReady
-		}
-		if s.fittedBefore(in.Queue.Service, step) {
-			return result.NotReady
-		}
-		return result.CannotRun
-	}
-	return 0
-}
-
-// fitsAnywhere reports whether a task of the step fits on some known backend server of the service when
-// that is empty.
-func (s *Scheduler) fitsAnywhere(service string, step Step) bool {
-	for _, v := range s.fleet {
-		if v.state.Service == service && step.Demand.Fits(v.state.Capacity) && v.state.HasLabel(step.Label) {
-			return true
-		}
-	}
-	return false
-}
-
-// fittedBefore reports whether a task of the step would fit on some known backend server of the service with
-// the largest capacity that it has had. The capacity may grow again.
-func (s *Scheduler) fittedBefore(service string, step Step) bool {
-	for _, v := range s.fleet {
-		if v.state.Service == service && step.Demand.Fits(v.largest) && v.state.HasLabel(step.Label) {
-			return true
-		}
-	}
-	return false
-}
-
 // jobsByArrival returns the jobs in the order of their arrival.
 func (s *Scheduler) jobsByArrival() []*job {
 	list := make([]*job, 0, len(s.jobs))
@@ -275,50 +187,3 @@
 	sort.Slice(list, func(a, b int) bool { return list[a].arrivalNumber < list[b].arrivalNumber })
 	return list
 }
-
-// Abandon drops a job whose caller has disconnected or cancelled it, and stops its runs. The job gets
-// no outcome.
-func (s *Scheduler) Abandon(id string) {
-	if j := s.jobs[id]; j != nil {
-		s.drop(j)
-	}
-}
-
-// GiveUp ends a job with the given code. The effect in its outcome is result.NotRun if nothing has run.
-func (s *Scheduler) GiveUp(id string, code result.Code) {
-	if j := s.jobs[id]; j != nil {
-		s.finish(j, Outcome{Code: code, RetryAfter: defaultRetryAfter})
-	}
-}
-
-// Cancel ends a job on behalf of its caller.
-func (s *Scheduler) Cancel(id string) { s.GiveUp(id, result.Cancelled) }
-
-// drop removes a job and stops its runs.
-func (s *Scheduler) drop(j *job) {
-	delete(s.jobs, j.ID)
-	s.dequeue(j)
-	for _, t := range j.tasks {
-		if t.run != nil {
-			s.stop(t.run)
-		}
-	}
-	if o := s.ownerships[j.ID]; o != nil {
-		s.release(o)
-	}
-}
-
-// finish ends a job and records the outcome for its caller.
-func (s *Scheduler) finish(j *job, o Outcome) {
-	o.Job = j.ID
-	o.Started = j.startedAt
-	o.LatencyObjective = j.latencyObjective()
-	if o.Code != 0 {
-		o.Effect = result.NotRun
-		if j.mayHaveRun() || o.Code == result.ServerCrashes {
-			o.Effect = result.Run // under crashes, perhaps on the orders of another entry
-		}
-	}
-	s.outcomes = append(s.outcomes, o)
-	s.drop(j)
-}
--- /dev/null
+++ b/dispatch/jobs/submit.go
@@ -0,0 +1,94 @@
+package jobs
+
+import (
+	"time"
+
+	"poplargw.example/dispatch/result"
+)
+
+// Submit admits a job or rejects it. If it returns false, the outcome is final, and this entry has run nothing of
+// the job.
+func (s *Scheduler) Submit(now time.Time, in Job) (Outcome, bool) {
+	if f := Check(in); f != nil {
+		return rejectionOf(in.ID, f.Code), false
+	}
+	if code := s.refusalCode(now, in); code != 0 {
+		return Outcome{Job: in.ID, Code: code, Effect: result.NotRun, RetryAfter: defaultRetryAfter}, false
+	}
+	j := newJob(in)
+	s.bulkheads.service(in.Queue.Service).kind(in.Queue.Name).arrived = now
+	if s.exhausted(j) {
+		return Outcome{Job: in.ID, Code: result.ServerCrashes, Effect: result.Run, LatencyObjective: j.latencyObjective()}, false
+	}
+	j.queueKey = s.queueKeyOf(j)
+	if wait, ok := s.admissible(now, j); !ok {
+		return s.rejection(now, j, wait), false
+	}
+	s.recordAdmission(now, j)
+	s.arrivals++
+	j.arrivalNumber = s.arrivals
+	s.jobs[j.ID] = j
+	s.enqueue(now, j)
+	s.own(now, j)
+	return Outcome{}, true
+}
+
+// defaultRetryAfter is the retry advice when the entry cannot tell when there will be capacity.
+const defaultRetryAfter = time.Second
+
+// refusalCode returns the code with which a job is refused because the entry is stopping or no backend
+// server can run it, or 0. During warm-up, jobs are held for the first server of their service.
+func (s *Scheduler) refusalCode(now time.Time, in Job) result.Code {
+	if s.leaving {
+		return result.Draining
+	}
+	known := false
+	for _, v := range s.fleet {
+		if !v.acceptsTasks(s.outOfService) || v.state.Service != in.Queue.Service {
+			continue
+		}
+		known = true
+	}
+	if !known && s.WarmingUp(now) {
+		return 0
+	}
+	if !known {
+		return result.NotReady
+	}
+	for _, step := range in.Steps {
+		if s.fitsAnywhere(in.Queue.Service, step) {
+			continue
+		}
+		if s.partial {
+			s.jobRefused = true
+			return result.NotReady
+		}
+		if s.fittedBefore(in.Queue.Service, step) {
+			return result.NotReady
+		}
+		return result.CannotRun
+	}
+	return 0
+}
+
+// fitsAnywhere reports whether a task of the step fits on some known backend server of the service when
+// that is empty.
+func (s *Scheduler) fitsAnywhere(service string, step Step) bool {
+	for _, v := range s.fleet {
+		if v.state.Service == service && step.Demand.Fits(v.state.Capacity) && v.state.HasLabel(step.Label) {
+			return true
+		}
+	}
+	return false
+}
+
+// fittedBefore reports whether a task of the step would fit on some known backend server of the service with
+// the largest capacity that it has had. The capacity may grow again.
+func (s *Scheduler) fittedBefore(service string, step Step) bool {
+	for _, v := range s.fleet {
+		if v.state.Service == service && step.Demand.Fits(v.largest) && v.state.HasLabel(step.Label) {
+			return true
+		}
+	}
+	return false
+}
