Let one function tell whether a step fits on a backend server

fitsAnywhere and fittedBefore differed only in the capacity that they compare. The search for a server of the service has a function of its own in place of a loop with a flag.

Behaviour is unchanged.

--- a/dispatch/jobs/submit.go
+++ b/dispatch/jobs/submit.go
@@ -1,9 +1,11 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"poplargw.example/dispatch/result"
+	"poplargw.example/dispatch/run"
 )
 
 // Submit admits a job or rejects it. If it returns false, the outcome is final, and this entry has run nothing of
@@ -42,17 +44,10 @@
 	if s.leaving {
 		return result.Draining
 	}
-	known := false
-	for _, v := range s.fleet {
-		if !v.acceptsTasks(s.outOfService) || v.state.Service != in.Queue.Service {
-			continue
+	if !s.hasServer(in.Queue.Service) {
+		if s.WarmingUp(now) {
+			return 0
 		}
-		known = true
-	}
-	if !known && s.WarmingUp(now) {
-		return 0
-	}
-	if !known {
 		return result.NotReady
 	}
 	for _, step := range in.Steps {
@@ -71,24 +66,26 @@
 	return 0
 }
 
+// hasServer reports whether a backend server of the service accepts tasks.
+func (s *Scheduler) hasServer(service string) bool {
+	return slices.ContainsFunc(s.fleet, func(v *server) bool {
+		return v.acceptsTasks(s.outOfService) && v.state.Service == service
+	})
+}
+
 // fitsAnywhere reports whether a task of the step fits on some known backend server of the service when
 // that is empty.
 func (s *Scheduler) fitsAnywhere(service string, step Step) bool {
-	for _, v := range s.fleet {
-		if v.state.Service == service && step.Demand.Fits(v.state.Capacity) && v.state.HasLabel(step.Label) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.fleet, func(v *server) bool { return v.fits(service, step, v.state.Capacity) })
 }
 
 // fittedBefore reports whether a task of the step would fit on some known backend server of the service with
 // the largest capacity that it has had. The capacity may grow again.
 func (s *Scheduler) fittedBefore(service string, step Step) bool {
-	for _, v := range s.fleet {
-		if v.state.Service == service && step.Demand.Fits(v.largest) && v.state.HasLabel(step.Label) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.fleet, func(v *server) bool { return v.fits(service, step, v.largest) })
+}
+
+// fits reports whether a task of the step can run on the backend server if that has the given capacity free.
+func (v *server) fits(service string, step Step, capacity run.Demand) bool {
+	return v.state.Service == service && step.Demand.Fits(capacity) && v.state.HasLabel(step.Label)
 }
