Reject jobs for which no registrar is reachable instead of ordering them

Cause: an entry with links to agents, but to none of the registrars, let a job begin 1,300 ms after its submission, by the time for which callers wait before they submit a job again. A caller whose request counts as undelivered comes back at once. Its former entry may read the request from the socket after these 1,300 ms, is granted the job by registrars that have no record of the other entry, and both order its tasks. The same happened to a job that had begun: 1,300 ms after its ownership lapsed, the entry ordered tasks again, while registrars had granted the job to another entry.

Change: without a reachable registrar a job is never ordered. A job of which nothing has run is rejected as not run (code 2005, with Retry-After) when the entry has had links, but to no registrar, for 300 ms since the submission or the lapse, and at its submission if that was so before. A job that has run waits for a registrar until its deadline. An entry without any link holds jobs as before: it can order nothing, and its 300 ms begin with the first link. Limits.ResubmitAfter has no use left and is removed. Agents of earlier versions count as before.

No test asserted the former rule.

--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -29,6 +29,7 @@
 		sort.Slice(s.fleet, func(i, j int) bool { return s.fleet[i].agent < s.fleet[j].agent })
 	}
 	s.recordConnection(now)
+	s.observeRegistrars(now)
 	s.linkChanges++
 	v.linked = true
 	v.reported = false
@@ -50,6 +51,7 @@
 // claimed over a new link or have certainly ended.
 func (s *Scheduler) AgentDisconnected(now time.Time, agent string) {
 	if v := s.servers[agent]; v != nil {
+		s.observeRegistrars(now)
 		s.linkChanges++
 		v.linked, v.unlinkedAt = false, now
 	}
@@ -276,6 +278,7 @@
 // that cannot finish in time, and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time) {
 	s.endLostRuns(now)
+	s.observeRegistrars(now)
 	s.advanceOwnerships(now)
 	s.updateBulkheads(now)
 	s.moveStragglers(now)
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -140,15 +140,14 @@
 
 // conceded reports whether the entry owns the job: the first reachable registrars have all granted it, and none has
 // another owner. A single grant is not enough: that registrar may be new, or may have had no link to the owner for a
-// while; the owner is recorded at two. Without a reachable registrar the job begins if there are none, or once every run
-// from before the submission has certainly ended.
+// while; the owner is recorded at two. Without a reachable registrar the job begins only if there are none; see lacksRegistrar.
 func (s *Scheduler) conceded(now time.Time, o *ownership) bool {
 	if s.heldElsewhere(o) {
 		return false
 	}
 	registrars := s.reachableRegistrars(o)
 	if len(registrars) == 0 {
-		return s.withoutRegistrars(o) || s.connected() && now.Sub(s.waitingSince(o)) > s.limits.ResubmitAfter
+		return s.withoutRegistrars(o)
 	}
 	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) }) && !s.awaitsLinks(now, o)
 }
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -39,6 +39,7 @@
 	running map[run.Ref]string // agents of the runs that may not have ended
 	linked  map[string]bool    // agents with an open link
 	paused  bool               // the entry does not run, and its messages wait
+	ended   map[string]Outcome // the newest outcome of each job that was admitted
 }
 
 // ownerFleet joins entries with the records of owners of several agents, over links that delay frames and may be reset.
@@ -52,8 +53,6 @@
 }
 
 func newOwnerFleet(entries, agents int) *ownerFleet {
-	limits := testLimits
-	limits.ResubmitAfter = 1300 * time.Millisecond
 	f := &ownerFleet{now: time.Unix(1000, 0), tables: map[string]*owner.Table{}, heard: map[*ownerEntry]map[string]time.Time{}}
 	for i := range agents {
 		agent := fmt.Sprintf("a%d", i)
@@ -62,7 +61,7 @@
 		f.tables[agent].Tick(f.now)
 	}
 	for i := range entries {
-		e := &ownerEntry{Scheduler: New(limits), name: fmt.Sprintf("e%d", i), frames: map[string][]sentFrame{}, answers: map[string][]sentAnswer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
+		e := &ownerEntry{Scheduler: New(testLimits), name: fmt.Sprintf("e%d", i), frames: map[string][]sentFrame{}, answers: map[string][]sentAnswer{}, running: map[run.Ref]string{}, linked: map[string]bool{}, ended: map[string]Outcome{}}
 		e.SetRegistrars(f.now, f.agents)
 		f.entries = append(f.entries, e)
 		f.heard[e] = map[string]time.Time{}
@@ -100,7 +99,10 @@
 
 // take puts the batches of an entry on their way.
 func (f *ownerFleet) take(e *ownerEntry) {
-	_, batches := e.Take()
+	outcomes, batches := e.Take()
+	for _, o := range outcomes {
+		e.ended[o.Job] = o
+	}
 	for _, b := range batches {
 		e.frames[b.Agent] = append(e.frames[b.Agent], sentFrame{b, f.now})
 		for _, o := range b.Orders {
--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -11,6 +11,7 @@
 // SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
 // MaxRegistrars. Without registrars, an entry owns each job that it admits.
 func (s *Scheduler) SetRegistrars(now time.Time, agents []string) {
+	s.observeRegistrars(now)
 	s.registrars = slices.Clone(agents)
 	listed := make(map[string]time.Time, len(agents))
 	for _, agent := range agents {
--- a/dispatch/jobs/review.go
+++ b/dispatch/jobs/review.go
@@ -10,15 +10,15 @@
 const reviewInterval = 100 * time.Millisecond
 
 // review moves jobs that can no longer meet their objective to the late queue, and ends jobs whose
-// callers no longer wait, whose result would come too late to be useful, or for which the capacity has become too
-// small; these callers are answered immediately. A job that may have started continues while its caller waits, because the caller could
+// callers no longer wait, whose result would come too late to be useful, for which the capacity has become too
+// small, or which no registrar can grant; these callers are answered immediately. A job that may have started continues while its caller waits, because the caller could
 // not tell whether it has run.
 func (s *Scheduler) review(now time.Time) {
 	for _, j := range s.jobsByArrival() {
 		switch {
 		case !now.Before(j.giveUpTime()), s.cannotFinishInTime(now, j):
 			s.finish(j, s.giveUpOutcome(now, j))
-		case s.outgrown(now, j):
+		case s.outgrown(now, j), s.cannotBeOwned(now, j):
 			s.finish(j, Outcome{Code: result.NotReady, RetryAfter: defaultRetryAfter})
 		case j.queued && !j.late && s.isLate(now, j):
 			s.dequeue(j)
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -45,6 +45,7 @@
 	// registrarListed holds when each registrar was first listed, connectedSince since when the entry has had a link.
 	registrarListed map[string]time.Time
 	connectedSince  time.Time
+	registrarSeen   time.Time  // when a registrar was reachable last, as far as observeRegistrars was called
 	lastRequest     uint64     // number of the newest request for a job
 	singleServer    [1]*server // argument of dispatchTo, kept to avoid an allocation
 }
@@ -209,8 +210,8 @@
 // defaultRetryAfter is the retry advice when the entry cannot tell when there will be capacity.
 const defaultRetryAfter = time.Second
 
-// refusalCode returns the code with which a job is refused because the entry is stopping or no backend
-// server can run it, or 0. During warm-up, jobs are held for the first server of their service.
+// refusalCode returns the code with which a job is refused because the entry is stopping, or no backend
+// server can run it, or no registrar can grant it, or 0. During warm-up, jobs are held for the first server of their service.
 func (s *Scheduler) refusalCode(now time.Time, in Job) result.Code {
 	if s.leaving {
 		return result.Draining
@@ -225,7 +226,7 @@
 	if !known && s.WarmingUp(now) {
 		return 0
 	}
-	if !known {
+	if !known || s.lacksRegistrarForNewJobs(now) {
 		return result.NotReady
 	}
 	for _, step := range in.Steps {
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -165,9 +165,6 @@
 	// LostAfter is the time since the last message of an agent without a link after which its runs have
 	// certainly ended.
 	LostAfter time.Duration
-	// ResubmitAfter is the time after the end of a submission within which all its runs have certainly ended, even
-	// if every stop was lost.
-	ResubmitAfter time.Duration
 	// MaxWaitingTasks bounds the number of waiting tasks.
 	MaxWaitingTasks int
 	// RemoteDataFactor is how many times longer a task runs away from its data; values below 1 count as
