Report an entry that reaches no registrar as not ready

Cause: such an entry rejects all jobs, but counted as ready, and callers kept their connections to it.

Change: it is not ready, so that the balancer sends callers elsewhere, and its answers close callers' connections, as at an entry that is cut off from all agents.

TestEntryWithoutRegistrarsIsNotReady failed without the condition ("ready without a registrar").

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -216,7 +216,7 @@
 	if ready != e.lastReady {
 		e.lastReady = ready
 		e.Log.Info(event.ReadinessChanged, event.Fields{
-			"ready": ready, "routes": e.config != nil, "servers": e.scheduler.Servers(), "processor_short": e.cpuShortageLasts(),
+			"ready": ready, "routes": e.config != nil, "servers": e.scheduler.Servers(), "no_registrar": e.scheduler.LacksRegistrar(boottime.Now()), "processor_short": e.cpuShortageLasts(),
 		})
 	}
 	return ready
--- a/daemon/runentry/lag.go
+++ b/daemon/runentry/lag.go
@@ -97,10 +97,10 @@
 	return !e.canServe() && !e.scheduler.WarmingUp(boottime.Now())
 }
 
-// canServe reports whether the entry has routes, a usable backend server and no lasting shortage of CPU
-// time. The caller must hold e.mu.
+// canServe reports whether the entry has routes, a usable backend server, an agent that can grant jobs and no
+// lasting shortage of CPU time. The caller must hold e.mu.
 func (e *Entry) canServe() bool {
-	return e.config != nil && e.scheduler.Servers() > 0 && !e.cpuShortageLasts()
+	return e.config != nil && e.scheduler.Servers() > 0 && !e.scheduler.LacksRegistrar(boottime.Now()) && !e.cpuShortageLasts()
 }
 
 // closeSilentLinks closes links that have been silent for too long; they are redialed immediately. The
--- a/daemon/runentry/ownership_test.go
+++ b/daemon/runentry/ownership_test.go
@@ -6,6 +6,7 @@
 
 	"poplargw.example/daemon/boottime"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/route"
 	"poplargw.example/dispatch/run"
 )
@@ -62,3 +63,21 @@
 		t.Error("tasks were ordered before the agent has granted the job")
 	}
 }
+
+// Guards against callers whose connections stay with an entry that rejects all jobs because it has a link to an agent,
+// but to none that grants jobs.
+func TestEntryWithoutRegistrarsIsNotReady(t *testing.T) {
+	e, _ := newTestEntry(t)
+	e.SetConfig(&route.Config{Version: 1})
+	e.SetAgents([]Agent{{ID: "b", Address: "127.0.0.1:1", Domain: "d"}})
+	if !e.Ready() || e.ShouldReconnect() {
+		t.Fatal("not ready while the link to the registrar may be about to open")
+	}
+	time.Sleep(400 * time.Millisecond)
+	if e.Ready() || !e.ShouldReconnect() {
+		t.Error("ready without a registrar")
+	}
+	if o, ok := e.admit(newTestJob(), make(chan jobs.Outcome, 1)); ok || o.Code != result.NotReady || o.Effect != result.NotRun {
+		t.Errorf("job admitted: %t, outcome %+v", ok, o)
+	}
+}
--- a/dispatch/jobs/registrarloss.go
+++ b/dispatch/jobs/registrarloss.go
@@ -30,8 +30,8 @@
 	return now.Sub(since) >= registrarWait
 }
 
-// lacksRegistrarForNewJobs is lacksRegistrar for a job that is submitted now.
-func (s *Scheduler) lacksRegistrarForNewJobs(now time.Time) bool {
+// LacksRegistrar reports whether jobs that are submitted now are rejected because no registrar is reachable.
+func (s *Scheduler) LacksRegistrar(now time.Time) bool {
 	s.observeRegistrars(now)
 	return s.lacksRegistrar(now, &ownership{order: s.registrars})
 }
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -226,7 +226,7 @@
 	if !known && s.WarmingUp(now) {
 		return 0
 	}
-	if !known || s.lacksRegistrarForNewJobs(now) {
+	if !known || s.LacksRegistrar(now) {
 		return result.NotReady
 	}
 	for _, step := range in.Steps {
