Count conflicts of owners, and trace them in the soak

Change: an agent counts the conflicts (poplargw_agent_owner_conflicts_total). The event and the counter tell whether the ownership of the entry that connects has lapsed: such an entry requests the job in the frame in which it lists it. The event has the age of the newest message of the owner on record. The summary of each soak tells the number of these events, and prints what the processes logged of up to four of the jobs.

--- a/daemon/runagent/metrics.go
+++ b/daemon/runagent/metrics.go
@@ -43,3 +43,8 @@
 func (c *counters) countEndedRun(kind run.EventKind) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("poplargw_agent_runs_ended_total{kind=%q}", kind.String())).Inc()
 }
+
+// ownerConflicts counts the jobs that an entry says it owns, or has runs of, while another one is on record as the owner.
+func (c *counters) ownerConflicts(lapsed bool) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("poplargw_agent_owner_conflicts_total{lapsed=%q}", fmt.Sprint(lapsed)))
+}
--- a/daemon/runagent/ownership.go
+++ b/daemon/runagent/ownership.go
@@ -1,6 +1,7 @@
 package runagent
 
 import (
+	"slices"
 	"time"
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
@@ -28,9 +29,7 @@
 	if f.GetHello() != nil {
 		grants, conflicts := a.owners.Restore(now, s.entry, f.GetOwned())
 		a.queueGrants(grants)
-		for _, job := range conflicts {
-			a.Log.Error(event.OwnerConflict, event.Fields{"job": job, "entry": s.entry, "owner": a.owners.Owner(job)})
-		}
+		a.reportConflicts(now, s, f, conflicts)
 	}
 	for _, job := range f.GetReleases() {
 		if grant, ok := a.owners.Release(s.entry, job); ok {
@@ -48,6 +47,20 @@
 	a.sendGrants(s)
 }
 
+// reportConflicts counts and logs the jobs of an entry that has opened a link while another entry is on record as their
+// owner. An entry whose ownership has lapsed lists a job only because it has runs of it left, and requests it in
+// the same frame. The caller must hold a.mu.
+func (a *Agent) reportConflicts(now time.Time, s *session, f *peerv1.EntryFrame, conflicts []string) {
+	for _, job := range conflicts {
+		lapsed := slices.ContainsFunc(f.GetRequests(), func(r *peerv1.JobRequest) bool { return r.GetJob() == job })
+		recorded := a.owners.Owner(job)
+		a.counters.ownerConflicts(lapsed).Inc()
+		a.Log.Error(event.OwnerConflict, event.Fields{
+			"job": job, "entry": s.entry, "lapsed": lapsed, "owner": recorded, "owner_silent_ms": a.owners.Silence(now, recorded).Milliseconds(),
+		})
+	}
+}
+
 // queueGrants adds answers, most of them grants, to those for their entries. An entry without a link repeats its request over a new one.
 // The caller must hold a.mu.
 func (a *Agent) queueGrants(grants []owner.Answer) {
--- a/dispatch/owner/owner.go
+++ b/dispatch/owner/owner.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// Silence returns the time since the newest message of an entry that owns a job or waits for one, and 0 for any other.
+func (t *Table) Silence(now time.Time, entry string) time.Duration {
+	contact, ok := t.contacts[entry]
+	if !ok {
+		return 0
+	}
+	return now.Sub(contact)
+}
+
 // Request records that the entry wants to own the job, and returns the answer. It returns false if the answer
 // follows: Tick returns it after the RestoreWindow.
 func (t *Table) Request(now time.Time, entry string, in Request) (Answer, bool) {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// summary returns the numbers of jobs by their answers, of starts and crashes, and of starts carried out late.
+// summary returns the numbers of jobs by their answers, of starts and crashes, of starts carried out late, and of
+// lines that report a conflict of owners.
 func (d *deployment) summary(c *callers) string {
 	starts, crashed, late := 0, 0, 0
 	for _, a := range d.agents {
@@ -78,8 +79,8 @@
 			}
 		}
 	}
-	return fmt.Sprintf("%d jobs, %d completed, %d failed, %d refused, %d starts, %d runs crashed, %d starts late",
-		c.next, c.completed, len(c.failed), len(c.refused), starts, crashed, late)
+	return fmt.Sprintf("%d jobs, %d completed, %d failed, %d refused, %d starts, %d runs crashed, %d starts late, %d conflicts of owners",
+		c.next, c.completed, len(c.failed), len(c.refused), starts, crashed, late, d.conflictCount())
 }
 
 // jobOf returns the ID of the job to which a task belongs.
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -61,6 +61,7 @@
 	// The lines of the last runs reach the logs within this time.
 	time.Sleep(300 * time.Millisecond)
 	d.checkLinkRuns(t, c)
+	d.traceConflicts()
 	t.Logf("seed %d: %s, attempts %d, faults: %v", seed, d.summary(c.callers), c.total, counts)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -131,6 +131,7 @@
 	for _, v := range <-versions {
 		t.Error(v)
 	}
+	d.traceConflicts()
 	t.Logf("seed %d: %s, faults: %s", seed, d.summary(c), strings.Join(done, ", "))
 }
 
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -80,6 +80,7 @@
 	for _, v := range <-versions {
 		t.Error(v)
 	}
+	d.traceConflicts()
 	t.Logf("%s, seed %d: %s, faults: %s", m.name, seed, d.summary(c), strings.Join(done, ", "))
 }
 
