--- a/dispatch/jobs/links.go
+++ b/dispatch/jobs/links.go
@@ -18,6 +18,7 @@
 		sort.Slice(s.fleet, func(i, j int) bool { return s.fleet[i].agent < s.fleet[j].agent })
 	}
 	s.recordConnection(now)
+	s.observeRegistrars(now)
 	s.linkChanges++
 	v.linked = true
 	v.reported = false
@@ -39,6 +40,7 @@
 // claimed over a new link or have certainly ended.
 func (s *Scheduler) AgentDisconnected(now time.Time, agent string) {
 	if v := s.servers[agent]; v != nil {
+		s.observeRegistrars(now)
 		s.linkChanges++
 		v.linked, v.unlinkedAt = false, now
 	}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -44,6 +44,7 @@
 	// registrarListed holds when each registrar was first listed, connectedSince since when the entry has had a link.
 	registrarListed map[string]time.Time
 	connectedSince  time.Time
+	registrarSeen   time.Time  // when a registrar was reachable last, as far as observeRegistrars was called
 	lastRequest     uint64     // number of the newest request for a job
 	singleServer    [1]*server // argument of dispatchTo, kept to avoid an allocation
 }
--- a/dispatch/jobs/submit.go
+++ b/dispatch/jobs/submit.go
@@ -38,8 +38,8 @@
 // defaultRetryAfter is the retry advice when the entry cannot tell when there will be capacity.
 const defaultRetryAfter = time.Second
 
-// refusalCode returns the code with which a job is refused because the entry is stopping or no backend
-// server can run it, or 0. During warm-up, jobs are held for the first server of their service.
+// refusalCode returns the code with which a job is refused because the entry is stopping, or no backend
+// server can run it, or no registrar can grant it, or 0. During warm-up, jobs are held for the first server of their service.
 func (s *Scheduler) refusalCode(now time.Time, in Job) result.Code {
 	if s.leaving {
 		return result.Draining
@@ -50,6 +50,9 @@
 		}
 		return result.NotReady
 	}
+	if s.LacksRegistrar(now) {
+		return result.NotReady
+	}
 	for _, step := range in.Steps {
 		if s.fitsAnywhere(in.Queue.Service, step) {
 			continue
--- a/dispatch/jobs/tick.go
+++ b/dispatch/jobs/tick.go
@@ -6,6 +6,7 @@
 // that cannot finish in time, and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time) {
 	s.endLostRuns(now)
+	s.observeRegistrars(now)
 	s.advanceOwnerships(now)
 	s.updateBulkheads(now)
 	s.moveStragglers(now)
