Let the callers of the soak come back at once after a reset

Callers of all soak tests waited 1,300 ms after every broken connection, so no soak guarded against the reported failure: two runs of a task at two entries after a reset.

Two in three callers whose connection broke now submit the job again within 15 ms, over a new connection and to any entry. A caller that gave up itself still waits 1,300 ms. Each entry has the proxy in front of it that TestSoakLinks used already; TestSoak, TestSoakCrashes and TestUpgrade reset connections of callers up to 12 ms after a request was delivered, beside all other faults and from random numbers of their own, and the entry learns of it up to 100 ms later. TestSoakLinks has the same as one more fault of its callers. Each caller has its own connections and uses them until they end; before, all shared a pool of two idle ones per entry. A stopped run ends after 50 ms in all tests, as in TestSoakLinks. No check has changed. A caller makes one attempt more than before, because attempts at once use them up.

--- a/soak/agent.go
+++ b/soak/agent.go
@@ -20,6 +20,8 @@
 	heartbeatInterval = 200 * time.Millisecond
 	// heartbeatTimeout is how long a backend server waits for the acknowledgement of a heartbeat.
 	heartbeatTimeout = time.Second
+	// stopTime is how long a stopped run goes on, the stopMs of the settings.
+	stopTime = 50 * time.Millisecond
 	// shrinkLimit is the time after the heartbeat that announced a smaller capacity from which on no start may
 	// exceed it.
 	shrinkLimit = 3000*time.Millisecond + heartbeatInterval
@@ -58,6 +60,7 @@
 		backend: standin.NewBackend(fmt.Sprintf("i-%d", i)), controlAddr: nettest.FreeAddr(d.t, ip), zone: []string{zoneA, zoneB}[i%2],
 		state: "ready", capacity: cpuCapacity, announced: []announcement{{capacity: cpuCapacity}},
 	}
+	a.backend.SetStopTime(stopTime)
 	a.backendLinks = d.forward(d.serve(a.backend))
 	address := nettest.FreeAddr(d.t, ip)
 	_, port, _ := net.SplitHostPort(address)
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -78,8 +78,8 @@
 			}
 		}
 	}
-	return fmt.Sprintf("%d jobs, %d completed, %d failed, %d refused, %d starts, %d runs crashed, %d starts late",
-		c.next, c.completed, len(c.failed), len(c.refused), starts, crashed, late)
+	return fmt.Sprintf("%d jobs, %d completed, %d failed, %d refused, %d starts, %d runs crashed, %d starts late, %d attempts at once after a broken connection",
+		c.next, c.completed, len(c.failed), len(c.refused), starts, crashed, late, c.returned)
 }
 
 // jobOf returns the ID of the job to which a task belongs.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -118,6 +118,16 @@
 	return f
 }
 
+// startProxy starts a proxy to a target address until the test ends.
+func (d *deployment) startProxy(target string) *proxy {
+	p, err := newProxy(target)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(p.close)
+	return p
+}
+
 // routePrefix returns the path prefix of the route that exists only in the given configuration version.
 func routePrefix(version int) string { return fmt.Sprintf("/v%d/", version) }
 
@@ -156,6 +166,7 @@
 	ip := fmt.Sprint(d.ipPrefix, firstEntryHost+i)
 	n := &node{name: fmt.Sprintf("front-%d", i), role: "entry", build: d.entryBuild, frontAddr: nettest.FreeAddr(d.t, ip), readyAddr: nettest.FreeAddr(d.t, ip)}
 	n.file = d.writeSettings(n.name, fmt.Sprintf("zone = %q\nip = %q\nportRange = [1, 2]\n[listen]\nfront = %q\nready = %q", zoneA, ip, n.frontAddr, n.readyAddr))
+	n.callerLink = d.startProxy(n.frontAddr)
 	d.entries = append(d.entries, n)
 	d.launch(n)
 }
--- a/soak/link_faults.go
+++ b/soak/link_faults.go
@@ -47,6 +47,9 @@
 	}},
 	{"callers", 50 * time.Millisecond, 300 * time.Millisecond, []linkFault{
 		{"callers reset", func(d *linkDeployment, r *rand.Rand) { d.disturbCallers(r, (*proxyConn).reset) }},
+		{"callers reset after a request", func(d *linkDeployment, r *rand.Rand) {
+			d.disturbCallers(r, func(c *proxyConn) { cutAfterRequest(r, c) })
+		}},
 		{"callers held", func(d *linkDeployment, r *rand.Rand) {
 			d.disturbCallers(r, func(c *proxyConn) { c.hold(randomDuration(r, 10*time.Millisecond, time.Second)) })
 		}},
--- a/soak/links_test.go
+++ b/soak/links_test.go
@@ -20,8 +20,6 @@
 const (
 	// linkTaskCPU is the CPU demand of a task in TestSoakLinks: 16 fit on a backend server.
 	linkTaskCPU = 500
-	// stopTime is how long a stopped run goes on, the stopMs of the settings.
-	stopTime = 50 * time.Millisecond
 	// refusedDelay is the longest pause of a caller after a refusal.
 	refusedDelay = 150 * time.Millisecond
 	// maxTraced bounds the jobs of which the trace of a failed task is printed.
@@ -67,28 +65,15 @@
 // newLinkDeployment starts a deployment of three entries and four agents with proxies.
 func newLinkDeployment(t *testing.T, b build) *linkDeployment {
 	d := &linkDeployment{}
-	start := func(target string) *proxy {
-		p, err := newProxy(target)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(p.close)
-		return p
-	}
 	d.deployment = prepareDeployment(t, b, b, 4)
 	for _, a := range d.agents {
-		p := start(a.linkAddr)
+		p := d.startProxy(a.linkAddr)
 		d.links = append(d.links, p)
 		d.linkAddrs[a.linkAddr] = p.addr()
 	}
 	d.launchAll(3)
 	for _, e := range d.entries {
-		p := start(e.frontAddr)
-		d.callerLinks = append(d.callerLinks, p)
-		e.frontAddr = p.addr()
-	}
-	for _, a := range d.agents {
-		a.backend.SetStopTime(stopTime)
+		d.callerLinks = append(d.callerLinks, e.callerLink)
 	}
 	return d
 }
@@ -97,7 +82,7 @@
 type attempt struct {
 	entry      string
 	start, end time.Time
-	status     int // 0 without an answer
+	status     int // as sendWithin returns it
 }
 
 // batchCallers submits jobs of many short tasks.
@@ -115,7 +100,7 @@
 func (c *batchCallers) start(ctx context.Context, seed uint64) {
 	for i := range batchCallerCount {
 		r := rand.New(rand.NewPCG(seed, uint64(i)+300))
-		client := &http.Client{Transport: &http.Transport{}}
+		client := newClient()
 		c.wg.Go(func() {
 			defer client.CloseIdleConnections()
 			for ctx.Err() == nil {
@@ -126,21 +111,23 @@
 	}
 }
 
-// submitBatch submits a job of many tasks until it is answered, at most four times. After a refusal it submits the job
-// again within refusedDelay, after no answer resendDelay later, each time to another entry. One caller in eight leaves
-// early.
+// submitBatch submits a job of many tasks until it is answered, at most five times. After a refusal it submits the job
+// again within refusedDelay, after no answer as awaitReturn does, in three cases of four to another entry. One caller in
+// eight leaves early.
 func (c *batchCallers) submitBatch(ctx context.Context, client *http.Client, r *rand.Rand) {
 	id := c.newID()
 	ms := 20 + r.IntN(180)
 	body := fmt.Sprintf(`{"spec":%q,"bestEffort":true,"steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":%d}]}`,
 		demandSpec(ms, linkTaskCPU), 8+r.IntN(25), linkTaskCPU, ms)
 	var e *node
-	for range 4 {
+	for range 5 {
 		limit := callTimeout
 		if r.IntN(8) == 0 {
 			limit = randomDuration(r, 5*time.Millisecond, 300*time.Millisecond)
 		}
-		e = pick(r, slices.DeleteFunc(slices.Clone(c.d.entries), func(n *node) bool { return n == e }))
+		if e == nil || r.IntN(4) > 0 {
+			e = pick(r, slices.DeleteFunc(slices.Clone(c.d.entries), func(n *node) bool { return n == e }))
+		}
 		a := attempt{entry: e.name, start: time.Now()}
 		status, state := c.sendWithin(client, e, id, body, limit)
 		a.end, a.status = time.Now(), status
@@ -156,7 +143,7 @@
 			time.Sleep(randomDuration(r, 0, refusedDelay))
 			continue
 		}
-		time.Sleep(resendDelay)
+		c.awaitReturn(client, r, status)
 	}
 }
 
--- a/soak/node.go
+++ b/soak/node.go
@@ -22,6 +22,7 @@
 	name, role, file     string
 	frontAddr, readyAddr string
 	log                  *os.File
+	callerLink           *proxy // in front of an entry
 
 	mu       sync.Mutex
 	build    build // of the next start
@@ -91,6 +92,9 @@
 	return name
 }
 
+// callerAddr returns the address at which callers reach an entry.
+func (n *node) callerAddr() string { return n.callerLink.addr() }
+
 // signal sends a signal to the process, if it has been started.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -28,6 +28,8 @@
 	heldUntil time.Time // nothing is delivered before
 	silent    bool      // nothing is delivered any more
 	closed    bool
+	// cut is called once after the next data of the client was delivered, unless it is nil.
+	cut func()
 }
 
 // proxyChunk is data that is delivered at a time, or the end of a direction if data is nil.
@@ -89,8 +91,8 @@
 	p.conns[c] = true
 	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.forward(c, c.source, c.target) })
-	wg.Go(func() { p.forward(c, c.target, c.source) })
+	wg.Go(func() { p.forward(c, c.source, c.target, c.cutOnce) })
+	wg.Go(func() { p.forward(c, c.target, c.source, func() {}) })
 	wg.Wait()
 	c.reset()
 	p.mu.Lock()
@@ -98,8 +100,8 @@
 	p.mu.Unlock()
 }
 
-// forward forwards one direction of a connection until its end has been delivered.
-func (p *proxy) forward(c *proxyConn, from, to *net.TCPConn) {
+// forward forwards one direction of a connection until its end has been delivered. It calls delivered after each write.
+func (p *proxy) forward(c *proxyConn, from, to *net.TCPConn, delivered func()) {
 	queue := make(chan proxyChunk, proxyQueueLength)
 	go p.read(from, queue)
 	for chunk := range queue {
@@ -118,6 +120,7 @@
 		if _, err := to.Write(chunk.data); err != nil {
 			break
 		}
+		delivered()
 	}
 	for range queue { // the reader may be waiting for space
 	}
@@ -199,6 +202,31 @@
 	c.heldUntil = time.Now().Add(d)
 }
 
+// cutAfterRequest calls cut a pause after the next data of the client was delivered to the server.
+func (c *proxyConn) cutAfterRequest(pause time.Duration, cut func(*proxyConn)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = func() { time.AfterFunc(pause, func() { cut(c) }) }
+}
+
+// keep undoes cutAfterRequest, unless the data was delivered already.
+func (c *proxyConn) keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = nil
+}
+
+// cutOnce does what cutAfterRequest has set.
+func (c *proxyConn) cutOnce() {
+	c.mu.Lock()
+	cut := c.cut
+	c.cut = nil
+	c.mu.Unlock()
+	if cut != nil {
+		cut()
+	}
+}
+
 // silence delivers nothing any more, not even the end of the connection.
 func (c *proxyConn) silence() {
 	c.mu.Lock()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -76,3 +76,38 @@
 		t.Errorf("read %d bytes, %v", n, err)
 	}
 }
+
+// TestProxyCutsAfterRequest guards against a proxy that resets the connection before it has delivered the next request, or
+// that tells the server of the reset early, and against a connection that is cut although that was undone.
+func TestProxyCutsAfterRequest(t *testing.T) {
+	const request, lag = "request", 150 * time.Millisecond
+	source, target, c := pipeThrough(t)
+	data := make([]byte, len(request))
+	send := func() {
+		t.Helper()
+		if _, err := io.WriteString(source, request); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(target, data); err != nil || string(data) != request {
+			t.Fatalf("the server read %q, %v", data, err)
+		}
+	}
+	c.cutAfterRequest(0, (*proxyConn).reset)
+	c.keep()
+	send()
+	c.cutAfterRequest(0, func(c *proxyConn) { c.resetSource(lag) })
+	send()
+	began := time.Now()
+	if _, err := source.Read(data); err == nil {
+		t.Error("the client reads from a connection that was cut")
+	}
+	if took := time.Since(began); took > lag/2 {
+		t.Errorf("the client sees the reset after %s, want it at once", took)
+	}
+	if _, err := target.Read(data); err == nil {
+		t.Error("the server does not see the reset")
+	}
+	if took := time.Since(began); took < lag/2 {
+		t.Errorf("the server sees the reset after %s, want about %s", took, lag)
+	}
+}
--- a/soak/signal_faults.go
+++ b/soak/signal_faults.go
@@ -60,15 +60,16 @@
 // errUsed is the error of a client that would need a second connection.
 var errUsed = errors.New("the connection has ended")
 
-// singleConnectionClient returns a client that opens one connection and fails when that has ended.
-func singleConnectionClient() *http.Client {
+// singleConnectionClient returns a client that opens one connection, to the process of an entry without the proxy, and
+// fails when that has ended.
+func singleConnectionClient(e *node) *http.Client {
 	used := false
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := func(ctx context.Context, network, _ string) (net.Conn, error) {
 		if used {
 			return nil, errUsed
 		}
 		used = true
-		return (&net.Dialer{}).DialContext(ctx, network, address)
+		return (&net.Dialer{}).DialContext(ctx, network, e.frontAddr)
 	}
 	return &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DialContext: dial}}
 }
@@ -84,7 +85,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			client := singleConnectionClient()
+			client := singleConnectionClient(e)
 			defer client.CloseIdleConnections()
 			for ctx.Err() == nil && d.callers.submitOnce(client, e, fmt.Sprintf(`{"spec":"30","bestEffort":true,"steps":[{"count":1,"cpu":%d,"memMb":64,"estimateMs":30}]}`, taskCPU)) {
 			}
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -69,8 +69,10 @@
 			d.replaceAll(t, order, after)
 		}()
 	}
+	stopResets := d.startCallerResets(ctx, seed)
 	done := d.injectFaults(r, faults, time.Duration(envUint(t, "SOAK_SECONDS", 12))*time.Second)
 	wg.Wait()
+	stopResets()
 	d.awaitService(c, "the last fault")
 	d.checkEvacuation(t, c)
 	cancel()
