--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -35,7 +35,7 @@
 // involved.
 func TestUpgrade(t *testing.T) {
 	after := build{name: "current", binary: requireBinary(t)}
-	before := build{name: withoutCrashBudget, binary: os.Getenv("SOAK_PRODUCTION")}
+	before := build{name: "production", binary: os.Getenv("SOAK_PRODUCTION")}
 	if before.binary == "" {
 		t.Skip("SOAK_PRODUCTION is not set; use make soak-upgrade")
 	}
@@ -69,8 +69,10 @@
 			d.replaceAll(t, order, after)
 		}()
 	}
+	stopResets := d.startCallerResets(ctx, seed)
 	done := d.injectFaults(r, faults, time.Duration(envUint(t, "SOAK_SECONDS", 12))*time.Second)
 	wg.Wait()
+	stopResets()
 	d.awaitService(c, "the last fault")
 	d.checkEvacuation(t, c)
 	cancel()
