Log the stacks of all goroutines on SIGUSR1

A stall of a running process could be examined only by ending it with SIGQUIT. poplargwd now logs the stacks as event 108 on SIGUSR1 and goes on. The stacks are cut at 4 MiB.

Tested by TestStacksAreLogged (daemon/cmd/poplargwd).

--- a/daemon/cmd/poplargwd/main_test.go
+++ b/daemon/cmd/poplargwd/main_test.go
@@ -5,12 +5,16 @@
 	"errors"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/pki"
 	"poplargw.example/daemon/settings"
+	"poplargw.example/daemon/signals"
 )
 
 // agentSettings is a valid settings file of an agent. Its certificate files are relative to the working
@@ -70,3 +74,29 @@
 		t.Error("check without a file returned no error")
 	}
 }
+
+// Guards against a daemon that ends at the signal that asks for its stacks, or logs none.
+func TestStacksAreLogged(t *testing.T) {
+	file, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	log, err := event.Open("info", event.FormatJSON, file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go logStacks(log, signals.NotifyStacks())
+	if err := syscall.Kill(os.Getpid(), syscall.SIGUSR1); err != nil {
+		t.Fatal(err)
+	}
+	var text []byte
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && !bytes.HasSuffix(text, []byte("\n")); time.Sleep(10 * time.Millisecond) {
+		if text, err = os.ReadFile(file.Name()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !strings.Contains(string(text), `"event":108`) || !strings.Contains(string(text), "TestStacksAreLogged") {
+		t.Errorf("the log is %q", text)
+	}
+}
--- a/daemon/event/catalogue.go
+++ b/daemon/event/catalogue.go
@@ -11,6 +11,7 @@
 	StopForced      ID = 105
 	ComponentFailed ID = 106
 	DrainFailed     ID = 107
+	StacksRequested ID = 108
 )
 
 var processTexts = map[ID]string{
@@ -21,6 +22,7 @@
 	StopForced:      "graceful stop was cut short by a second signal",
 	ComponentFailed: "process ends because one of its components failed",
 	DrainFailed:     "graceful stop did not finish within its limit",
+	StacksRequested: "stacks of all goroutines, requested by SIGUSR1",
 }
 
 // texts holds the fixed texts of all events.
--- a/daemon/signals/signals.go
+++ b/daemon/signals/signals.go
@@ -4,6 +4,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 )
 
@@ -36,3 +37,20 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	return reloads
 }
+
+// NotifyStacks returns a channel that receives a value for each SIGUSR1, which asks for the stacks of all goroutines.
+// Signals that arrive while a value is waiting are dropped.
+func NotifyStacks() <-chan os.Signal {
+	requests := make(chan os.Signal, 1)
+	signal.Notify(requests, syscall.SIGUSR1)
+	return requests
+}
+
+// maxStacksSize bounds the text of the stacks: a process under load has some thousand goroutines.
+const maxStacksSize = 4 << 20
+
+// Stacks returns the stacks of all goroutines as text, cut after maxStacksSize bytes.
+func Stacks() string {
+	buf := make([]byte, maxStacksSize)
+	return string(buf[:runtime.Stack(buf, true)])
+}
