Log which crashes count against a task that is given up

Event 674 has only the number of runs on a crashed server, so the log did not show whether a task that was given up had been alone there. Event 678 now names, for each counted crash, the server, its process, the share and the age of the task's run, and the numbers of other runs and of those of other jobs. The failure message of TestSoakCrashes prints it.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -56,6 +56,7 @@
 	KindConfined             ID = 675
 	KindReleased             ID = 676
 	JobAdmitted              ID = 677
+	TaskGivenUp              ID = 678
 )
 
 var runTexts = map[ID]string{
@@ -109,4 +110,5 @@
 	OwnerConflict:            "two entries say that they own one job",
 	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
+	TaskGivenUp:              "task is given up because backend servers crashed under it",
 }
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -49,9 +49,29 @@
 		e.Log.Warn(event.KindConfined, f)
 	case jobs.Released:
 		e.Log.Info(event.KindReleased, event.Fields{"queue": d.Queue})
+	case jobs.GivenUp:
+		e.Log.InfoLimited(event.TaskGivenUp, givenUpFields(d))
 	}
 }
 
+// countedCrash is a crash in the fields of event.TaskGivenUp.
+type countedCrash struct {
+	Agent     string  `json:"agent"`
+	Instance  string  `json:"instance"`
+	Share     float64 `json:"share"`
+	AgeMs     int64   `json:"age_ms"`
+	Others    int     `json:"others"`
+	OtherJobs int     `json:"other_jobs"`
+}
+
+func givenUpFields(d jobs.Decision) event.Fields {
+	list := make([]countedCrash, len(d.Crashes))
+	for i, c := range d.Crashes {
+		list[i] = countedCrash{c.Agent, c.Instance, c.Share, c.Age.Milliseconds(), c.Others, c.OtherJobs}
+	}
+	return event.Fields{"task": d.Ref.Task, "crashes": d.Count, "share": d.Share, "servers": list}
+}
+
 // recordOutcome logs the outcome of a job and updates the metrics.
 func (e *Entry) recordOutcome(j jobs.Job, o jobs.Outcome) {
 	took := boottime.Now().Sub(j.Arrived)
--- /dev/null
+++ b/daemon/runentry/decisions_test.go
@@ -0,0 +1,33 @@
+package runentry
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"poplargw.example/daemon/event"
+	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/run"
+)
+
+// Guards against a log that says that a task was given up but not under which crashes, and beside which other runs.
+func TestGivenUpTaskIsLoggedWithItsCrashes(t *testing.T) {
+	var out bytes.Buffer
+	log, err := event.NewBounded(&out, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, _ := newTestEntry(t)
+	e.Log = log
+	e.logDecision(jobs.Decision{Kind: jobs.GivenUp, Ref: run.Ref{Task: "j.0.0.0"}, Count: 2, Share: 1.5, Crashes: []jobs.CountedCrash{
+		{Agent: "a1", Instance: "i-1", Share: 0.5, Age: 10 * time.Millisecond, Others: 3, OtherJobs: 1},
+	}})
+	log.Close()
+	for _, part := range []string{`"event":678`, `"task":"j.0.0.0"`, `"crashes":2`, `"share":1.5`,
+		`"servers":[{"agent":"a1","instance":"i-1","share":0.5,"age_ms":10,"others":3,"other_jobs":1}]`} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("the log lacks %s: %s", part, out.String())
+		}
+	}
+}
--- a/dispatch/jobs/bulkhead_test.go
+++ b/dispatch/jobs/bulkhead_test.go
@@ -90,7 +90,7 @@
 	h := newHarness(t, 1, 10_000)
 	h.submit("running", 1, 3000, 50*time.Millisecond)
 	for range minLikelyCrashes {
-		h.Scheduler.crashes.addTask(h.now, "waiting.0.0.0", "i", 0)
+		h.Scheduler.crashes.addTask(h.now, "waiting.0.0.0", "i", CountedCrash{})
 	}
 	h.submit("waiting", 1, 3000, 50*time.Millisecond)
 	if want := h.WaitingDemand(h.now, "a0"); want.Demand.CPU > 0 {
--- a/dispatch/jobs/capacity_test.go
+++ b/dispatch/jobs/capacity_test.go
@@ -155,7 +155,7 @@
 			j := newJob(Job{ID: "x", Queue: testQueue, Arrived: h.now, Steps: []Step{{Count: 1, Demand: largeDemand, Estimate: time.Second}}})
 			task := j.tasks[0]
 			for range minLikelyCrashes {
-				h.Scheduler.crashes.addTask(h.now, task.name, "i", 0)
+				h.Scheduler.crashes.addTask(h.now, task.name, "i", CountedCrash{})
 			}
 			if !h.mustRunAlone(j, task) {
 				t.Fatal("the task need not run alone")
--- a/dispatch/jobs/crashes.go
+++ b/dispatch/jobs/crashes.go
@@ -34,6 +34,21 @@
 	newest time.Time
 	// instance is the process of the newest crash, or "" if its agent has reported none.
 	instance string
+	// counted holds the first maxTaskCrashes crashes.
+	counted []CountedCrash
+}
+
+// CountedCrash is a crash of a backend server that counts against a task, for the log.
+type CountedCrash struct {
+	// Agent and Instance identify the process of the backend server.
+	Agent, Instance string
+	// Share is the task's share in the cause. It is 0 if the agent reports no crashes.
+	Share float64
+	// Age is the time from the start of the task's run to the crash.
+	Age time.Duration
+	// Others is the number of other runs that the process had started, OtherJobs the number of those that belong
+	// to other jobs.
+	Others, OtherJobs int
 }
 
 // exhausted reports whether the task must not start again.
@@ -62,20 +77,33 @@
 }
 
 // addTask records that a process of a backend server crashed while it had a run of the task.
-func (l *crashLog) addTask(now time.Time, name, instance string, share float64) *taskCrashes {
+func (l *crashLog) addTask(now time.Time, name, instance string, crash CountedCrash) {
 	c := l.tasks[name]
 	if c == nil {
 		if len(l.tasks) >= maxCrashedTasks {
-			return &taskCrashes{}
+			return
 		}
 		c = &taskCrashes{}
 		l.tasks[name] = c
 	}
 	c.count++
-	c.share += share
+	c.share += crash.Share
 	c.newest = now
 	c.instance = instance
-	return c
+	if len(c.counted) < maxTaskCrashes {
+		c.counted = append(c.counted, crash)
+	}
+}
+
+// countedCrashOf describes a crash for the task of its suspect i.
+func countedCrashOf(agent string, c run.Crash, i int, share float64) CountedCrash {
+	counted := CountedCrash{Agent: agent, Instance: c.Instance, Share: share, Age: c.Suspects[i].Age, Others: len(c.Suspects) - 1}
+	for _, s := range c.Suspects {
+		if jobOf(s.Task) != jobOf(c.Suspects[i].Task) {
+			counted.OtherJobs++
+		}
+	}
+	return counted
 }
 
 // sweepPeriod is the time between two searches for crashes to forget.
@@ -141,13 +169,13 @@
 		if before != nil && at.Sub(before.newest) > simultaneousCrashes && suspect.Age <= youngRun {
 			repeated[suspect.Kind] = true
 		}
-		s.crashes.addTask(at, suspect.Task, c.Instance, shares[i])
+		s.crashes.addTask(at, suspect.Task, c.Instance, countedCrashOf(agent, c, i, shares[i]))
 	}
 	if v := s.servers[agent]; v != nil {
 		s.addEvidence(now, at, v, c, repeated)
 	}
 	for _, suspect := range c.Suspects {
-		if j := s.jobs[jobOf(suspect.Task)]; j != nil && s.exhausted(j) {
+		if j := s.jobs[jobOf(suspect.Task)]; j != nil && s.givenUp(j) {
 			s.finish(j, Outcome{Code: result.ServerCrashes})
 		}
 	}
@@ -170,10 +198,12 @@
 	}
 }
 
-// exhausted reports whether a task of the job must not start again because backend servers crashed under it.
-func (s *Scheduler) exhausted(j *job) bool {
+// givenUp reports whether a task of the job must not start again because backend servers crashed under it, and
+// records the crashes as a decision if so.
+func (s *Scheduler) givenUp(j *job) bool {
 	for _, t := range j.tasks {
 		if c := s.crashes.tasks[t.name]; c != nil && t.state != taskDone && c.exhausted() {
+			s.recordDecision(Decision{Kind: GivenUp, Ref: run.Ref{Task: t.name}, Count: c.count, Share: c.share, Crashes: c.counted})
 			return true
 		}
 	}
@@ -189,7 +219,7 @@
 	if reported || left || a.server.reportsCrashes || reason != result.ServerLost {
 		return
 	}
-	s.crashes.addTask(now, a.task.name, "", 0)
+	s.crashes.addTask(now, a.task.name, "", CountedCrash{Agent: a.server.agent, Instance: a.instance})
 }
 
 // mustRunAlone reports whether the task may have crashed a backend server and belongs to a confined kind, or has
--- a/dispatch/jobs/crashes_test.go
+++ b/dispatch/jobs/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -347,3 +348,33 @@
 		t.Errorf("%d starts, each with a crash, want at most %d", starts, maxTaskCrashes)
 	}
 }
+
+// Guards against a task that is given up without a record of which crashes counted and which other runs were there.
+func TestGivenUpTaskTellsItsCrashes(t *testing.T) {
+	h := newHarness(t, 1, 10_000)
+	h.submit("filler", 1, 10_000, 50*time.Millisecond)
+	if !h.submit("j", 2, 3000, 10*time.Millisecond) {
+		t.Fatalf("the job was refused: %+v", h.outcomes["j"])
+	}
+	h.Decisions()
+	own, sibling := run.Suspect{Task: "j.0.0.0", Age: 10 * time.Millisecond}, run.Suspect{Task: "j.0.0.1", Age: time.Second}
+	other := run.Suspect{Task: "x.0.0.0", Age: 10 * time.Millisecond}
+	h.ServerCrashed(h.now, "a1", run.Crash{Instance: "i-1", Suspects: []run.Suspect{own, other}}, 0)
+	h.ServerCrashed(h.now, "a2", run.Crash{Instance: "i-2", Suspects: []run.Suspect{own, sibling}}, 0)
+	var given []Decision
+	for _, d := range h.Decisions() {
+		if d.Kind == GivenUp {
+			given = append(given, d)
+		}
+	}
+	if len(given) != 1 {
+		t.Fatalf("%d tasks given up, want 1: %+v", len(given), given)
+	}
+	want := []CountedCrash{
+		{Agent: "a1", Instance: "i-1", Share: 0.5, Age: own.Age, Others: 1, OtherJobs: 1},
+		{Agent: "a2", Instance: "i-2", Share: 1, Age: own.Age, Others: 1},
+	}
+	if d := given[0]; d.Ref.Task != own.Task || d.Count != 2 || d.Share != 1.5 || !slices.Equal(d.Crashes, want) {
+		t.Errorf("decision %+v, want crashes %+v", d, want)
+	}
+}
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -253,7 +253,7 @@
 	s.countUnreportedCrash(now, a, e.Reason)
 	s.recordDecision(Decision{Kind: Returned, Agent: a.server.agent, Ref: a.ref, Attempt: a.task.attempts, End: e.Kind, Reason: e.Reason})
 	markWaiting(a.task, e)
-	if s.exhausted(a.job) {
+	if s.givenUp(a.job) {
 		s.finish(a.job, Outcome{Code: result.ServerCrashes})
 		return
 	}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -190,7 +190,7 @@
 	}
 	j := newJob(in)
 	s.bulkheads.service(in.Queue.Service).kind(in.Queue.Name).arrived = now
-	if s.exhausted(j) {
+	if s.givenUp(j) {
 		return Outcome{Job: in.ID, Code: result.ServerCrashes, Effect: result.Run, LatencyObjective: j.latencyObjective()}, false
 	}
 	j.queueKey = s.queueKeyOf(j)
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -81,6 +81,8 @@
 	Confined
 	// Released: a confined kind may use all backend servers again.
 	Released
+	// GivenUp: a task must not start again because backend servers crashed under it.
+	GivenUp
 )
 
 // Decision describes a decision and the facts that it was based on.
@@ -103,6 +105,11 @@
 	Suspects int
 	// Queue is the name of the queue of a kind that is confined or released.
 	Queue string
+	// Count is the number of crashes under a task that is given up, Share the sum of its shares in their causes;
+	// Crashes describes the crashes, see taskCrashes.counted.
+	Count   int
+	Share   float64
+	Crashes []CountedCrash
 }
 
 // Order asks an agent to start a run.
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -180,8 +180,8 @@
 		if c.crashing[job] || excused[job] {
 			continue
 		}
-		t.Errorf("job %s was answered as failed, but none of its tasks crashes a backend server or failed %d times or was in %d crashes: %s%s", job, queueAttempts, givenUpCrashes,
-			describeAll(runs[job]), c.involved(runs[job]...))
+		t.Errorf("job %s was answered as failed, but none of its tasks crashes a backend server or failed %d times or was in %d crashes: %s%s; log: %s",
+			job, queueAttempts, givenUpCrashes, describeAll(runs[job]), c.involved(runs[job]...), c.d.whyGivenUp(job))
 	}
 }
 
