Report the state of all processes when a request of a proof is silent

The stalls of 10 to 16 s in TestJobsThroughEveryEntry and TestAnswersOutOfOrder left no evidence. When a request is silent for 3 s longer than a task runs, the test now logs once per stall, for itself and for each process: state, run time and wait for a processor, all threads summed, over one second; sockets with bytes in a queue or retransmissions; and the stacks, equal ones counted. sampleserver and standinstore print their stacks on SIGUSR1 too. testbed.Process may now be used from several goroutines, as the report runs beside tests that restart processes.

--- a/lab/cmd/sampleserver/main.go
+++ b/lab/cmd/sampleserver/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"poplargw.example/daemon/sample"
+	"poplargw.example/daemon/signals"
 )
 
 func main() {
@@ -20,6 +21,7 @@
 	defer stop()
 	// The first signal starts a graceful stop; a second one ends the process at once.
 	context.AfterFunc(ctx, stop)
+	go printStacks(signals.NotifyStacks())
 	if err := run(ctx, o); err != nil {
 		fmt.Fprintln(os.Stderr, "sampleserver:", err)
 		os.Exit(1)
@@ -48,6 +50,13 @@
 	return o
 }
 
+// printStacks prints the stacks of all goroutines for each request.
+func printStacks(requests <-chan os.Signal) {
+	for range requests {
+		fmt.Fprintln(os.Stderr, signals.Stacks())
+	}
+}
+
 func run(ctx context.Context, o sample.Options) error {
 	s, err := sample.New(o)
 	if err != nil {
--- a/lab/prove/job_test.go
+++ b/lab/prove/job_test.go
@@ -21,6 +21,7 @@
 type job struct {
 	id      uuid.UUID
 	request *poplargwv1.SubmitJobRequest
+	runTime time.Duration // of each task
 
 	mu       sync.Mutex
 	attempts []attempt
@@ -41,7 +42,7 @@
 // newJob returns a job of equal tasks that each run for ms milliseconds on a backend server of speed 1.
 func newJob(kind string, tasks, ms int, timeout time.Duration) *job {
 	id := uuid.Must(uuid.NewV7())
-	j := &job{id: id, request: &poplargwv1.SubmitJobRequest{
+	j := &job{id: id, runTime: time.Duration(ms) * time.Millisecond, request: &poplargwv1.SubmitJobRequest{
 		Caller: "prove", SubmissionId: id[:], Service: "moulds", Timeout: durationpb.New(timeout)}}
 	for i := range tasks {
 		payload, _ := json.Marshal(sample.Work{MS: ms, Echo: fmt.Sprintf("%s/%d", id, i)})
@@ -55,6 +56,7 @@
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	defer s.stalls.watch(fmt.Sprintf("job %s at entry-%d", j.id, entry+1), stallLimit+j.runTime)()
 	res, err := s.dispatcher(entry).SubmitJob(ctx, connect.NewRequest(j.request))
 	out := attempt{entry: entry, took: time.Since(begin), ended: time.Now()}
 	if err == nil {
--- a/lab/prove/system_test.go
+++ b/lab/prove/system_test.go
@@ -58,6 +58,7 @@
 	servers         []*process
 	peerForwarders  map[string]*testbed.Forwarder
 	storeForwarders map[string]*testbed.Forwarder
+	stalls          *stallWatch
 }
 
 // maxLogLines is the number of lines at the end of each process log that a failed test prints.
@@ -81,6 +82,7 @@
 		s.agents = append(s.agents, s.newAgent(i))
 		s.servers = append(s.servers, s.newServer(i))
 	}
+	s.stalls = newStallWatch(s)
 	t.Cleanup(s.stop)
 	for _, group := range [][]*process{s.entries, s.agents, s.servers} {
 		for _, p := range group {
@@ -137,6 +139,7 @@
 // stop kills the running processes and closes the forwarders. If the test failed, it prints the end of
 // each process log.
 func (s *system) stop() {
+	s.stalls.close()
 	for _, group := range [][]*process{s.servers, s.agents, s.entries, {s.store}} {
 		for _, p := range group {
 			if p.Running() {
--- a/lab/testbed/process.go
+++ b/lab/testbed/process.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,7 +21,8 @@
 // architectures that Go supports.
 const clockTicks = 100
 
-// Process is a program that runs as a separate process. It can be started again after it has ended.
+// Process is a program that runs as a separate process. It can be started again after it has ended. Its methods may
+// be called from several goroutines.
 type Process struct {
 	// Name identifies the process in its system. IP is its loopback address.
 	Name, IP string
@@ -34,7 +36,12 @@
 	// Stdout receives the standard output instead of the log; nil means the log.
 	Stdout io.Writer
 
-	cmd *exec.Cmd
+	newest atomic.Pointer[child] // nil before the first start
+}
+
+// child is one start of a process.
+type child struct {
+	process *os.Process
 	// exited is closed when the process has ended; exitErr is then the error of exec.Cmd.Wait.
 	exited  chan struct{}
 	exitErr error
@@ -59,33 +66,35 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
-	exited := make(chan struct{})
-	p.cmd, p.exited = cmd, exited
+	c := &child{process: cmd.Process, exited: make(chan struct{})}
+	p.newest.Store(c)
 	go func() {
-		p.exitErr = cmd.Wait()
-		close(exited)
+		c.exitErr = cmd.Wait()
+		close(c.exited)
 	}()
 	return nil
 }
 
 // Signal sends a signal to the process, which must have been started.
-func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+func (p *Process) Signal(s syscall.Signal) error { return p.newest.Load().process.Signal(s) }
 
 // Kill sends SIGKILL to the process and waits until it has ended. It does nothing if the process is
 // not running.
 func (p *Process) Kill() {
 	if p.Running() {
-		_ = p.cmd.Process.Kill()
-		<-p.exited
+		c := p.newest.Load()
+		_ = c.process.Kill()
+		<-c.exited
 	}
 }
 
 // Wait waits until the process has ended and returns the error of exec.Cmd.Wait, which is nil for exit
 // status 0, and true. It returns false if the process is still running after the limit.
 func (p *Process) Wait(limit time.Duration) (error, bool) {
+	c := p.newest.Load()
 	select {
-	case <-p.exited:
-		return p.exitErr, true
+	case <-c.exited:
+		return c.exitErr, true
 	case <-time.After(limit):
 		return nil, false
 	}
@@ -93,11 +102,12 @@
 
 // Running reports whether the process has been started and has not ended.
 func (p *Process) Running() bool {
-	if p.cmd == nil {
+	c := p.newest.Load()
+	if c == nil {
 		return false
 	}
 	select {
-	case <-p.exited:
+	case <-c.exited:
 		return false
 	default:
 		return true
@@ -141,7 +151,7 @@
 
 // procFile returns the path of a file of the process in /proc.
 func (p *Process) procFile(name string) string {
-	return filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), name)
+	return filepath.Join("/proc", strconv.Itoa(p.newest.Load().process.Pid), name)
 }
 
 // Metrics returns the metrics that an entry or agent serves, by name with labels; nil if it does not
--- a/store/cmd/standinstore/main.go
+++ b/store/cmd/standinstore/main.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -22,6 +23,9 @@
 func main() {
 	listen := flag.String("listen", "127.0.0.1:7400", "address to listen on, as IP:port")
 	flag.Parse()
+	stackRequests := make(chan os.Signal, 1)
+	signal.Notify(stackRequests, syscall.SIGUSR1)
+	go printStacks(stackRequests)
 	if flag.NArg() > 0 {
 		fmt.Fprintf(os.Stderr, "standinstore: unexpected argument %q\n", flag.Arg(0))
 		os.Exit(2)
@@ -32,6 +36,17 @@
 	}
 }
 
+// maxStacksSize bounds the text of the stacks.
+const maxStacksSize = 1 << 20
+
+// printStacks prints the stacks of all goroutines for each request.
+func printStacks(requests <-chan os.Signal) {
+	buf := make([]byte, maxStacksSize)
+	for range requests {
+		fmt.Fprintf(os.Stderr, "%s\n", buf[:runtime.Stack(buf, true)])
+	}
+}
+
 func run(listen string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
