Let one function count the backend servers in a status of an entry

lab/replay, lab/cmd/demo and lab/cmd/capacity counted them each for themselves, and capacity asked for the status in two places.

Behaviour is unchanged. The demonstration and a replay of a trace were not run.

--- a/lab/cmd/capacity/loss.go
+++ b/lab/cmd/capacity/loss.go
@@ -1,13 +1,6 @@
 package main
 
-import (
-	"context"
-	"time"
-
-	"connectrpc.com/connect"
-
-	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
-)
+import "time"
 
 // lossEntries is the number of entries at the start of measureLoss.
 const lossEntries = 10
@@ -48,12 +41,4 @@
 }
 
 // knownEntries returns the number of entries in the table of an entry, 0 if it does not answer.
-func (s *system) knownEntries(entry int) int {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	res, err := s.operator(entry).GetStatus(ctx, connect.NewRequest(&poplargwv1.GetStatusRequest{}))
-	if err != nil {
-		return 0
-	}
-	return len(res.Msg.GetEntries())
-}
+func (s *system) knownEntries(entry int) int { return len(s.status(entry).GetEntries()) }
--- a/lab/cmd/capacity/system.go
+++ b/lab/cmd/capacity/system.go
@@ -152,18 +152,17 @@
 }
 
 // knownServers returns the number of backend servers that an entry knows, 0 if it does not answer.
-func (s *system) knownServers(entry int) int {
+func (s *system) knownServers(entry int) int { return testbed.KnownServers(s.status(entry)) }
+
+// status returns the status that an entry reports, nil if it does not answer.
+func (s *system) status(entry int) *poplargwv1.GetStatusResponse {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	res, err := s.operator(entry).GetStatus(ctx, connect.NewRequest(&poplargwv1.GetStatusRequest{}))
 	if err != nil {
-		return 0
-	}
-	n := 0
-	for _, a := range res.Msg.GetAgents() {
-		n += len(a.GetServers())
+		return nil
 	}
-	return n
+	return res.Msg
 }
 
 // stop kills all processes, closes the forwarders and removes the directory of the system.
--- a/lab/cmd/demo/wait.go
+++ b/lab/cmd/demo/wait.go
@@ -10,6 +10,7 @@
 
 	poplargwv1 "poplargw.example/api/gen/poplargw/v1"
 	"poplargw.example/api/gen/poplargw/v1/poplargwv1connect"
+	"poplargw.example/lab/testbed"
 )
 
 // pollInterval is the pause between two requests for the state of a process.
@@ -43,11 +44,7 @@
 		if err != nil {
 			return err
 		}
-		known := 0
-		for _, a := range resp.Msg.GetAgents() {
-			known += len(a.GetServers())
-		}
-		if known < servers {
+		if known := testbed.KnownServers(resp.Msg); known < servers {
 			return fmt.Errorf("the entry knows %d of %d backend servers", known, servers)
 		}
 		return nil
--- a/lab/replay/readiness.go
+++ b/lab/replay/readiness.go
@@ -57,11 +57,7 @@
 	if err != nil {
 		return err
 	}
-	n := 0
-	for _, a := range res.Msg.GetAgents() {
-		n += len(a.GetServers())
-	}
-	if n != len(s.o.Header.Servers) {
+	if n := testbed.KnownServers(res.Msg); n != len(s.o.Header.Servers) {
 		return fmt.Errorf("the entry knows %d backend servers", n)
 	}
 	return nil
