Name the conditions in the agent's polls and calls

The delay before the next poll, its wait, a failed poll, a stop in flight, a conclusive response and the record of an end are functions or variables with a name. wait reads the clock once where request read it three times.

Behaviour is unchanged otherwise. The wait while responses get lost is below each other wait, so the order of the two limits does not matter.

--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -129,14 +129,15 @@
 	}
 	before := a.table.Server(boottime.Now())
 	a.deliver(a.table.Announce(boottime.Now(), s, incarnation))
-	if !before.Equal(&s) {
-		a.Log.Info(event.ServerStateChanged, event.Fields{
-			"instance": s.Instance, "service": s.Service, "state": int(s.State),
-			"cpu": s.Capacity.CPU, "memory_mb": s.Capacity.MemoryMB, "gpu": s.Capacity.GPU, "runs": a.table.Len(),
-		})
-		a.queueSave(Announcement{Server: s, Incarnation: incarnation})
-		a.sendStateToAll()
+	if before.Equal(&s) {
+		return
 	}
+	a.Log.Info(event.ServerStateChanged, event.Fields{
+		"instance": s.Instance, "service": s.Service, "state": int(s.State),
+		"cpu": s.Capacity.CPU, "memory_mb": s.Capacity.MemoryMB, "gpu": s.Capacity.GPU, "runs": a.table.Len(),
+	})
+	a.queueSave(Announcement{Server: s, Incarnation: incarnation})
+	a.sendStateToAll()
 }
 
 // ServerIncarnation returns the incarnation of the backend server that the newest announcement or poll has shown, or
@@ -212,20 +213,27 @@
 	}
 	byOwner := map[string][]run.Event{}
 	for _, e := range events {
-		delete(a.specs, e.Ref)
-		delete(a.stops, e.Ref)
-		a.counters.countEndedRun(e.Kind)
-		if e.Kind != run.Done || a.Log.Tracing() {
-			a.Log.InfoLimited(event.RunEnded, event.Fields{
-				"task": e.Ref.Task, "run": e.Ref.Run, "entry": e.Owner, "kind": e.Kind.String(), "code": uint32(e.Reason),
-				"basis": e.Basis.String(),
-			})
-		}
+		a.recordEnd(e)
 		byOwner[e.Owner] = append(byOwner[e.Owner], e.Event)
 	}
 	a.sendUpdates(boottime.Now(), byOwner)
 }
 
+// recordEnd forgets the order and the stop of a run that has ended, and counts and logs the end. Ends with success are
+// logged only while tracing. The caller must hold a.mu.
+func (a *Agent) recordEnd(e runtable.Event) {
+	delete(a.specs, e.Ref)
+	delete(a.stops, e.Ref)
+	a.counters.countEndedRun(e.Kind)
+	if e.Kind == run.Done && !a.Log.Tracing() {
+		return
+	}
+	a.Log.InfoLimited(event.RunEnded, event.Fields{
+		"task": e.Ref.Task, "run": e.Ref.Run, "entry": e.Owner, "kind": e.Kind.String(), "code": uint32(e.Reason),
+		"basis": e.Basis.String(),
+	})
+}
+
 // reportUnexpectedRuns logs and counts runs that the backend server has listed although their end had been
 // inferred. The caller must hold a.mu.
 func (a *Agent) reportUnexpectedRuns() {
--- a/daemon/runagent/calls.go
+++ b/daemon/runagent/calls.go
@@ -108,7 +108,8 @@
 		select {
 		case v := <-responses:
 			received++
-			if v.err == nil || sent == 1 && !v.connectionBroken() {
+			conclusive := v.err == nil || sent == 1 && !v.connectionBroken()
+			if conclusive {
 				return v
 			}
 			if v.connectionBroken() {
@@ -133,8 +134,7 @@
 // connectionBroken reports whether the connection broke, so that it is unknown whether the copy has started
 // the run.
 func (v startResponse) connectionBroken() bool {
-	var refused *Refused
-	return v.err != nil && !errors.As(v.err, &refused) && !errors.Is(v.err, ErrNotSent) && !errors.Is(v.err, context.DeadlineExceeded)
+	return !v.answered() && !errors.Is(v.err, context.DeadlineExceeded)
 }
 
 // handleStartResponse records the response to an order.
@@ -161,7 +161,7 @@
 // hold a.mu.
 func (a *Agent) stopRun(ctx context.Context, ref run.Ref) {
 	now := boottime.Now()
-	if sentAt, ok := a.stops[ref]; ok && now.Sub(sentAt) < stopTimeout && !a.table.SentToFormer(sentAt) {
+	if a.stopInFlight(now, ref) {
 		return
 	}
 	a.stops[ref] = now
@@ -181,6 +181,16 @@
 	}()
 }
 
+// stopInFlight reports whether a stop of the run that the current incarnation of the backend server receives has not
+// returned yet. The caller must hold a.mu.
+func (a *Agent) stopInFlight(now time.Time, ref run.Ref) bool {
+	sentAt, sent := a.stops[ref]
+	if !sent || a.table.SentToFormer(sentAt) {
+		return false
+	}
+	return now.Sub(sentAt) < stopTimeout
+}
+
 // forgetStops forgets the stops of runs that are not in the table. The caller must hold a.mu.
 func (a *Agent) forgetStops(now time.Time) {
 	for ref, sentAt := range a.stops {
--- a/daemon/runagent/poll.go
+++ b/daemon/runagent/poll.go
@@ -85,13 +85,21 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		p.send(ctx)
-		answered := p.await(ctx, timer)
-		if !answered && p.consecutiveFailures > 1 || answered && p.unreadableEnds {
+		failed := !p.await(ctx, timer)
+		if p.needsDelay(failed) {
 			boottime.Sleep(ctx, retryDelay)
 		}
 	}
 }
 
+// needsDelay reports whether the next poll is delayed by retryDelay. failed tells whether the newest poll failed.
+func (p *poller) needsDelay(failed bool) bool {
+	if failed {
+		return p.consecutiveFailures > 1
+	}
+	return p.unreadableEnds
+}
+
 // send starts the next poll in a goroutine.
 func (p *poller) send(ctx context.Context) {
 	p.lastNumber++
@@ -133,25 +141,32 @@
 	}
 }
 
-// request returns the next poll's request. It asks the backend server to wait only if the last poll was
-// answered. A poll that may not renew the lease still waits, so that ends are seen without many polls.
+// request returns the next poll's request.
 func (p *poller) request() PollRequest {
 	a := p.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r := PollRequest{LeaseMS: a.table.RenewLease(boottime.Now()), LastEnd: a.table.LastEnd()}
-	if p.consecutiveFailures > 0 || !a.table.Responding(boottime.Now()) {
-		return r
+	now := boottime.Now()
+	return PollRequest{LeaseMS: a.table.RenewLease(now), LastEnd: a.table.LastEnd(), Wait: p.wait(now)}
+}
+
+// wait returns how long the next poll asks the backend server to wait: not at all unless the last poll was answered. A
+// poll that may not renew the lease still waits, so that ends are seen without many polls. The caller must hold the
+// agent's lock.
+func (p *poller) wait(now time.Time) time.Duration {
+	table := p.agent.table
+	if p.consecutiveFailures > 0 || !table.Responding(now) {
+		return 0
 	}
-	r.Wait = idlePollWait
-	if a.table.Len() > 0 {
-		r.Wait = busyPollWait
+	longest := idlePollWait
+	if table.Len() > 0 {
+		longest = busyPollWait
 	}
-	r.Wait = a.table.NextExpiry(boottime.Now(), r.Wait)
-	if time.Since(p.lastLoss) < lossyPeriod || a.table.HasUnsettled() {
-		r.Wait = min(r.Wait, lossyPollWait)
+	lossy := time.Since(p.lastLoss) < lossyPeriod
+	if lossy || table.HasUnsettled() {
+		longest = lossyPollWait
 	}
-	return r
+	return table.NextExpiry(now, longest)
 }
 
 // handleResponse processes the response to a poll, or its failure.
@@ -163,10 +178,7 @@
 	defer a.mu.Unlock()
 	a.table.RenewalDone(c.request.LeaseMS, !errors.Is(c.err, ErrNotSent))
 	if c.err != nil {
-		p.countFailure(c)
-		if errors.Is(c.err, syscall.ECONNREFUSED) && a.table.ServerGone(boottime.Now()) {
-			a.sendStateToAll()
-		}
+		p.handleFailure(c)
 		return
 	}
 	p.consecutiveFailures = 0
@@ -175,15 +187,25 @@
 		return
 	}
 	a.reportUnreadableRows(&c.snapshot)
-	settled := a.table.CanAnswerClaims(boottime.Now())
+	couldAnswerClaims := a.table.CanAnswerClaims(boottime.Now())
 	c.snapshot.Requested = c.sentAt
 	a.deliver(a.table.ApplySnapshot(boottime.Now(), c.snapshot))
 	a.reportUnexpectedRuns()
-	if !settled {
+	if !couldAnswerClaims {
 		a.sendStateToAll()
 	}
 }
 
+// handleFailure processes a failed poll, and tells all entries if it shows that the backend server is gone. The caller
+// must hold the agent's lock.
+func (p *poller) handleFailure(c pollCall) {
+	p.countFailure(c)
+	refused := errors.Is(c.err, syscall.ECONNREFUSED)
+	if refused && p.agent.table.ServerGone(boottime.Now()) {
+		p.agent.sendStateToAll()
+	}
+}
+
 // countFailure counts a failed poll, unless a later one was answered. The caller must hold the agent's
 // lock.
 func (p *poller) countFailure(c pollCall) {
