Split the handling of a frame by the entry and name its conditions

handleFrame passed the content of a frame to the scheduler and decided about a heartbeat; each is a function now, as are the demand in a frame and the check for a pause.

Behaviour is unchanged.

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -131,12 +131,11 @@
 // other entries. It is called before anything that may order tasks, because the first work after a pause is not
 // always a tick. The caller must hold e.mu.
 func (e *Entry) dropJobsAfterPause(now time.Time) {
-	last := e.lastTick
-	if last.IsZero() || last.Equal(e.lastPause) || now.Sub(last) < e.pauseThreshold() {
+	if !e.pausedSinceTick(now) {
 		return
 	}
-	e.lastPause = last
-	e.Log.Warn(event.ProcessPaused, event.Fields{"ms": now.Sub(last).Milliseconds(), "cpu_ms": e.tickCPU.used().Milliseconds(), "jobs": len(e.waiters)})
+	e.lastPause = e.lastTick
+	e.Log.Warn(event.ProcessPaused, event.Fields{"ms": now.Sub(e.lastTick).Milliseconds(), "cpu_ms": e.tickCPU.used().Milliseconds(), "jobs": len(e.waiters)})
 	for id := range e.waiters {
 		e.scheduler.GiveUp(id, result.NotReady)
 	}
@@ -145,6 +144,16 @@
 	e.flush()
 }
 
+// pausedSinceTick reports whether the process was paused since the last tick and that pause was not handled yet. The
+// caller must hold e.mu.
+func (e *Entry) pausedSinceTick(now time.Time) bool {
+	handled := e.lastTick.Equal(e.lastPause)
+	if e.lastTick.IsZero() || handled {
+		return false
+	}
+	return now.Sub(e.lastTick) >= e.pauseThreshold()
+}
+
 // startTick records the time of a tick and the processor time used so far. The caller must hold e.mu.
 func (e *Entry) startTick(now time.Time) {
 	e.lastTick = now
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -160,6 +160,21 @@
 	a.tokenMS = max(a.tokenMS, f.GetClockMs())
 	e.scheduler.RecordMessage(now, a.id)
 	e.observeResponse(a, now, f.GetAck())
+	e.applyFrame(a, now, f)
+	e.flush()
+	if e.mustUpdateDemand(a, now) {
+		e.sendHeartbeat(a)
+	}
+}
+
+// mustUpdateDemand reports whether the agent has to be told now that tasks have begun or ceased to wait: it reserves
+// capacity for entries with waiting tasks. The caller must hold e.mu.
+func (e *Entry) mustUpdateDemand(a *agent, now time.Time) bool {
+	return now.Sub(a.lastSent) >= demandUpdateInterval && a.demandSent != e.scheduler.HasWaiting(now, a.id)
+}
+
+// applyFrame passes the content of a frame to the scheduler. The caller must hold e.mu.
+func (e *Entry) applyFrame(a *agent, now time.Time, f *peerv1.AgentFrame) {
 	for _, p := range f.GetProgress() {
 		ref, percent, age := link.ProgressFromProto(p)
 		e.scheduler.Progress(now, a.id, ref, percent, age)
@@ -180,11 +195,6 @@
 		a.server = link.ServerFromProto(s)
 	}
 	e.scheduler.Report(now, a.id, link.ReportFromProto(f, a.server))
-	e.flush()
-	// The agent reserves capacity for entries with waiting tasks, so tell it immediately when this changes.
-	if now.Sub(a.lastSent) >= demandUpdateInterval && a.demandSent != e.scheduler.HasWaiting(now, a.id) {
-		e.sendHeartbeat(a)
-	}
 }
 
 // sendBatch sends a batch to the agent as one frame, and drops it if there is no link. The caller must
@@ -198,11 +208,7 @@
 	f.Ack, f.TokenMs = a.lastSeq, a.tokenMS
 	f.SlowdownPermille = link.SlowdownToProto(e.scheduler.MeasuredSlowdown(a.id))
 	f.Confined = e.scheduler.ConfinedKinds(a.id)
-	want := e.scheduler.WaitingDemand(a.lastSent, a.id)
-	a.demandSent = want.Demand.CPU > 0
-	if a.demandSent {
-		f.Want, f.SlackMs = link.DemandToProto(want.Demand), want.Urgency.Sub(a.lastSent).Milliseconds()
-	}
+	e.addDemand(a, f)
 	if b.Seq == 1 {
 		f.Hello = &peerv1.LinkHello{Id: e.ID, Incarnation: e.Incarnation}
 	}
@@ -216,6 +222,15 @@
 	a.conn.Send(f)
 }
 
+// addDemand adds the demand of the waiting tasks to a frame that is sent at a.lastSent. The caller must hold e.mu.
+func (e *Entry) addDemand(a *agent, f *peerv1.EntryFrame) {
+	want := e.scheduler.WaitingDemand(a.lastSent, a.id)
+	a.demandSent = want.Demand.CPU > 0
+	if a.demandSent {
+		f.Want, f.SlackMs = link.DemandToProto(want.Demand), want.Urgency.Sub(a.lastSent).Milliseconds()
+	}
+}
+
 // busyHeartbeatInterval returns the time between frames to a busy agent for the given number of agents.
 func busyHeartbeatInterval(agents int) time.Duration {
 	return min(maxHeartbeatInterval, max(minHeartbeatInterval, time.Duration(agents)*time.Second/heartbeatRate))
--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -103,7 +103,8 @@
 // absentRetention. The caller must hold e.mu.
 func (e *Entry) removeAbsent(now time.Time) {
 	for id, a := range e.agents {
-		if !a.listed && a.conn == nil && now.Sub(a.unlistedAt) >= absentRetention && !e.scheduler.HasRuns(id) {
+		inUse := a.listed || a.conn != nil || e.scheduler.HasRuns(id)
+		if !inUse && now.Sub(a.unlistedAt) >= absentRetention {
 			e.partners.Drop(id)
 			e.removePartner(a)
 		}
