Wait while the record of a dead owner may be lost

Cause: the record of an owner was lost when its two registrars were lost or restarted together with the owner. The same registrars after their restore window of 350 ms, or others after 300 ms, granted the job to another entry, while the agent of a run keeps it for up to 758 ms. After a kill of all processes, 350 ms were shorter than the 458 ms for which a lease may last.

Change: an entry tells from the uptime in an agent's frames, and from the links that it has lost, which registrars may have lost records within Limits.OwnerLostAfter (949 ms). A job begins, and is requested, only when fewer than two of these come before the first registrar that certainly has its records. When every linked agent has started since the loss, the leases of former processes decide: 508 ms after the start of the registrars. Messages are unchanged. A live owner has registered again before others ask.

Seen failing with OwnerLostAfter 0, which is the former behaviour: TestJobWaitsWhenRegistrarsRestartWithOwner (420 ms), TestJobWaitsWhenRegistrarsAreLostWithOwner and the one with a new entry (300 ms), TestJobWaitsForFormerLeasesAfterStartOfEverything (400 ms), TestJobWaitsAfterSecondKillOfRegistrars (360 ms), TestEveryPairOfLostRegistrars (560 ms), TestOwnerRegistersBeforeOthersWhenBothRegistrarsAreLost. TestNewEntryWaitsForLinksToAgentsThatRunOn was seen failing without awaitsFleet (620 ms).

--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -176,10 +176,19 @@
 	return jobs.Report{
 		Server: server, Free: FreeFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(min(maxEntries, f.GetEntries())),
 		OthersSlowdown: SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(), ReportsCrashes: f.GetReportsCrashes(),
-		RecordsOwners: f.GetRecordsOwners(),
+		RecordsOwners: f.GetRecordsOwners(), Uptime: uptimeFromProto(f.GetClockMs()),
 	}
 }
 
+// maxUptime bounds the time since an agent's start in a report. It decides nothing after a second.
+const maxUptime = time.Hour
+
+// uptimeFromProto converts an agent's clock, which starts at 0 with its process. The result is at least a millisecond,
+// because a report with 0 is one without it.
+func uptimeFromProto(ms uint64) time.Duration {
+	return time.Duration(min(uint64(maxUptime.Milliseconds()), max(1, ms))) * time.Millisecond
+}
+
 // BatchToProto converts an entry's orders, stops and claims for one agent to a frame. The caller sets the
 // other fields of the frame.
 func BatchToProto(b jobs.Batch) *peerv1.EntryFrame {
--- a/dispatch/jobs/events.go
+++ b/dispatch/jobs/events.go
@@ -29,9 +29,11 @@
 		sort.Slice(s.fleet, func(i, j int) bool { return s.fleet[i].agent < s.fleet[j].agent })
 	}
 	s.recordConnection(now)
+	s.recordLinkEnd(now, v)
 	s.linkChanges++
 	v.linked = true
 	v.reported = false
+	v.startedAt = time.Time{}
 	v.lastContact = now
 	v.seq = 0
 	v.unacked = nil
@@ -51,6 +53,7 @@
 func (s *Scheduler) AgentDisconnected(now time.Time, agent string) {
 	if v := s.servers[agent]; v != nil {
 		s.linkChanges++
+		s.recordLinkEnd(now, v)
 		v.linked, v.unlinkedAt = false, now
 	}
 }
@@ -81,6 +84,7 @@
 		s.linkChanges++
 	}
 	v.recordsOwners = r.RecordsOwners
+	s.recordStart(now, v, r.Uptime)
 	if s.bulkheads.recordOthers(now, r.Server.Service, r.OthersConfined) {
 		s.updateBulkheads(now)
 	}
--- /dev/null
+++ b/dispatch/jobs/lostrecords.go
@@ -0,0 +1,175 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+)
+
+// The record of an owner is lost when both registrars that have it are lost or restarted together with the owner. Runs of
+// that owner may continue for Limits.OwnerLostAfter, while other registrars, or the same ones after their restart, know
+// nothing of it. An owner has its record at the first two registrars that it reaches. So a job may begin if at most one
+// registrar that may have lost records comes before the first one that certainly has those of the last moments.
+
+// recordState tells whether a registrar has the records of the owners that were alive within Limits.OwnerLostAfter.
+type recordState int
+
+const (
+	// noRecords: no owner has asked the agent within that time.
+	noRecords recordState = iota
+	// complete: the agent is reachable, and its process is older than that.
+	complete
+	// maybeLost: the agent was lost or has restarted within that time.
+	maybeLost
+)
+
+// recordState returns the state of the records at a registrar. One whose start is not known counts as older.
+func (s *Scheduler) recordState(now time.Time, agent string) recordState {
+	v := s.servers[agent]
+	if v != nil && v.linked && v.reported && !v.recordsOwners {
+		return noRecords
+	}
+	listed, lost := s.registrarListed[agent], now.Sub(s.registrarLost[agent]) < s.limits.OwnerLostAfter
+	isRecent := now.Sub(listed) < s.limits.OwnerLostAfter
+	if !s.reachable(agent) {
+		if lost || isRecent {
+			return maybeLost
+		}
+		return noRecords
+	}
+	// A registrar that has joined the list is not one that owners from before have asked.
+	joined := isRecent && listed.After(s.firstListed)
+	switch {
+	case now.Sub(v.startedAt) < s.limits.OwnerLostAfter && (lost || !joined || v.startedAt.After(listed)):
+		return maybeLost
+	case joined:
+		return noRecords
+	}
+	return complete
+}
+
+// awaitsRecords reports whether the record of an owner that has died just now may be lost, while its runs may continue.
+func (s *Scheduler) awaitsRecords(now time.Time, o *ownership) bool {
+	if s.limits.OwnerLostAfter == 0 {
+		return false
+	}
+	lost := 0
+	for _, agent := range o.order {
+		switch s.recordState(now, agent) {
+		case complete:
+			return false
+		case maybeLost:
+			lost++
+		}
+		if lost == registrarsPerJob {
+			break
+		}
+	}
+	return lost > 0 && !s.formerRunsOver(now, o)
+}
+
+// formerRunsOver reports whether all runs from before the loss of records have ended although that is not
+// Limits.OwnerLostAfter ago: every agent with a link has started since, so that only the leases of former processes kept
+// runs going. It shortens the wait when everything has started together. It cannot tell an agent that runs on and that
+// this entry does not reach, or one that was killed after the registrars had started, before this entry had a link to it.
+func (s *Scheduler) formerRunsOver(now time.Time, o *ownership) bool {
+	oldest, ok := s.oldestLinkedStart()
+	if !ok || now.Sub(oldest) >= s.limits.OwnerLostAfter || s.awaitsFleet(now) {
+		return false
+	}
+	for _, agent := range o.order {
+		lost := s.registrarLost[agent]
+		if now.Sub(lost) < s.limits.OwnerLostAfter && oldest.Before(lost) {
+			return false
+		}
+	}
+	since := s.lastLinkLost
+	for _, agent := range s.reachableRegistrars(o) {
+		if started := s.servers[agent].startedAt; started.After(since) {
+			since = started
+		}
+	}
+	return now.Sub(since) >= s.limits.FormerRunsEnd
+}
+
+// awaitsFleet reports whether links to known agents, which may have run for long, are about to open.
+func (s *Scheduler) awaitsFleet(now time.Time) bool {
+	if now.Sub(s.connectedSince) >= registrarWait {
+		return false
+	}
+	reported := 0
+	for _, v := range s.fleet {
+		if v.linked && v.reported {
+			reported++
+		}
+	}
+	return reported < s.expected.agents || s.awaitsRegistrars()
+}
+
+// awaitsRegistrars reports whether a listed registrar has not reported over a link.
+func (s *Scheduler) awaitsRegistrars() bool {
+	return slices.ContainsFunc(s.registrars, func(agent string) bool {
+		v := s.servers[agent]
+		return v == nil || !v.linked || !v.reported
+	})
+}
+
+// linkedStart is the start of the oldest process of the agents with a link.
+type linkedStart struct {
+	at    time.Time
+	known bool // there is a link, and the start of every agent with a link is known
+	// changes is the value of Scheduler.linkChanges and startChanges together for which this holds.
+	changes uint64
+}
+
+// oldestLinkedStart returns when the oldest process of the agents with a link started, or false if that is not known.
+func (s *Scheduler) oldestLinkedStart() (time.Time, bool) {
+	changes := s.linkChanges + s.startChanges
+	if s.oldest.changes == changes {
+		return s.oldest.at, s.oldest.known
+	}
+	s.oldest = linkedStart{changes: changes}
+	for _, v := range s.fleet {
+		if !v.linked {
+			continue
+		}
+		if !v.reported || v.startedAt.IsZero() {
+			s.oldest.known = false
+			break
+		}
+		if !s.oldest.known || v.startedAt.Before(s.oldest.at) {
+			s.oldest.at, s.oldest.known = v.startedAt, true
+		}
+	}
+	return s.oldest.at, s.oldest.known
+}
+
+// recordStart records when the agent's process started. A report that was on its way for long makes the start seem later
+// than it was, so the earliest one over a link holds.
+func (s *Scheduler) recordStart(now time.Time, v *server, uptime time.Duration) {
+	started := now.Add(-uptime)
+	if uptime > 0 && (v.startedAt.IsZero() || started.Before(v.startedAt)) {
+		v.startedAt = started
+		s.startChanges++
+	}
+}
+
+// recordLinkEnd records the loss of an agent that has been reachable over the link that ends. A link over which nothing
+// was received does not count: a frozen agent is dialed again and again.
+func (s *Scheduler) recordLinkEnd(now time.Time, v *server) {
+	if !v.linked || !v.reported {
+		return
+	}
+	s.lastLinkLost = now
+	if v.recordsOwners {
+		s.registrarLost[v.agent] = now
+	}
+}
+
+// forgetLosses drops the losses that do not matter any more.
+func (s *Scheduler) forgetLosses(now time.Time) {
+	for agent, lost := range s.registrarLost {
+		if now.Sub(lost) >= s.limits.OwnerLostAfter {
+			delete(s.registrarLost, agent)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/jobs/lostrecords_test.go
@@ -0,0 +1,373 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/owner"
+	"poplargw.example/dispatch/run"
+)
+
+// formerLease is how long the runs of a dead entry may go on after the death of the agent that kept them.
+const formerLease = 458 * time.Millisecond
+
+// lostRecordLimits are those of testLimits with the times for lost records, as the platform adds them up.
+func lostRecordLimits() Limits {
+	limits := testLimits
+	limits.ResubmitAfter = 1300 * time.Millisecond
+	limits.OwnerLostAfter = 949 * time.Millisecond
+	limits.FormerRunsEnd = 508 * time.Millisecond
+	return limits
+}
+
+// killAgents ends the processes of agents and with them their records and links.
+func (f *ownerFleet) killAgents(agents ...string) {
+	for _, agent := range agents {
+		f.disconnect(agent)
+		f.tables[agent] = owner.New(f.now, ownerLimits)
+	}
+}
+
+// restartAgents starts the processes of agents, and opens the links of all entries that run.
+func (f *ownerFleet) restartAgents(agents ...string) {
+	for _, agent := range agents {
+		f.started[agent] = f.now
+		f.tables[agent] = owner.New(f.now, ownerLimits)
+		for _, e := range f.entries {
+			if !e.paused {
+				f.connect(e, agent)
+			}
+		}
+	}
+}
+
+// killEntry ends the process of an entry. What it sent and its runs remain.
+func (f *ownerFleet) killEntry(e *ownerEntry) {
+	e.paused = true
+	clear(e.frames)
+	clear(e.answers)
+	clear(e.linked)
+}
+
+// passUntilRuns moves the time until the entry has runs, at most by the limit, and returns how long that took.
+func (f *ownerFleet) passUntilRuns(e *ownerEntry, limit time.Duration) time.Duration {
+	const tick = 20 * time.Millisecond
+	passed := time.Duration(0)
+	for f.runs(e) == 0 && passed < limit {
+		f.pass(tick)
+		passed += tick
+	}
+	return passed
+}
+
+// Guards against two runs of a task when the owner of a job and both registrars are killed together and the registrars
+// restart: they grant the job after their restore window, and the agent of the run keeps it for longer.
+func TestJobWaitsWhenRegistrarsRestartWithOwner(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[0], order[1])
+	f.killEntry(first)
+	f.submit(second, "j")
+	f.pass(60 * time.Millisecond)
+	f.restartAgents(order[0], order[1])
+	if wait := 60*time.Millisecond + f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1100*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
+
+// Guards against the same when the registrars stay away: others, which know nothing of the owner, grant the job.
+func TestJobWaitsWhenRegistrarsAreLostWithOwner(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[0], order[1])
+	f.killEntry(first)
+	f.submit(second, "j")
+	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
+
+// Guards against the same at an entry that has started just now, which never had links to the lost registrars.
+func TestNewEntryWaitsWhenRegistrarsAreLostWithOwner(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
+	first := f.entries[0]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[0], order[1])
+	f.killEntry(first)
+	second := f.addEntry()
+	for _, agent := range order[2:] {
+		f.connect(second, agent)
+	}
+	f.submit(second, "j")
+	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
+
+// Guards against two runs of a task when everything but the backend servers is killed: the lease that a former agent
+// process renewed is longer than the restore window. Also guards against a wait for longer than such leases last.
+func TestJobWaitsForFormerLeasesAfterStartOfEverything(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	f.submit(f.entries[0], "j")
+	f.deliverAll()
+	f.killAgents(f.agents...)
+	f.killEntry(f.entries[0])
+	f.killEntry(f.entries[1])
+	f.pass(40 * time.Millisecond)
+	e := f.addEntry()
+	f.restartAgents(f.agents...)
+	f.submit(e, "j")
+	if wait := 40*time.Millisecond + f.passUntilRuns(e, 2*time.Second); wait < formerLease || wait > 600*time.Millisecond {
+		t.Errorf("tasks ordered %s after the kill of all processes, runs may go on for %s", wait, formerLease)
+	}
+}
+
+// Guards against two runs of a task when the registrars and the owner are killed once more soon after the start of
+// everything: the other agents have started just now, but their processes keep runs of the dead owner.
+func TestJobWaitsAfterSecondKillOfRegistrars(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.killAgents(f.agents...)
+	f.pass(20 * time.Millisecond)
+	f.restartAgents(f.agents...)
+	f.submit(first, "j")
+	f.pass(600 * time.Millisecond)
+	if f.runs(first) != 2 {
+		t.Fatalf("%d runs at the first entry", f.runs(first))
+	}
+	f.killAgents(order[0], order[1])
+	f.killEntry(first)
+	f.restartAgents(order[0], order[1])
+	f.submit(second, "j")
+	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
+
+// Guards against a new entry that takes the leases of former processes for over because it has no link yet to the agents that
+// run on: one of them keeps the run of the dead owner.
+func TestNewEntryWaitsForLinksToAgentsThatRunOn(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
+	first := f.entries[0]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[:7]...)
+	f.killEntry(first)
+	f.restartAgents(order[:7]...)
+	f.pass(520 * time.Millisecond)
+	second := f.addEntry()
+	for _, agent := range order[:7] {
+		f.connect(second, agent)
+	}
+	f.submit(second, "j")
+	f.pass(100 * time.Millisecond)
+	f.connect(second, order[7])
+	if wait := 620*time.Millisecond + f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
+
+// Guards against two runs of a task when both registrars of a job are lost and its owner is not: another entry asks the
+// next registrars before the owner has registered there.
+func TestOwnerRegistersBeforeOthersWhenBothRegistrarsAreLost(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+		first, second := f.entries[0], f.entries[1]
+		order := rankFor("j", f.agents)
+		f.submit(first, "j")
+		f.deliverAll()
+		f.killAgents(order[0], order[1])
+		f.submit(second, "j")
+		f.deliverAll()
+		if restart {
+			f.pass(60 * time.Millisecond)
+			f.restartAgents(order[0], order[1])
+		}
+		f.pass(2 * time.Second)
+		if f.runs(second) != 0 {
+			t.Errorf("registrars restart: %t: the second entry ordered tasks while the first one owns the job", restart)
+		}
+	}
+}
+
+// Guards against jobs that wait longer than the restore window because one registrar has restarted or is lost.
+func TestSingleRegistrarDoesNotDelayJobsFurther(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
+		order := rankFor("j", f.agents)
+		f.killAgents(order[0])
+		longest := 40 * time.Millisecond
+		if restart {
+			f.restartAgents(order[0])
+			longest += ownerLimits.RestoreWindow
+		}
+		f.submit(f.entries[0], "j")
+		if wait := f.passUntilRuns(f.entries[0], 2*time.Second); wait > longest {
+			t.Errorf("registrar restarts: %t: the job waited %s", restart, wait)
+		}
+	}
+}
+
+// Guards against jobs that wait because agents have been added, which had no records to lose.
+func TestAddedRegistrarsDoNotDelayJobsFurther(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
+	e := f.entries[0]
+	order := rankFor("j", f.agents)
+	e.SetRegistrars(f.now, order[2:])
+	f.killAgents(order[0], order[1])
+	f.pass(2 * time.Second)
+	f.restartAgents(order[0], order[1])
+	f.pass(20 * time.Millisecond)
+	e.SetRegistrars(f.now, f.agents)
+	f.submit(e, "j")
+	if wait := f.passUntilRuns(e, 2*time.Second); wait > ownerLimits.RestoreWindow+20*time.Millisecond {
+		t.Errorf("the job waited %s", wait)
+	}
+}
+
+// Guards against a job that waits for ever because a frozen agent accepts links and answers nothing.
+func TestFrozenRegistrarsDoNotDelayJobsForEver(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
+	e := f.entries[0]
+	order := rankFor("j", f.agents)
+	f.killAgents(order[0], order[1])
+	f.submit(e, "j")
+	for passed := time.Duration(0); passed < time.Second; passed += testLimits.SilenceLimit {
+		for _, agent := range order[:2] {
+			e.AgentConnected(f.now, agent)
+			f.take(e)
+		}
+		f.pass(testLimits.SilenceLimit)
+		for _, agent := range order[:2] {
+			f.cut(e, agent)
+		}
+	}
+	f.pass(40 * time.Millisecond)
+	if f.runs(e) != 2 {
+		t.Errorf("%d runs", f.runs(e))
+	}
+}
+
+// waits returns how long each of many jobs waits that are submitted to an entry at once, and the number of jobs that wait.
+func (f *ownerFleet) waits(t *testing.T, e *ownerEntry, jobs int) (longest, mean time.Duration, waiting int) {
+	submitted := f.now
+	queue := testQueue
+	queue.Latency = time.Minute // no job is given up while it waits
+	for i := range jobs {
+		_, ok := e.Submit(f.now, Job{
+			ID: fmt.Sprintf("%016x", i*7919), Queue: queue, Arrived: f.now, Deadline: f.now.Add(time.Hour),
+			Steps: []Step{{Count: 1, Demand: run.Demand{CPU: 10, MemoryMB: 1}, Estimate: time.Second}},
+		})
+		if !ok {
+			t.Fatal("a job is rejected")
+		}
+	}
+	f.take(e)
+	f.deliverAll()
+	begun := map[string]bool{}
+	sum := time.Duration(0)
+	for step := 0; len(begun) < jobs; step++ {
+		if step == 200 {
+			t.Fatalf("%d of %d jobs have begun", len(begun), jobs)
+		}
+		for id, j := range e.jobs {
+			if !j.mayOrder || begun[id] {
+				continue
+			}
+			begun[id] = true
+			wait := f.now.Sub(submitted)
+			longest, sum = max(longest, wait), sum+wait
+			if wait > 0 {
+				waiting++
+			}
+		}
+		f.pass(20 * time.Millisecond)
+	}
+	return longest, sum / time.Duration(jobs), waiting
+}
+
+// Reports how long jobs wait for their ownership after faults of many processes, with and without the wait for lost
+// records, and guards against waits that are longer than the times from which they follow.
+func TestWaitsAfterFaults(t *testing.T) {
+	const jobs = 1000
+	for _, c := range []struct {
+		name   string
+		limit  time.Duration
+		faults func(f *ownerFleet) *ownerEntry
+	}{
+		{"restart of one registrar", 400 * time.Millisecond, func(f *ownerFleet) *ownerEntry {
+			f.killAgents(Registrars(f.agents)[0])
+			f.pass(60 * time.Millisecond)
+			f.restartAgents(Registrars(f.agents)[0])
+			return f.entries[1]
+		}},
+		{"loss of a third of the agents and an entry", time.Second, func(f *ownerFleet) *ownerEntry {
+			for i, agent := range rankFor("registrars", f.agents) { // three of the eight registrars
+				if i%3 == 0 {
+					f.killAgents(agent)
+				}
+			}
+			f.killEntry(f.entries[0])
+			return f.entries[1]
+		}},
+		{"start of everything", 600 * time.Millisecond, func(f *ownerFleet) *ownerEntry {
+			f.killAgents(f.agents...)
+			f.killEntry(f.entries[0])
+			f.killEntry(f.entries[1])
+			f.pass(60 * time.Millisecond)
+			e := f.addEntry()
+			e.SetRegistrars(f.now, Registrars(f.agents))
+			f.restartAgents(f.agents...)
+			return e
+		}},
+	} {
+		for _, limits := range []Limits{lostRecordLimits(), {SilenceLimit: testLimits.SilenceLimit, LostAfter: testLimits.LostAfter, MaxWaitingTasks: 1000, ResubmitAfter: 1300 * time.Millisecond}} {
+			limits.MaxWaitingTasks = 10 * jobs
+			f := newOwnerFleetWith(limits, 2, 24)
+			for _, e := range f.entries {
+				e.SetRegistrars(f.now, Registrars(f.agents))
+			}
+			f.pass(2 * time.Second)
+			longest, mean, waiting := f.waits(t, c.faults(f), jobs)
+			t.Logf("%s, wait for lost records %t: %d of %d jobs wait, longest %s, mean %s", c.name, limits.OwnerLostAfter > 0, waiting, jobs, longest, mean)
+			if longest > c.limit {
+				t.Errorf("%s: a job waited %s", c.name, longest)
+			}
+		}
+	}
+}
+
+// Guards against runs of one task in two entries for every pair of registrars that is lost with the owner, whatever the
+// order in which they come back.
+func TestEveryPairOfLostRegistrars(t *testing.T) {
+	for i := range 8 {
+		for k := i + 1; k < 8; k++ {
+			f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+			first, second := f.entries[0], f.entries[1]
+			order := rankFor("j", f.agents)
+			f.submit(first, "j")
+			f.deliverAll()
+			f.killAgents(order[i], order[k])
+			f.killEntry(first)
+			f.submit(second, "j")
+			f.pass(100 * time.Millisecond)
+			f.restartAgents(order[k])
+			f.pass(100 * time.Millisecond)
+			f.restartAgents(order[i])
+			if wait := 200*time.Millisecond + f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter {
+				t.Errorf("registrars %d and %d lost: the second entry ordered tasks %s after the owner's death", i, k, wait)
+			}
+		}
+	}
+}
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -88,7 +88,10 @@
 // advance sends the requests that are due and lets the job begin if the entry owns it by now.
 func (s *Scheduler) advance(now time.Time, o *ownership) {
 	s.withdraw(o)
-	s.sendRequests(o)
+	// An owner that is alive repeats a lost record meanwhile, so it comes before this entry at the registrars.
+	if o.owned || !s.awaitsRecords(now, o) {
+		s.sendRequests(o)
+	}
 	o.owned = o.owned || s.conceded(now, o)
 	s.confirm(o)
 	j := s.jobs[o.job]
@@ -150,7 +153,7 @@
 	if len(registrars) == 0 {
 		return s.withoutRegistrars(o) || s.connected() && now.Sub(s.waitingSince(o)) > s.limits.ResubmitAfter
 	}
-	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) }) && !s.awaitsLinks(now, o)
+	return !slices.ContainsFunc(registrars, func(agent string) bool { return !o.granted(agent) }) && !s.awaitsLinks(now, o) && !s.awaitsRecords(now, o)
 }
 
 // runOrdered and runEnded count the runs of a job that may not have ended.
--- a/dispatch/jobs/ownership_test.go
+++ b/dispatch/jobs/ownership_test.go
@@ -46,7 +46,9 @@
 	now     time.Time
 	agents  []string
 	tables  map[string]*owner.Table
+	started map[string]time.Time // when the process of each agent started
 	entries []*ownerEntry
+	limits  Limits
 	// heard holds when each agent had the newest message of each entry.
 	heard map[*ownerEntry]map[string]time.Time
 }
@@ -54,18 +56,20 @@
 func newOwnerFleet(entries, agents int) *ownerFleet {
 	limits := testLimits
 	limits.ResubmitAfter = 1300 * time.Millisecond
-	f := &ownerFleet{now: time.Unix(1000, 0), tables: map[string]*owner.Table{}, heard: map[*ownerEntry]map[string]time.Time{}}
+	return newOwnerFleetWith(limits, entries, agents)
+}
+
+func newOwnerFleetWith(limits Limits, entries, agents int) *ownerFleet {
+	f := &ownerFleet{now: time.Unix(1000, 0), tables: map[string]*owner.Table{}, started: map[string]time.Time{}, limits: limits, heard: map[*ownerEntry]map[string]time.Time{}}
 	for i := range agents {
 		agent := fmt.Sprintf("a%d", i)
 		f.agents = append(f.agents, agent)
 		f.tables[agent] = owner.New(f.now.Add(-time.Second), ownerLimits)
 		f.tables[agent].Tick(f.now)
+		f.started[agent] = f.now.Add(-time.Minute)
 	}
-	for i := range entries {
-		e := &ownerEntry{Scheduler: New(limits), name: fmt.Sprintf("e%d", i), frames: map[string][]sentFrame{}, answers: map[string][]sentAnswer{}, running: map[run.Ref]string{}, linked: map[string]bool{}}
-		e.SetRegistrars(f.now, f.agents)
-		f.entries = append(f.entries, e)
-		f.heard[e] = map[string]time.Time{}
+	for range entries {
+		e := f.addEntry()
 		for _, agent := range f.agents {
 			f.connect(e, agent)
 		}
@@ -74,13 +78,25 @@
 	return f
 }
 
+// addEntry adds an entry without links.
+func (f *ownerFleet) addEntry() *ownerEntry {
+	e := &ownerEntry{
+		Scheduler: New(f.limits), name: fmt.Sprintf("e%d", len(f.entries)), frames: map[string][]sentFrame{},
+		answers: map[string][]sentAnswer{}, running: map[run.Ref]string{}, linked: map[string]bool{},
+	}
+	e.SetRegistrars(f.now, f.agents)
+	f.entries = append(f.entries, e)
+	f.heard[e] = map[string]time.Time{}
+	return e
+}
+
 // connect opens a link, or replaces the open one; frames and answers that are on their way are lost.
 func (f *ownerFleet) connect(e *ownerEntry, agent string) {
 	e.frames[agent], e.answers[agent] = nil, nil
 	e.linked[agent] = true
 	e.AgentConnected(f.now, agent)
 	f.take(e)
-	e.Report(f.now, agent, Report{Server: serverOf(agent, 64000), Free: run.Demand{CPU: 64000, MemoryMB: 1 << 20}, RecordsOwners: true})
+	e.Report(f.now, agent, Report{Server: serverOf(agent, 64000), Free: run.Demand{CPU: 64000, MemoryMB: 1 << 20}, RecordsOwners: true, Uptime: max(time.Millisecond, f.now.Sub(f.started[agent]))})
 	f.take(e)
 }
 
--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -20,6 +20,10 @@
 		}
 	}
 	s.registrarListed = listed
+	if s.firstListed.IsZero() && len(agents) > 0 {
+		s.firstListed = now
+	}
+	s.forgetLosses(now)
 }
 
 // Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -45,8 +45,15 @@
 	// registrarListed holds when each registrar was first listed, connectedSince since when the entry has had a link.
 	registrarListed map[string]time.Time
 	connectedSince  time.Time
-	lastRequest     uint64     // number of the newest request for a job
-	singleServer    [1]*server // argument of dispatchTo, kept to avoid an allocation
+	// firstListed is when the entry had its first list of registrars, registrarLost when it lost its newest link to each.
+	firstListed   time.Time
+	registrarLost map[string]time.Time
+	lastLinkLost  time.Time // when the newest link to any agent was lost
+	// startChanges counts the changes of the known starts of agents, oldest is the earliest of these starts.
+	startChanges uint64
+	oldest       linkedStart
+	lastRequest  uint64     // number of the newest request for a job
+	singleServer [1]*server // argument of dispatchTo, kept to avoid an allocation
 }
 
 // expectation is the number of agents that are expected to connect, until a time after the start of the
@@ -74,6 +81,7 @@
 		crashes:        newCrashLog(),
 		bulkheads:      newBulkheads(),
 		ownerships:     map[string]*ownership{},
+		registrarLost:  map[string]time.Time{},
 	}
 }
 
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -37,6 +37,7 @@
 	reportsCrashes bool
 	// recordsOwners is set if the agent records the owners of jobs.
 	recordsOwners bool
+	startedAt     time.Time // start of the agent's process, as far as reports over the present link tell; zero if unknown
 	entries       int       // number of entries that share the backend server; 0 if unknown
 	lastOrder     time.Time // time of the newest order
 	probes        int       // consecutive orders while it was too slow
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -155,6 +155,8 @@
 	ReportsCrashes bool
 	// RecordsOwners is set if the agent records the owners of jobs.
 	RecordsOwners bool
+	// Uptime is the time since the agent's process started; 0 if unknown.
+	Uptime time.Duration
 }
 
 // Limits configures the scheduler.
@@ -168,6 +170,12 @@
 	// ResubmitAfter is the time after the end of a submission within which all its runs have certainly ended, even
 	// if every stop was lost.
 	ResubmitAfter time.Duration
+	// OwnerLostAfter is the time since the last message of an entry to a registrar after which all its runs have certainly
+	// ended. Records that were lost together with their owner matter for as long. 0 means that no record is lost so.
+	OwnerLostAfter time.Duration
+	// FormerRunsEnd is the time since the end of an agent's process after which the runs that it kept have certainly ended,
+	// unless the next process has adopted them.
+	FormerRunsEnd time.Duration
 	// MaxWaitingTasks bounds the number of waiting tasks.
 	MaxWaitingTasks int
 	// RemoteDataFactor is how many times longer a task runs away from its data; values below 1 count as
