--- a/dispatch/jobs/links.go
+++ b/dispatch/jobs/links.go
@@ -19,9 +19,11 @@
 	}
 	s.recordConnection(now)
 	s.observeRegistrars(now)
+	s.recordLinkEnd(now, v)
 	s.linkChanges++
 	v.linked = true
 	v.reported = false
+	v.startedAt = time.Time{}
 	v.lastContact = now
 	v.seq = 0
 	v.unacked = nil
@@ -42,6 +44,7 @@
 	if v := s.servers[agent]; v != nil {
 		s.observeRegistrars(now)
 		s.linkChanges++
+		s.recordLinkEnd(now, v)
 		v.linked, v.unlinkedAt = false, now
 	}
 }
--- a/dispatch/jobs/reports.go
+++ b/dispatch/jobs/reports.go
@@ -26,6 +26,7 @@
 		s.linkChanges++
 	}
 	v.recordsOwners = r.RecordsOwners
+	s.recordStart(now, v, r.Uptime)
 	if s.bulkheads.recordOthers(now, r.Server.Service, r.OthersConfined) {
 		s.updateBulkheads(now)
 	}
