Let waiting jobs follow the list of registrars

A job kept the order of registrars of its submission. When a new entry had read a partial list, a job that was waiting when the complete list arrived was granted by agents that no other entry asks, while another entry owned it. When all registrars of its submission had left the list, it was neither ordered nor rejected: registrars of the present list were reachable, so it did not count as one that no registrar can grant.

A change of the list now gives all jobs the present order. Requests at agents that are no longer listed are withdrawn, unless such an agent has another owner: that one may not have registered at the present registrars yet.

TestWaitingJobFollowsListOfRegistrars and TestJobOfPartialListIsNotGrantedByItsRegistrars failed before (no run within 2 s; two runs at the second entry). TestEntryWaitsForOwnerAtFormerRegistrars guards the exception and passed before.

--- a/dispatch/jobs/ownerrequests.go
+++ b/dispatch/jobs/ownerrequests.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -61,11 +62,9 @@
 	if o.owned || o.runs > 0 {
 		return
 	}
-	first := slices.IndexFunc(o.order, func(agent string) bool {
-		r := o.request(agent)
-		return r != nil && r.state == held && s.reachable(agent)
-	})
-	if first < 0 {
+	s.withdrawUnlisted(o)
+	first := s.firstHeld(o)
+	if first == noneHeld {
 		return
 	}
 	for _, r := range o.requests {
@@ -76,6 +75,33 @@
 	}
 }
 
+// noneHeld is the result of firstHeld if no reachable agent has another owner.
+const noneHeld = math.MaxInt
+
+// firstHeld returns the position of the first reachable registrar that has another owner. One that is no longer listed has
+// the position -1, before all others.
+func (s *Scheduler) firstHeld(o *ownership) int {
+	first := noneHeld
+	for _, r := range o.requests {
+		if r.state == held && s.reachable(r.agent) {
+			first = min(first, slices.Index(o.order, r.agent))
+		}
+	}
+	return first
+}
+
+// withdrawUnlisted withdraws the requests at agents that are no registrars any more, because other entries do not ask
+// them. One that has another owner is still waited for: that owner may not have registered at the present ones yet.
+func (s *Scheduler) withdrawUnlisted(o *ownership) {
+	for _, r := range o.requests {
+		isListed := slices.Contains(o.order, r.agent)
+		if r.state != withdrawn && r.state != held && !isListed {
+			r.state = withdrawn
+			s.releaseAt(r.agent, o.job)
+		}
+	}
+}
+
 // releaseAt tells a registrar that the entry does not own or want a job. It drops a request that the same frame would
 // carry, because agents handle the releases of a frame first.
 func (s *Scheduler) releaseAt(agent, id string) {
--- /dev/null
+++ b/dispatch/jobs/registrarlist_test.go
@@ -0,0 +1,66 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"poplargw.example/dispatch/run"
+)
+
+// Guards against a job that waits until its deadline because all registrars of its submission have left the list: the
+// entry reaches others, so it neither orders nor rejects the job.
+func TestWaitingJobFollowsListOfRegistrars(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
+	e := f.entries[0]
+	e.SetRegistrars(f.now, f.agents[:1])
+	f.submit(e, "j")
+	f.killAgents(f.agents[0])
+	f.pass(20 * time.Millisecond)
+	e.SetRegistrars(f.now, f.agents[1:])
+	f.pass(2 * time.Second)
+	if f.runs(e) != 2 {
+		t.Errorf("%d runs, the job is held: %t", f.runs(e), e.jobs["j"] != nil)
+	}
+}
+
+// Guards against two runs of a task when an entry has read a list without the registrars of a job, and the complete list
+// arrives while the job waits: it was granted by agents that no other entry asks.
+func TestJobOfPartialListIsNotGrantedByItsRegistrars(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	second.SetRegistrars(f.now, order[6:])
+	f.submit(second, "j")
+	second.SetRegistrars(f.now, f.agents)
+	f.deliverAll()
+	f.pass(time.Second)
+	if f.runs(second) != 0 {
+		t.Errorf("%d runs at the second entry while the first one owns the job", f.runs(second))
+	}
+}
+
+// Guards against two runs of a task when the list of registrars changes at an entry that waits before it changes at the
+// owner, which has not registered at the present ones yet. Also guards against an entry that waits for ever then.
+func TestEntryWaitsForOwnerAtFormerRegistrars(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.submit(second, "j")
+	f.deliverAll()
+	second.SetRegistrars(f.now, order[2:])
+	f.pass(time.Second)
+	if f.runs(second) != 0 {
+		t.Fatalf("%d runs at the second entry while the first one owns the job", f.runs(second))
+	}
+	first.Abandon("j")
+	f.endRun(first, run.Stopped)
+	f.endRun(first, run.Stopped)
+	f.pass(40 * time.Millisecond)
+	if f.runs(second) != 2 {
+		t.Errorf("%d runs at the second entry after the first one has released the job", f.runs(second))
+	}
+}
--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -12,6 +12,7 @@
 // MaxRegistrars. Without registrars, an entry owns each job that it admits.
 func (s *Scheduler) SetRegistrars(now time.Time, agents []string) {
 	s.observeRegistrars(now)
+	isChanged := !slices.Equal(s.registrars, agents)
 	s.registrars = slices.Clone(agents)
 	listed := make(map[string]time.Time, len(agents))
 	for _, agent := range agents {
@@ -25,6 +26,17 @@
 		s.firstListed = now
 	}
 	s.forgetLosses(now)
+	if isChanged {
+		s.reorderRegistrars()
+	}
+}
+
+// reorderRegistrars gives all jobs the order of the present registrars, which those of other entries have as well.
+func (s *Scheduler) reorderRegistrars() {
+	s.linkChanges++
+	for _, o := range s.ownerships {
+		o.order = rankFor(o.job, s.registrars)
+	}
 }
 
 // Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
