Count lost registrars that have left the list

The wait for lost records looked at the listed registrars only. When the two registrars that were lost with an owner left the list within OwnerLostAfter, as after a planned stop or while keys lapse in an outage of the store, the job was granted at once by the next ones.

The order of a job now includes registrars that were lost within OwnerLostAfter, listed or not.

--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -78,7 +78,7 @@
 func (s *Scheduler) own(now time.Time, j *job) {
 	o := s.ownerships[j.ID]
 	if o == nil {
-		o = &ownership{job: j.ID, order: rankFor(j.ID, s.registrars)}
+		o = &ownership{job: j.ID, order: s.orderFor(now, j.ID)}
 		s.ownerships[j.ID] = o
 	}
 	o.since = now
--- a/dispatch/jobs/registrarlist_test.go
+++ b/dispatch/jobs/registrarlist_test.go
@@ -64,3 +64,20 @@
 		t.Errorf("%d runs at the second entry after the first one has released the job", f.runs(second))
 	}
 }
+
+// Guards against two runs of a task when the registrars that were lost with the owner leave the list at once: the entry
+// does not count them among those that may have lost records.
+func TestJobWaitsWhenLostRegistrarsLeaveList(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[0], order[1])
+	f.killEntry(first)
+	second.SetRegistrars(f.now, order[2:])
+	f.submit(second, "j")
+	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -27,18 +27,30 @@
 	}
 	s.forgetLosses(now)
 	if isChanged {
-		s.reorderRegistrars()
+		s.reorderRegistrars(now)
 	}
 }
 
 // reorderRegistrars gives all jobs the order of the present registrars, which those of other entries have as well.
-func (s *Scheduler) reorderRegistrars() {
+func (s *Scheduler) reorderRegistrars(now time.Time) {
 	s.linkChanges++
 	for _, o := range s.ownerships {
-		o.order = rankFor(o.job, s.registrars)
+		o.order = s.orderFor(now, o.job)
 	}
 }
 
+// orderFor returns the registrars of a job in order. Those that were lost within Limits.OwnerLostAfter are among them
+// although they are not listed any more: they may have had the record of an owner that was lost with them.
+func (s *Scheduler) orderFor(now time.Time, id string) []string {
+	candidates := s.registrars
+	for agent, lost := range s.registrarLost {
+		if now.Sub(lost) < s.limits.OwnerLostAfter && !slices.Contains(s.registrars, agent) {
+			candidates = append(slices.Clip(candidates), agent)
+		}
+	}
+	return rankFor(id, candidates)
+}
+
 // Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
 func Registrars(fleet []string) []string {
 	list := rankFor("registrars", fleet)
