Keep the registrars when the list of agents is empty

Keys of agents lapse while the store is down. An entry that read an empty list while its links were reset had no registrars left, and then counted as one in a fleet without registrars: it ordered the tasks of each job without any record, also of jobs that another entry owned.

An empty list does not replace another one any more.

--- a/dispatch/jobs/registrarlist_test.go
+++ b/dispatch/jobs/registrarlist_test.go
@@ -81,3 +81,20 @@
 		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
 	}
 }
+
+// Guards against jobs that begin without any record of their owner because a list without agents was read: keys lapse
+// while the store is down, and the agents run on.
+func TestEmptyListKeepsRegistrars(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	f.submit(first, "j")
+	f.submit(first, "k")
+	f.deliverAll()
+	f.submit(second, "j")
+	second.SetRegistrars(f.now, nil)
+	f.submit(second, "k")
+	f.pass(time.Second)
+	if f.runs(second) != 0 {
+		t.Errorf("%d runs at the second entry while the first one owns the jobs", f.runs(second))
+	}
+}
--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -9,8 +9,12 @@
 )
 
 // SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
-// MaxRegistrars. Without registrars, an entry owns each job that it admits.
+// MaxRegistrars. Without registrars, an entry owns each job that it admits. An empty list does not replace another one:
+// keys of agents lapse while the store is down, and tasks run on no other agents.
 func (s *Scheduler) SetRegistrars(now time.Time, agents []string) {
+	if len(agents) == 0 {
+		return
+	}
 	s.observeRegistrars(now)
 	isChanged := !slices.Equal(s.registrars, agents)
 	s.registrars = slices.Clone(agents)
@@ -22,7 +26,7 @@
 		}
 	}
 	s.registrarListed = listed
-	if s.firstListed.IsZero() && len(agents) > 0 {
+	if s.firstListed.IsZero() {
 		s.firstListed = now
 	}
 	s.forgetLosses(now)
