Wait in full while an agent whose link was lost may run on

The shorter wait for lost records (FormerRunsEnd) holds only if every agent has started since. An entry counted the agents with a link alone. When it had lost its links to most agents and the two registrars of a job had restarted, it took the others for dead, although one of them may run on and keep the runs of the dead owner.

The shorter wait now requires that no link which was lost within OwnerLostAfter is missing.

TestEntryThatLostLinksDoesNotCountOnFormerLeases failed before: tasks ordered 540 ms after the owner's death, runs may go on for 750 ms.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -82,6 +82,9 @@
 			return false
 		}
 	}
+	if s.awaitsLostAgents(now) {
+		return false
+	}
 	since := s.lastLinkLost
 	for _, agent := range s.reachableRegistrars(o) {
 		if started := s.servers[agent].startedAt; started.After(since) {
@@ -91,6 +94,14 @@
 	return now.Sub(since) >= s.limits.FormerRunsEnd
 }
 
+// awaitsLostAgents reports whether an agent to which the link was lost within Limits.OwnerLostAfter has no link yet. It may run
+// on, and keep runs of a dead owner for longer than the lease of a former process lasts.
+func (s *Scheduler) awaitsLostAgents(now time.Time) bool {
+	return slices.ContainsFunc(s.fleet, func(v *server) bool {
+		return !v.linked && now.Sub(v.unlinkedAt) < s.limits.OwnerLostAfter
+	})
+}
+
 // awaitsFleet reports whether links to known agents, which may have run for long, are about to open.
 func (s *Scheduler) awaitsFleet(now time.Time) bool {
 	if now.Sub(s.connectedSince) >= registrarWait {
--- a/dispatch/jobs/registrarlist_test.go
+++ b/dispatch/jobs/registrarlist_test.go
@@ -98,3 +98,24 @@
 		t.Errorf("%d runs at the second entry while the first one owns the jobs", f.runs(second))
 	}
 }
+
+// Guards against two runs of a task when an entry that has lost its links to most agents takes their loss for their
+// death: one of them runs on and keeps the run of the dead owner.
+func TestEntryThatLostLinksDoesNotCountOnFormerLeases(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[0], order[1])
+	f.killEntry(first)
+	for _, agent := range order[2:] {
+		f.cut(second, agent)
+	}
+	f.pass(20 * time.Millisecond)
+	f.restartAgents(order[0], order[1])
+	f.submit(second, "j")
+	if wait := 20*time.Millisecond + f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
