Count unreachable registrars beside lost ones

A registrar that an entry had not reached for longer than OwnerLostAfter counted as one without records. An owner may reach it, and have its record there and at the next one. When that one was lost together with the owner, the entry counted a single lost record and was granted the job by the next registrars.

An unreachable registrar now counts like a lost one if another one was lost within OwnerLostAfter. Unreachable ones alone still delay nothing, so a dead agent that is still listed costs a wait only while another registrar of the job restarts or is lost.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -8,7 +8,8 @@
 // The record of an owner is lost when both registrars that have it are lost or restarted together with the owner. Runs of
 // that owner may continue for Limits.OwnerLostAfter, while other registrars, or the same ones after their restart, know
 // nothing of it. An owner has its record at the first two registrars that it reaches. So a job may begin if at most one
-// registrar that may have lost records comes before the first one that certainly has those of the last moments.
+// registrar that may have lost records, or that this entry does not reach, comes before the first one that certainly has
+// those of the last moments.
 
 // recordState tells whether a registrar has the records of the owners that were alive within Limits.OwnerLostAfter.
 type recordState int
@@ -20,6 +21,8 @@
 	complete
 	// maybeLost: the agent was lost or has restarted within that time.
 	maybeLost
+	// unreached: the agent has not been reachable from this entry within that time. An owner may have reached it.
+	unreached
 )
 
 // recordState returns the state of the records at a registrar. One whose start is not known counts as older.
@@ -34,7 +37,7 @@
 		if lost || isRecent {
 			return maybeLost
 		}
-		return noRecords
+		return unreached
 	}
 	// A registrar that has joined the list is not one that owners from before have asked.
 	joined := isRecent && listed.After(s.firstListed)
@@ -52,15 +55,18 @@
 	if s.limits.OwnerLostAfter == 0 {
 		return false
 	}
-	lost := 0
+	lost, missing := 0, 0 // missing: those of which this entry has no complete records
 	for _, agent := range o.order {
 		switch s.recordState(now, agent) {
 		case complete:
 			return false
 		case maybeLost:
 			lost++
+			missing++
+		case unreached:
+			missing++
 		}
-		if lost == registrarsPerJob {
+		if lost > 0 && missing >= registrarsPerJob {
 			break
 		}
 	}
--- a/dispatch/jobs/registrarlist_test.go
+++ b/dispatch/jobs/registrarlist_test.go
@@ -119,3 +119,21 @@
 		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
 	}
 }
+
+// Guards against two runs of a task when one registrar of the owner has not been reachable from another entry for long, and
+// the other one is lost with the owner.
+func TestJobWaitsWhenOneRegistrarIsLostAndOneUnreachable(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.cut(second, order[0])
+	f.pass(2 * time.Second)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[1])
+	f.killEntry(first)
+	f.submit(second, "j")
+	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
