Do not take restarted registrars for added ones at a new entry

A registrar that joins the list was counted as one without records, because owners from before have not asked it. An entry that had started just now may have read its first list while the registrars of a job were missing in it, because they restarted after they had been killed with the owner. It then was granted the job after their restore window.

A registrar that has started just now counts as added only if the entry has had a list for OwnerLostAfter before.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -39,10 +39,12 @@
 		}
 		return unreached
 	}
-	// A registrar that has joined the list is not one that owners from before have asked.
+	// A registrar that has joined the list is not one that owners from before have asked. An entry that has had a list for
+	// a short time cannot tell one that was added from one that was missing while it restarted.
 	joined := isRecent && listed.After(s.firstListed)
+	added := joined && listed.Sub(s.firstListed) >= s.limits.OwnerLostAfter && !v.startedAt.After(listed)
 	switch {
-	case now.Sub(v.startedAt) < s.limits.OwnerLostAfter && (lost || !joined || v.startedAt.After(listed)):
+	case now.Sub(v.startedAt) < s.limits.OwnerLostAfter && (lost || !added):
 		return maybeLost
 	case joined:
 		return noRecords
--- a/dispatch/jobs/registrarlist_test.go
+++ b/dispatch/jobs/registrarlist_test.go
@@ -137,3 +137,29 @@
 		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
 	}
 }
+
+// Guards against two runs of a task when a new entry reads a list without the registrars that were killed with the owner,
+// and takes these for added ones when they are back.
+func TestNewEntryDoesNotTakeRestartedRegistrarsForAdded(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
+	first := f.entries[0]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[0], order[1])
+	f.killEntry(first)
+	second := f.addEntry()
+	second.registrarListed, second.firstListed = nil, time.Time{}
+	second.SetRegistrars(f.now, order[2:])
+	for _, agent := range order[2:] {
+		f.connect(second, agent)
+	}
+	f.pass(20 * time.Millisecond)
+	f.restartAgents(order[0], order[1])
+	f.pass(20 * time.Millisecond)
+	second.SetRegistrars(f.now, f.agents)
+	f.submit(second, "j")
+	if wait := 40*time.Millisecond + f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1100*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
