Wait for an owner that was known when its registrars were lost

An owner that had no link to an earlier registrar for a while asks it after other entries that wait for the job, and one of these is granted the job there. What kept that one from beginning was the answer of a later registrar that another entry owns the job. When that registrar was lost, the answer was forgotten, and the grant of the earlier one, whose process is old, was taken as evidence that nothing runs.

An entry now keeps in mind when it lost a registrar that had another owner of a job, and waits for OwnerLostAfter from then, unless that registrar grants the job and its process has run on.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -57,6 +57,9 @@
 	if s.limits.OwnerLostAfter == 0 {
 		return false
 	}
+	if s.awaitsOtherOwner(now, o) {
+		return true
+	}
 	lost, missing := 0, 0 // missing: those of which this entry has no complete records
 	for _, agent := range o.order {
 		switch s.recordState(now, agent) {
@@ -181,7 +184,31 @@
 	s.lastLinkLost = now
 	if v.recordsOwners {
 		s.registrarLost[v.agent] = now
+		s.recordHeldLost(now, v.agent)
+	}
+}
+
+// recordHeldLost records that the link to a registrar was lost which had another owner of some jobs. That owner may run on
+// without a record at the others: one that had no link to an earlier registrar for a while has asked that one after
+// this entry.
+func (s *Scheduler) recordHeldLost(now time.Time, agent string) {
+	for _, o := range s.ownerships {
+		if r := o.request(agent); r != nil && r.state == held {
+			o.heldLost, o.heldBy = now, agent
+		}
+	}
+}
+
+// awaitsOtherOwner reports whether another entry owned the job when the link to its registrar was lost, within
+// Limits.OwnerLostAfter. A grant by that registrar ends the wait if its process has run on since: the other owner has
+// released the job, or is lost for long.
+func (s *Scheduler) awaitsOtherOwner(now time.Time, o *ownership) bool {
+	if now.Sub(o.heldLost) >= s.limits.OwnerLostAfter {
+		return false
 	}
+	v := s.servers[o.heldBy]
+	ranOn := v != nil && s.reachable(o.heldBy) && !v.startedAt.IsZero() && v.startedAt.Before(o.heldLost)
+	return !ranOn || !o.granted(o.heldBy)
 }
 
 // forgetLosses drops the losses that do not matter any more.
--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -370,3 +370,50 @@
 		}
 	}
 }
+
+// Guards against two runs of a task when an owner had no link to the first registrar for a while, which then has granted the
+// job to an entry that waits for the owner, and the registrars of the owner are lost with it.
+func TestEntryThatWaitsForOwnerAlsoWaitsWhenItsRegistrarsAreLost(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.cut(first, order[0])
+	f.pass(2 * time.Second)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.submit(second, "j")
+	f.deliverAll()
+	f.connect(first, order[0])
+	f.pass(time.Second)
+	if f.runs(second) != 0 {
+		t.Fatalf("%d runs at the second entry while the first one owns the job", f.runs(second))
+	}
+	f.killAgents(order[1], order[2])
+	f.killEntry(first)
+	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
+
+// Guards against a job that waits for long because the link to a registrar that had another owner was reset, although that
+// owner has released the job meanwhile.
+func TestReleasedJobBeginsAfterResetOfRegistrar(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.submit(second, "j")
+	f.deliverAll()
+	f.cut(second, order[0])
+	f.cut(second, order[1])
+	first.Abandon("j")
+	f.endRun(first, run.Stopped)
+	f.endRun(first, run.Stopped)
+	f.pass(60 * time.Millisecond)
+	f.connect(second, order[0])
+	f.connect(second, order[1])
+	if wait := f.passUntilRuns(second, 2*time.Second); wait > 40*time.Millisecond {
+		t.Errorf("the job waited %s after the links were open", wait)
+	}
+}
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -55,6 +55,9 @@
 	confirmed time.Time
 	// linkChanges is the value of Scheduler.linkChanges for which requests were sent last.
 	linkChanges uint64
+	// heldLost is when the link to a registrar that had another owner was lost last, heldBy that registrar.
+	heldLost time.Time
+	heldBy   string
 	// runs is the number of runs of the job that may not have ended, of all its submissions to this entry.
 	runs int
 }
