Recognize a restarted registrar whose lost link was noticed late

The end of a link may be noticed after the next process of its agent has started, so a start before the loss of the link does not show that the process has run on. A grant by such a registrar ended the wait for an owner that was known there.

The process must be older than the loss by OwnerLostAfter.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -201,13 +201,14 @@
 
 // awaitsOtherOwner reports whether another entry owned the job when the link to its registrar was lost, within
 // Limits.OwnerLostAfter. A grant by that registrar ends the wait if its process has run on since: the other owner has
-// released the job, or is lost for long.
+// released the job, or is lost for long. The end of a link may be noticed only after the next process has started, so the
+// process must be older than that by far.
 func (s *Scheduler) awaitsOtherOwner(now time.Time, o *ownership) bool {
 	if now.Sub(o.heldLost) >= s.limits.OwnerLostAfter {
 		return false
 	}
 	v := s.servers[o.heldBy]
-	ranOn := v != nil && s.reachable(o.heldBy) && !v.startedAt.IsZero() && v.startedAt.Before(o.heldLost)
+	ranOn := v != nil && s.reachable(o.heldBy) && !v.startedAt.IsZero() && o.heldLost.Sub(v.startedAt) > s.limits.OwnerLostAfter
 	return !ranOn || !o.granted(o.heldBy)
 }
 
--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -417,3 +417,32 @@
 		t.Errorf("the job waited %s after the links were open", wait)
 	}
 }
+
+// Guards against the same when the registrars have restarted before the end of their links is noticed: the start of their
+// processes is earlier than the loss of the links.
+func TestLateEndOfLinkDoesNotHideRestartOfRegistrar(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.cut(first, order[0])
+	f.pass(2 * time.Second)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.submit(second, "j")
+	f.deliverAll()
+	f.connect(first, order[0])
+	f.pass(time.Second)
+	f.killEntry(first)
+	for _, agent := range order[1:3] {
+		f.tables[agent] = owner.New(f.now, ownerLimits)
+		f.started[agent] = f.now
+	}
+	f.pass(60 * time.Millisecond)
+	f.cut(second, order[1])
+	f.cut(second, order[2])
+	f.connect(second, order[1])
+	f.connect(second, order[2])
+	if wait := 60*time.Millisecond + f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1100*time.Millisecond {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
