Lose the grant with the link in the test of a released job

TestReleasedJobBeginsAfterResetOfRegistrar cut the links first, and the model then delivered the grant over the closed link. The test now loses the grant with the link, so that only the repeated request can end the wait.

--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -405,11 +405,15 @@
 	f.deliverAll()
 	f.submit(second, "j")
 	f.deliverAll()
-	f.cut(second, order[0])
-	f.cut(second, order[1])
 	first.Abandon("j")
 	f.endRun(first, run.Stopped)
 	f.endRun(first, run.Stopped)
+	for _, agent := range order[:2] {
+		for len(first.frames[agent]) > 0 {
+			f.deliverFrame(first, agent)
+		}
+		f.cut(second, agent) // the grant is lost
+	}
 	f.pass(60 * time.Millisecond)
 	f.connect(second, order[0])
 	f.connect(second, order[1])
