Tell in the soak whether two entries ran a job with a conflict at the same time

Event 621 comes when an entry connects again after its ownership lapsed, without harm, as well as with two owners. The soak now says which it was: it compares the runs that the backend servers recorded with the entries that ordered them.

--- a/soak/conflicts_test.go
+++ b/soak/conflicts_test.go
@@ -91,10 +91,68 @@
 			d.t.Logf("%d further jobs with conflicts of owners are not traced", len(jobs)-i)
 			return
 		}
-		d.t.Logf("conflict of owners of job %s:\n%s", job, describeLines(d.traceJob(job)))
+		lines := d.traceJob(job)
+		d.t.Logf("conflict of owners of job %s, %s:\n%s", job, d.describeOwners(job, lines), describeLines(lines))
 	}
 }
 
+// describeOwners tells whether runs of a job that two entries ordered were in progress at the same time. If so, there were two
+// owners; else one entry has connected again after its ownership had lapsed and its runs had ended.
+func (d *deployment) describeOwners(job string, lines []tracedLine) string {
+	entries := entriesOfRuns(lines)
+	runs := d.runsOf(job)
+	for i, run := range runs {
+		for _, before := range runs[:i] {
+			first, second := entries[keyOf(before)], entries[keyOf(run)]
+			atOnce := before.Ended.IsZero() || run.Started.Before(before.Ended)
+			if atOnce && first != second && first != "" && second != "" {
+				return fmt.Sprintf("two owners: %s of %s began before the end of %s of %s", run.describe(), second, before.describe(), first)
+			}
+		}
+	}
+	return fmt.Sprintf("no runs of two entries at the same time, %d runs, %d orders in the logs", len(runs), len(entries))
+}
+
+// runsOf returns the runs of a job in order of their starts.
+func (d *deployment) runsOf(job string) []taskRun {
+	var runs []taskRun
+	for _, a := range d.agents {
+		for _, start := range a.backend.Starts() {
+			if jobOf(start.Task) == job {
+				runs = append(runs, taskRun{start, a})
+			}
+		}
+	}
+	slices.SortFunc(runs, func(a, b taskRun) int { return a.Started.Compare(b.Started) })
+	return runs
+}
+
+// runKey names a run: entries number the runs of each task by the time.
+type runKey struct {
+	task string
+	run  uint64
+}
+
+func keyOf(r taskRun) runKey { return runKey{r.Task, r.Run} }
+
+// entriesOfRuns returns the entries that ordered runs, as far as the lines tell.
+func entriesOfRuns(lines []tracedLine) map[runKey]string {
+	entries := map[runKey]string{}
+	for _, l := range lines {
+		var order struct {
+			Fields struct {
+				Entry string `json:"entry"`
+				Task  string `json:"task"`
+				Run   uint64 `json:"run"`
+			} `json:"fields"`
+		}
+		if json.Unmarshal([]byte(l.text), &order) == nil && order.Fields.Entry != "" && order.Fields.Task != "" {
+			entries[runKey{order.Fields.Task, order.Fields.Run}] = order.Fields.Entry
+		}
+	}
+	return entries
+}
+
 // traceJob returns the lines that name a job or one of its tasks, and the pauses of processes from shortly before the first
 // of them to the last.
 func (d *deployment) traceJob(job string) []tracedLine {
