Keep the registrars while the store lists no agents

Cause: an agent that the store does not list any more remained a registrar only while its link was open. When the links were reset while the store had lost all keys, no registrar was left, and an entry without registrars owns each job that it admits: with its links open again it ordered tasks although another entry may have had the job.

Change: the present registrars remain when there would be none.

TestRegistrarsRemainWhenLinksAreResetWhileStoreListsNoAgents failed before ("tasks were ordered before the agent has granted the job").

--- a/daemon/runentry/ownership_test.go
+++ b/daemon/runentry/ownership_test.go
@@ -64,6 +64,31 @@
 	}
 }
 
+// Guards against jobs that begin without a record of their owner when all links were reset while the store lists no agents:
+// no agent counted as a registrar any more once the links were open again.
+func TestRegistrarsRemainWhenLinksAreResetWhileStoreListsNoAgents(t *testing.T) {
+	e, a := newTestEntry(t)
+	e.SetAgents([]Agent{{ID: a.id, Address: "127.0.0.1:1", Domain: "d"}})
+	conn := a.conn
+	e.mu.Lock()
+	e.agents[a.id].conn = nil
+	e.mu.Unlock()
+	e.SetAgents(nil)
+	e.mu.Lock()
+	e.agents[a.id].conn = conn
+	e.mu.Unlock()
+	e.scheduler.Report(boottime.Now(), a.id, jobs.Report{
+		Server: run.Server{Instance: "i", Service: "svc", State: run.Ready, Capacity: run.Demand{CPU: 8000, MemoryMB: 1000}},
+		Free:   run.Demand{CPU: 8000, MemoryMB: 1000}, RecordsOwners: true,
+	})
+	if o, ok := e.admit(newTestJob(), make(chan jobs.Outcome, 1)); !ok {
+		t.Fatalf("job rejected: %+v", o)
+	}
+	if _, runs := e.scheduler.Tasks(); runs != 0 {
+		t.Error("tasks were ordered before the agent has granted the job")
+	}
+}
+
 // Guards against callers whose connections stay with an entry that rejects all jobs because it has a link to an agent,
 // but to none that grants jobs.
 func TestEntryWithoutRegistrarsIsNotReady(t *testing.T) {
--- a/daemon/runentry/partners.go
+++ b/daemon/runentry/partners.go
@@ -52,7 +52,8 @@
 
 // chooseRegistrars returns the agents that record the owners of jobs. Present ones that still have a link remain although
 // they are not listed: keys also disappear during a store outage, at other moments for each agent, and other entries
-// rely on their records. The caller must hold e.mu.
+// rely on their records. The present ones also remain when no agent is left at all, because an entry without registrars
+// owns each job that it admits. The caller must hold e.mu.
 func (e *Entry) chooseRegistrars() []string {
 	candidates := slices.Collect(maps.Keys(e.fleet))
 	for _, id := range e.registrars {
@@ -60,6 +61,9 @@
 			candidates = append(candidates, id)
 		}
 	}
+	if len(candidates) == 0 {
+		return e.registrars
+	}
 	return jobs.Registrars(candidates)
 }
 
