--- a/dispatch/runtable/ends_test.go
+++ b/dispatch/runtable/ends_test.go
@@ -35,8 +35,7 @@
 // and for runs that lapsed while it did not answer.
 func TestEarlierPictureDoesNotContradictEnd(t *testing.T) {
 	f := newFixture(t)
-	f.order(ref("a", 1), 1000)
-	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.orderAndStart(ref("a", 1), 1000)
 	f.RenewalDone(f.RenewLease(f.now), true)
 	before := f.clock() + 100
 	f.advance(testLimits.Lease + 20*time.Millisecond)
--- a/dispatch/runtable/fixture_test.go
+++ b/dispatch/runtable/fixture_test.go
@@ -50,6 +50,15 @@
 	return f.Order(f.now, Order{Ref: ref, Owner: "e1", Demand: run.Demand{CPU: cpu}, Instance: testServer.Instance, Token: f.now})
 }
 
+// orderAndStart orders a run that the backend server starts, and fails the test if the order is refused.
+func (f *fixture) orderAndStart(ref run.Ref, cpu int64) {
+	f.t.Helper()
+	if code := f.order(ref, cpu); code != 0 {
+		f.t.Fatalf("order of %v refused with code %d", ref, code)
+	}
+	f.Accepted(f.now, time.Millisecond, ref, f.clock())
+}
+
 func ref(task string, n uint64) run.Ref { return run.Ref{Task: task, Run: n} }
 
 func wantSingleEvent(t *testing.T, events []Event, want run.EventKind, code result.Code) {
--- a/dispatch/runtable/incarnation_test.go
+++ b/dispatch/runtable/incarnation_test.go
@@ -29,8 +29,7 @@
 func TestRunsOfLeavingServerEndWhenThatIsSeen(t *testing.T) {
 	runningFixture := func() *fixture {
 		f := newFixture(t)
-		f.order(ref("a", 1), 6000)
-		f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+		f.orderAndStart(ref("a", 1), 6000)
 		f.advance(5 * time.Millisecond)
 		f.RenewalDone(f.RenewLease(f.now), true)
 		f.snapshot([]RunningRun{{Ref: ref("a", 1)}}, nil)
--- a/dispatch/runtable/order_test.go
+++ b/dispatch/runtable/order_test.go
@@ -141,8 +141,7 @@
 		t.Errorf("order timeout is %s before the first answer", got)
 	}
 	for i := range 60 {
-		f.order(ref("a", uint64(i)+1), 1)
-		f.Accepted(f.now, time.Millisecond, ref("a", uint64(i)+1), f.clock())
+		f.orderAndStart(ref("a", uint64(i)+1), 1)
 		f.ApplySnapshot(f.now, Snapshot{Incarnation: testIncarnation, ClockMS: f.clock() + 5, Ended: []EndedRun{{Number: int64(i) + 1, Ref: ref("a", uint64(i)+1), Kind: run.Done}}})
 		f.advance(10 * time.Millisecond)
 		f.Confirmed("e1", f.now)
--- a/dispatch/runtable/renewals_test.go
+++ b/dispatch/runtable/renewals_test.go
@@ -12,8 +12,7 @@
 // the task: its lease must have expired even on a clock that is 2% slow.
 func TestRunsOfSilentServerEndOnlyAfterLease(t *testing.T) {
 	f := newFixture(t)
-	f.order(ref("a", 1), 1000)
-	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.orderAndStart(ref("a", 1), 1000)
 	f.RenewalDone(f.RenewLease(f.now), true)
 	f.advance(testLimits.Lease)
 	if events := f.ExpireLease(f.now); len(events) != 0 {
@@ -41,8 +40,7 @@
 // because no connection could be made. A renewal in flight counts until its outcome is known.
 func TestUnsentRenewalDoesNotExtendLease(t *testing.T) {
 	f := newFixture(t)
-	f.order(ref("a", 1), 1000)
-	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.orderAndStart(ref("a", 1), 1000)
 	f.RenewalDone(f.RenewLease(f.now), true)
 	f.advance(testLimits.RenewFor)
 	renewal := f.RenewLease(f.now)
--- a/dispatch/runtable/restart_test.go
+++ b/dispatch/runtable/restart_test.go
@@ -75,8 +75,7 @@
 	if s := f.Server(f.now); s.State != run.Ready {
 		t.Errorf("state %d after quarantine", s.State)
 	}
-	f.order(ref("a", 1), 1)
-	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.orderAndStart(ref("a", 1), 1)
 	f.advance(time.Second)
 	wantSingleEvent(t, f.ExpireLease(f.now), run.Stopped, result.ServerLost)
 	f.snapshot(nil, nil)
--- a/dispatch/runtable/snapshot_test.go
+++ b/dispatch/runtable/snapshot_test.go
@@ -33,8 +33,7 @@
 	f := newFixture(t)
 	before := f.clock()
 	f.advance(5 * time.Millisecond)
-	f.order(ref("a", 1), 1000)
-	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.orderAndStart(ref("a", 1), 1000)
 	events := f.ApplySnapshot(f.now, Snapshot{Incarnation: testIncarnation, ClockMS: before})
 	if len(events) != 0 || f.Len() != 1 {
 		t.Errorf("events %+v, %d runs", events, f.Len())
--- a/dispatch/runtable/sweep_test.go
+++ b/dispatch/runtable/sweep_test.go
@@ -9,8 +9,7 @@
 // callers submit their jobs again elsewhere.
 func TestRunsOfSilentEntryAreStopped(t *testing.T) {
 	f := newFixture(t)
-	f.order(ref("a", 1), 1000)
-	f.Accepted(f.now, time.Millisecond, ref("a", 1), f.clock())
+	f.orderAndStart(ref("a", 1), 1000)
 	f.advance(testLimits.OwnerSilence)
 	if stops := f.Sweep(f.now); len(stops) != 0 {
 		t.Fatalf("runs stopped too early: %v", stops)
