Record an owner again after the entry on record has released its job

Cause: an agent that has another owner on record when an owner connects again reported the conflict and kept the other one. When that entry released the job, nobody was on record, while the owner counted on its record there.

Change: the entry that connects waits for the job at that agent, and gets the record with the release. The answer has number 0, which an entry does not match with a request.

TestRestoreReplacesOwnedJobs also checks the release now.

--- a/dispatch/owner/owner.go
+++ b/dispatch/owner/owner.go
@@ -161,7 +161,8 @@
 
 // Restore records the complete list of jobs that the entry owns, which it sends over a new link. Jobs that are
 // not in the list have been released meanwhile, and requests from before have to be repeated. A job that has another
-// owner by now keeps that one; Restore returns such jobs as conflicts, and the grants to other entries.
+// owner by now keeps that one; Restore returns such jobs as conflicts, and the grants to other entries. The entry is recorded
+// as the owner once the other one has released the job, because it relies on this record.
 func (t *Table) Restore(now time.Time, entry string, jobs []string) (grants []Answer, conflicts []string) {
 	owned := make(map[string]bool, len(jobs))
 	for _, job := range jobs {
@@ -178,6 +179,8 @@
 			r.owner = entry
 		default:
 			conflicts = append(conflicts, job)
+			r.remove(entry)
+			r.waiting = append(r.waiting, claimant{entry: entry})
 		}
 	}
 	return grants, conflicts
--- a/dispatch/owner/owner_test.go
+++ b/dispatch/owner/owner_test.go
@@ -131,6 +131,9 @@
 	if _, conflicts := o.Restore(now, "a", []string{"job", "kept"}); len(conflicts) != 1 || conflicts[0] != "job" || o.Owner("job") != "b" {
 		t.Errorf("conflicts %v, owner %q", conflicts, o.Owner("job"))
 	}
+	if a, ok := o.Release("b", "job"); !ok || a.Entry != "a" || o.Owner("job") != "a" {
+		t.Errorf("answer %+v, owner %q after the release by the entry on record", a, o.Owner("job"))
+	}
 }
 
 // modelEntry is an entry as TestTableModel sees it.
