Leave the remaining registrars to an owner that is alive

Cause: two registrars of a job are lost one after the other. Another entry asked the third one after the first loss, before the owner did, and its record there kept the owner out while both waited. It began the job when the losses were old.

Change: an entry that waits because records may be lost withdraws its requests, unless the registrar has told it that another entry owns the job.

Found by a model that kills agents and entries. Seen failing without the call of yield: TestOwnerRegistersWhenRegistrarsAreLostInTurn.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -67,6 +67,21 @@
 	return lost > 0 && !s.formerRunsOver(now, o)
 }
 
+// yield withdraws the requests for a job whose record may be lost, so that an owner that is alive gets the record at the
+// remaining registrars. Where it has the record, the entry goes on waiting. An entry that has runs of the job left keeps its
+// records until they have ended.
+func (s *Scheduler) yield(o *ownership) {
+	if o.runs > 0 {
+		return
+	}
+	for _, r := range o.requests {
+		if r.state == requested || r.state == granted {
+			r.state = withdrawn
+			s.releaseAt(r.agent, o.job)
+		}
+	}
+}
+
 // formerRunsOver reports whether all runs from before the loss of records have ended although that is not
 // Limits.OwnerLostAfter ago: every agent with a link has started since, so that only the leases of former processes kept
 // runs going. It shortens the wait when everything has started together. It cannot tell an agent that runs on and that
--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -201,6 +201,26 @@
 	}
 }
 
+// Guards against two runs of a task when the registrars of a job are lost one after the other and its owner is not: another
+// entry has asked the next registrar after the loss of the first one, before the owner has.
+func TestOwnerRegistersWhenRegistrarsAreLostInTurn(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 4)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.submit(first, "j")
+	f.deliverAll()
+	f.killAgents(order[3])
+	f.killAgents(order[0])
+	f.submit(second, "j")
+	f.deliverFrame(second, order[2])
+	f.deliverAnswer(second, order[2])
+	f.killAgents(order[1]) // its answer is lost
+	f.pass(3 * time.Second)
+	if f.runs(second) != 0 {
+		t.Error("the second entry ordered tasks while the first one owns the job")
+	}
+}
+
 // Guards against jobs that wait longer than the restore window because one registrar has restarted or is lost.
 func TestSingleRegistrarDoesNotDelayJobsFurther(t *testing.T) {
 	for _, restart := range []bool{false, true} {
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -88,8 +88,9 @@
 // advance sends the requests that are due and lets the job begin if the entry owns it by now.
 func (s *Scheduler) advance(now time.Time, o *ownership) {
 	s.withdraw(o)
-	// An owner that is alive repeats a lost record meanwhile, so it comes before this entry at the registrars.
-	if o.owned || !s.awaitsRecords(now, o) {
+	if !o.owned && s.awaitsRecords(now, o) {
+		s.yield(o)
+	} else {
 		s.sendRequests(o)
 	}
 	o.owned = o.owned || s.conceded(now, o)
