--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -9,9 +9,14 @@
 )
 
 // SetRegistrars replaces the agents that may record owners of jobs. All entries must be given the same ones, at most
-// MaxRegistrars. Without registrars, an entry owns each job that it admits.
+// MaxRegistrars. Without registrars, an entry owns each job that it admits. An empty list does not replace another one:
+// keys of agents lapse while the store is down, and tasks run on no other agents.
 func (s *Scheduler) SetRegistrars(now time.Time, agents []string) {
+	if len(agents) == 0 {
+		return
+	}
 	s.observeRegistrars(now)
+	isChanged := !slices.Equal(s.registrars, agents)
 	s.registrars = slices.Clone(agents)
 	listed := make(map[string]time.Time, len(agents))
 	for _, agent := range agents {
@@ -21,10 +26,33 @@
 		}
 	}
 	s.registrarListed = listed
-	if s.firstListed.IsZero() && len(agents) > 0 {
+	if s.firstListed.IsZero() {
 		s.firstListed = now
 	}
 	s.forgetLosses(now)
+	if isChanged {
+		s.reorderRegistrars(now)
+	}
+}
+
+// reorderRegistrars gives all jobs the order of the present registrars, which those of other entries have as well.
+func (s *Scheduler) reorderRegistrars(now time.Time) {
+	s.linkChanges++
+	for _, o := range s.ownerships {
+		o.order = s.orderFor(now, o.job)
+	}
+}
+
+// orderFor returns the registrars of a job in order. Those that were lost within Limits.OwnerLostAfter are among them
+// although they are not listed any more: they may have had the record of an owner that was lost with them.
+func (s *Scheduler) orderFor(now time.Time, id string) []string {
+	candidates := s.registrars
+	for agent, lost := range s.registrarLost {
+		if now.Sub(lost) < s.limits.OwnerLostAfter && !slices.Contains(s.registrars, agent) {
+			candidates = append(slices.Clip(candidates), agent)
+		}
+	}
+	return rankFor(id, candidates)
 }
 
 // Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
