Bound the stacks that a stall report groups

A report with a thousand requests in progress (TestCancelManyJobs, with -race, load 38) took more than ten seconds.

--- a/lab/prove/stall_test.go
+++ b/lab/prove/stall_test.go
@@ -26,6 +26,9 @@
 	stallInterval = 20 * time.Second
 	// stallSample is the time over which run and wait times are compared. The processes print their stacks meanwhile.
 	stallSample = time.Second
+	// maxGrouped bounds the text of stacks of one process that is grouped: with a thousand requests in progress,
+	// grouping all of them took more than ten seconds with the race detector.
+	maxGrouped = 512 << 10
 )
 
 // stallWatch reports the state of all processes of a system when a request is silent for too long.
@@ -155,6 +158,9 @@
 
 // groupStacks returns the stacks without addresses, one line for each function, with equal ones counted.
 func groupStacks(text string) string {
+	if len(text) > maxGrouped {
+		return fmt.Sprintf("only the first %d of %d bytes of stacks:\n", maxGrouped, len(text)) + groupStacks(text[:maxGrouped])
+	}
 	counts := map[string]int{}
 	for stack := range strings.SplitSeq(text, "\n\n") {
 		if key := compactStack(stack); key != "" {
