Let each test process claim its range of loopback addresses

The ranges depend on the process ID modulo 200. Of ten soaks one ended at its start ("front-0 completed no job within 8s of start"): its log has "listen tcp 127.151.2.10:9464: bind: address already in use" at each start, from another test process with the same remainder. A process now keeps a listener in each of its ranges and passes over ranges that have one.

--- a/lab/testbed/network.go
+++ b/lab/testbed/network.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,11 +47,44 @@
 // prefixCount is the number of ranges of addresses that this process has used.
 var prefixCount atomic.Int32
 
-// LoopbackPrefix returns the first three bytes, with the dot after them, of a range of loopback addresses. The
-// range depends on the ID of this process and the number of ranges it has used, so that several test
-// processes, each with several ranges, can run at the same time.
+// LoopbackPrefix returns the first three bytes, with the dot after them, of a range of loopback addresses that no
+// other test process uses until this one ends, so that several test processes, each with several ranges, can run at
+// the same time. The ranges depend on the ID of this process and the number of ranges that it has used; two processes
+// whose IDs differ by a multiple of 200 would use the same ones.
 func LoopbackPrefix() string {
-	return fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, 1+int(prefixCount.Add(1))%250)
+	prefix := ""
+	for range prefixesPerProcess {
+		prefix = fmt.Sprintf("127.%d.%d.", 16+os.Getpid()%200, 1+int(prefixCount.Add(1))%prefixesPerProcess)
+		if claimRange(prefix) {
+			break
+		}
+	}
+	return prefix
+}
+
+const (
+	// prefixesPerProcess is the number of ranges from which a process chooses.
+	prefixesPerProcess = 250
+	// claimHost and claimPort are the address in each range whose listener shows that the range is in use.
+	claimHost, claimPort = 254, 7100
+)
+
+// claims holds the listeners of the ranges of this process: one without a reference would be closed.
+var claims struct {
+	mu        sync.Mutex
+	listeners []net.Listener
+}
+
+// claimRange reports whether the range was free, and claims it until the process ends.
+func claimRange(prefix string) bool {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", prefix, claimHost, claimPort))
+	if err != nil {
+		return false
+	}
+	claims.mu.Lock()
+	defer claims.mu.Unlock()
+	claims.listeners = append(claims.listeners, l)
+	return true
 }
 
 // NewNetwork chooses a range of addresses and writes certificates for them into the directory.
