Leave a restarted registrar to the owner of a job

Cause: a registrar restarts that comes before those of the owner. Another entry that asks for the job at that time was first in its queue and kept the grant, although a later registrar named the owner. The registrar counted as complete 949 ms later, without a record of the owner. When the owner died together with its own two registrars, the other entry began the job at once.

Change: an entry that learns of another owner withdraws its unanswered requests at registrars that have started within 949 ms, and asks them again once no registrar names an owner.

--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -221,6 +221,30 @@
 	}
 }
 
+// Guards against an entry that takes the place of an owner at a registrar that has restarted: the owner's next registrars are
+// lost with it, and the restarted one seems to know of no owner.
+func TestOwnerRegistersAtRestartedRegistrarBeforeOthers(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 2, 8)
+	first, second := f.entries[0], f.entries[1]
+	order := rankFor("j", f.agents)
+	f.killAgents(order[0])
+	f.submit(first, "j")
+	f.pass(60 * time.Millisecond)
+	f.submit(second, "j")
+	f.restartAgents(order[0])
+	second.Tick(f.now)
+	f.take(second)
+	for len(second.frames[order[0]]) > 0 {
+		f.deliverFrame(second, order[0])
+	}
+	f.pass(1100 * time.Millisecond)
+	f.killAgents(order[1], order[2])
+	f.killEntry(first)
+	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter {
+		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
+
 // Guards against jobs that wait longer than the restore window because one registrar has restarted or is lost.
 func TestSingleRegistrarDoesNotDelayJobsFurther(t *testing.T) {
 	for _, restart := range []bool{false, true} {
--- a/dispatch/jobs/ownerrequests.go
+++ b/dispatch/jobs/ownerrequests.go
@@ -57,7 +57,9 @@
 
 // withdraw withdraws the requests at the registrars that come after one which has another owner, so that two entries never
 // wait for each other. An entry that has runs of the job left keeps its records until they have ended.
-func (s *Scheduler) withdraw(o *ownership) {
+//
+// Requests at registrars that have restarted are withdrawn as well: the owner has no record there yet.
+func (s *Scheduler) withdraw(now time.Time, o *ownership) {
 	if o.owned || o.runs > 0 {
 		return
 	}
@@ -69,7 +71,9 @@
 		return
 	}
 	for _, r := range o.requests {
-		if r.state != withdrawn && slices.Index(o.order, r.agent) > first {
+		later := slices.Index(o.order, r.agent) > first
+		restarted := r.state == requested && s.limits.OwnerLostAfter > 0 && s.recordState(now, r.agent) == maybeLost
+		if r.state != withdrawn && (later || restarted) {
 			r.state = withdrawn
 			s.releaseAt(r.agent, o.job)
 		}
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -87,7 +87,7 @@
 
 // advance sends the requests that are due and lets the job begin if the entry owns it by now.
 func (s *Scheduler) advance(now time.Time, o *ownership) {
-	s.withdraw(o)
+	s.withdraw(now, o)
 	if !o.owned && s.awaitsRecords(now, o) {
 		s.yield(o)
 	} else {
