Deliver claims and ownerships together in the model of kills

The model adopted runs at a restarted agent before the frame that claims them, which also lists the jobs that the entry owns, had arrived.

--- a/dispatch/jobs/ownershipkillmodel_test.go
+++ b/dispatch/jobs/ownershipkillmodel_test.go
@@ -62,6 +62,9 @@
 	m.restartAgents(agent)
 	m.each(agent, m.alive(), func(ref run.Ref) { delete(m.former, ref) })
 	for _, e := range m.alive() {
+		for len(e.frames[agent]) > 0 { // the frame that claims the runs lists the jobs that the entry owns
+			m.deliverFrame(e, agent)
+		}
 		m.learnEnds(e)
 	}
 }
