Show an owner that queues behind two waiting entries

An owner that had no link to the first registrar asks it after entries that wait for the job. When the owner and its own two registrars are killed, and the first waiting entry abandons the job, the next one is granted it by the first registrar. It never asked those of the owner, so it orders tasks at once.

TestEntryBehindWaitingEntryWaitsForOwner fails: tasks ordered 20 ms after the owner's death, runs may go on for 750 ms. Not fixed here; a registrar would have to put an entry that says it owns the job before those that wait.

--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -494,3 +494,26 @@
 		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
 	}
 }
+
+// Guards against the same at an entry that has waited for the waiting entry: it asked the first registrar before the owner
+// did, and has never learned of that owner.
+func TestEntryBehindWaitingEntryWaitsForOwner(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 3, 8)
+	first, second, third := f.entries[0], f.entries[1], f.entries[2]
+	order := rankFor("j", f.agents)
+	f.cut(first, order[0])
+	f.pass(2 * time.Second)
+	for _, e := range f.entries {
+		f.submit(e, "j")
+		f.deliverAll()
+	}
+	f.connect(first, order[0])
+	f.pass(time.Second)
+	f.killAgents(order[1], order[2])
+	f.killEntry(first)
+	second.Abandon("j")
+	f.take(second)
+	if wait := f.passUntilRuns(third, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("the third entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	}
+}
