--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -79,14 +79,16 @@
 }
 
 // yield withdraws the requests for a job whose record may be lost, so that an owner that is alive gets the record at the
-// remaining registrars. Where it has the record, the entry goes on waiting. An entry that has runs of the job left keeps its
+// remaining registrars. Where it has the record, the entry goes on waiting. The request at the registrar that had the other
+// owner remains if that process has run on, because its grant ends the wait. An entry that has runs of the job left keeps its
 // records until they have ended.
-func (s *Scheduler) yield(o *ownership) {
+func (s *Scheduler) yield(now time.Time, o *ownership) {
 	if o.runs > 0 {
 		return
 	}
 	for _, r := range o.requests {
-		if r.state == requested || r.state == granted {
+		endsWait := r.agent == o.heldBy && s.recordState(now, r.agent) == complete
+		if !endsWait && (r.state == requested || r.state == granted) {
 			r.state = withdrawn
 			s.releaseAt(r.agent, o.job)
 		}
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -92,7 +92,7 @@
 func (s *Scheduler) advance(now time.Time, o *ownership) {
 	s.withdraw(now, o)
 	if !o.owned && s.awaitsRecords(now, o) {
-		s.yield(o)
+		s.yield(now, o)
 	} else {
 		s.sendRequests(o)
 	}
