--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -16,7 +16,7 @@
 func lostRecordLimits() Limits {
 	limits := testLimits
 	limits.OwnerLostAfter = 949 * time.Millisecond
-	limits.FormerRunsEnd = 508 * time.Millisecond
+	limits.FormerRunsEnd = 468 * time.Millisecond
 	return limits
 }
 
