--- a/review/harness/cancel.go
+++ b/review/harness/cancel.go
@@ -133,7 +133,7 @@
 	return r, nil
 }
 
-// cancelResent: a client cancels its job. The POST, which is still open, is answered 504, after which the pages have
+// cancelResent: one of four clients cancels its job. The POST, which is still open, is answered 504, after which the pages have
 // the client send the job again.
 func cancelResent(d *deployment, trouble bool) (result, error) {
 	if err := startSmall(d); err != nil {
@@ -141,15 +141,10 @@
 	}
 	const id = "5c0e7a21d94b36f8"
 	var clients sync.WaitGroup
-	clients.Go(func() {
-		for end := time.Now().Add(deadline); time.Now().Before(end); {
-			a := d.request("client-1", tanta, http.MethodPost, prefix+id, chain(steps), time.Until(end))
-			if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout || d.ctx.Err() != nil {
-				return
-			}
-			sleep(d.ctx, resendMs*time.Millisecond)
-		}
-	})
+	clients.Go(func() { d.submitAndResend("client-1", tanta, id) })
+	for i, zone := range []string{tanta, mansura, mansura} {
+		clients.Go(func() { d.submitAndResend(fmt.Sprintf("client-%d", i+2), zone, fmt.Sprintf("6d0e7a21d94b36f%d", i)) })
+	}
 	time.Sleep(2 * time.Second)
 	if len(d.starts(id)) == 0 {
 		return result{}, fmt.Errorf("the job has not begun")
@@ -175,3 +170,14 @@
 	clients.Wait()
 	return r, nil
 }
+
+// submitAndResend submits a job and sends it again as the pages say: resendMs after no answer, 502 or 504.
+func (d *deployment) submitAndResend(client, zone, id string) {
+	for end := time.Now().Add(deadline); time.Now().Before(end) && d.ctx.Err() == nil; {
+		a := d.request(client, zone, http.MethodPost, prefix+id, chain(steps), time.Until(end))
+		if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
+			return
+		}
+		sleep(d.ctx, resendMs*time.Millisecond)
+	}
+}
