--- /dev/null
+++ b/review/harness-2/main.go
@@ -0,0 +1,320 @@
+// Command harness-2 plays the scripts of the second review. It exits with 1 if the rule was broken, 0 if it held, and 2 if the
+// case could not run.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+)
+
+// cancelBound is cancel_ms of the settings, which the other two stand beside.
+const (
+	cancelBound = 3 * time.Second
+	ackBound    = 4 * time.Second // ackMs
+	configBound = 2 * time.Second // configMs
+	// contactBound is contactMs, after which machines are in touch again.
+	contactBound = 3 * time.Second
+	// cutLength is for_s of zone_cut and core_cut in the site file.
+	cutLength = 5500 * time.Millisecond
+)
+
+// play is a case: it returns what broke the rule, or nothing. trouble is false for a run without the disruption.
+type play struct {
+	setup func(r *rig) error
+	run   func(r *rig, trouble bool) ([]string, error)
+}
+
+var plays = map[string]play{
+	"late-copy":   {plain, lateCopy},
+	"lost-answer": {plain, lostAnswer},
+	"cut-owner":   {func(r *rig) error { return r.prepare(2, 4, true) }, cutOwner},
+	"no-route":    {plain, noRoute},
+	"cut-zone":    {func(r *rig) error { return r.prepare(2, 6, true) }, cutZone},
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: harness-2 CASE RECORD")
+		return 2
+	}
+	p, ok := plays[os.Args[1]]
+	file, err := os.Create(os.Args[2])
+	if !ok || err != nil {
+		fmt.Fprintln(os.Stderr, "no such case, or the record cannot be written:", err)
+		return 2
+	}
+	defer file.Close()
+	rec := &recorder{out: io.MultiWriter(file, os.Stdout), begun: time.Now()}
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec.log("case %s, with the disruption: %v", os.Args[1], trouble)
+	r, err := newRig(rec)
+	if err == nil {
+		defer r.close()
+		err = p.setup(r)
+	}
+	var broken []string
+	if err == nil {
+		err = r.startAll()
+	}
+	if err == nil {
+		broken, err = p.run(r, trouble)
+	}
+	if err != nil {
+		rec.log("the case could not run: %v", err)
+		return 2
+	}
+	for _, b := range broken {
+		rec.log("BROKEN: %s", b)
+	}
+	if len(broken) > 0 {
+		return 1
+	}
+	rec.log("the rule held")
+	return 0
+}
+
+// plain prepares two entries and three workers.
+func plain(r *rig) error { return r.prepare(2, 3, false) }
+
+// prepare prepares entries and workers in three zones, with proxies between the entries and the agents if withProxy is set.
+func (r *rig) prepare(entries, workers int, withProxy bool) error {
+	var err error
+	for i := range workers {
+		err = errors.Join(err, r.addWorker(16000, []string{"a", fmt.Sprintf("r1-%d", i+1)}, withProxy))
+	}
+	for range entries {
+		err = errors.Join(err, r.addEntry())
+	}
+	return err
+}
+
+// unasked returns the starts of a cancelled job that are later than the bound after the acknowledgement, and the tasks that
+// are still at work then.
+func (r *rig) unasked(id string, acknowledged time.Time) []string {
+	var broken []string
+	limit := acknowledged.Add(cancelBound)
+	for _, s := range r.startsOf(id) {
+		switch {
+		case s.at.After(limit):
+			broken = append(broken, fmt.Sprintf("UNASKED: %s started task %s run %d %d ms after the cancelling of its job was acknowledged",
+				s.worker, s.task, s.run, s.at.Sub(acknowledged).Milliseconds()))
+		case s.ended.IsZero() || s.ended.After(limit.Add(100*time.Millisecond)):
+			broken = append(broken, fmt.Sprintf("UNASKED: %s was still at work on task %s run %d more than cancel_ms and stopMs after the cancelling of its job was acknowledged",
+				s.worker, s.task, s.run))
+		}
+	}
+	return broken
+}
+
+// awaitStart waits until the job has a number of starts.
+func (r *rig) awaitStart(id string, n int, limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if len(r.startsOf(id)) >= n {
+			return nil
+		}
+	}
+	return fmt.Errorf("job %s has no %d starts within %v", id, n, limit)
+}
+
+// lateCopy: a job is cancelled and its request answered with 2xx; seconds later the same request arrives again, at another
+// entry.
+func lateCopy(r *rig, trouble bool) ([]string, error) {
+	id, body := newID(), jobBody(2, 2500)
+	first := r.submit(r.entries[0], r.entries[0].front, id, body, 11*time.Second)
+	if err := r.awaitStart(id, 1, 3*time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	c := r.cancel(r.entries[0], id)
+	if c.status/100 != 2 && c.status != 410 {
+		return nil, fmt.Errorf("the cancelling was answered with %d", c.status)
+	}
+	if a := <-first; a.status/100 != 2 {
+		return nil, fmt.Errorf("the job was answered with %d", a.status)
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		<-r.submit(r.entries[1], r.entries[1].front, id, body, 8*time.Second)
+	}
+	time.Sleep(time.Second)
+	return r.unasked(id, c.at), nil
+}
+
+// lostAnswer: a job completes and its answer is lost with the connection, so the client sends it again, to another entry, and
+// cancels it there by way of the first one.
+func lostAnswer(r *rig, trouble bool) ([]string, error) {
+	// The platform forwards the client's connection to the entry.
+	ingress, err := newProxy("127.0.0.1", r.entries[0].front)
+	if err != nil {
+		return nil, err
+	}
+	id, body := newID(), jobBody(3, 2000)
+	ingress.setResetAnswer(trouble)
+	a := <-r.submit(r.entries[0], ingress.addr(), id, body, 11*time.Second)
+	ingress.setResetAnswer(false)
+	if trouble {
+		if a.status != 0 {
+			return nil, fmt.Errorf("the first answer was not lost: %d", a.status)
+		}
+		time.Sleep(1300 * time.Millisecond)
+		r.submit(r.entries[1], r.entries[1].front, id, body, 11*time.Second)
+		if err := r.awaitStart(id, 4, 3*time.Second); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	c := r.cancel(r.entries[0], id)
+	if c.status/100 != 2 && c.status != 410 {
+		return nil, fmt.Errorf("the cancelling was answered with %d", c.status)
+	}
+	time.Sleep(cancelBound + 4*time.Second)
+	return r.unasked(id, c.at), nil
+}
+
+// cutOwner: the entry that has a job is cut off from all agents, and leaves the rotation. The job is cancelled by way of the
+// other entry. Then the cut heals.
+func cutOwner(r *rig, trouble bool) ([]string, error) {
+	owner, other := r.entries[0], r.entries[1]
+	id, body := newID(), jobBody(8, 1500)
+	r.submit(owner, owner.front, id, body, 20*time.Second)
+	if err := r.awaitStart(id, 1, 3*time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		r.rec.log("%s is cut off from all agents", owner.name)
+		for _, p := range r.linkProxies {
+			p.cut(owner.name)
+		}
+	}
+	time.Sleep(2500 * time.Millisecond)
+	if trouble && r.isReady(owner) {
+		return nil, errors.New("the entry that was cut off still says that it is ready")
+	}
+	c := r.cancel(other, id)
+	if c.status/100 != 2 && c.status != 410 {
+		return nil, fmt.Errorf("the cancelling was answered with %d", c.status)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	healed := time.Now()
+	if trouble {
+		r.rec.log("the cut of %s heals", owner.name)
+		for _, p := range r.linkProxies {
+			p.cut("")
+		}
+	}
+	time.Sleep(11 * time.Second)
+	var broken []string
+	for _, s := range r.startsOf(id) {
+		// The machine is in touch again contactMs after the cut.
+		if s.at.After(c.at.Add(cancelBound)) && s.at.After(healed.Add(contactBound)) {
+			broken = append(broken, fmt.Sprintf("UNASKED: %s started task %s run %d %d ms after the cancelling of its job was acknowledged, %d ms after the cut",
+				s.worker, s.task, s.run, s.at.Sub(c.at).Milliseconds(), s.at.Sub(healed).Milliseconds()))
+		}
+	}
+	return broken, nil
+}
+
+// noRoute: the connection of a job breaks, and the client sends the job again, to another entry. The operator removes the
+// route. The client cancels the job by way of the first entry, and repeats that until it is acknowledged.
+func noRoute(r *rig, trouble bool) ([]string, error) {
+	ingress, err := newProxy("127.0.0.1", r.entries[0].front)
+	if err != nil {
+		return nil, err
+	}
+	id, body := newID(), jobBody(8, 1500)
+	first := r.submit(r.entries[0], ingress.addr(), id, body, 20*time.Second)
+	if err := r.awaitStart(id, 1, 3*time.Second); err != nil {
+		return nil, err
+	}
+	r.rec.log("the connection of the client to %s is reset", r.entries[0].name)
+	ingress.reset()
+	<-first
+	time.Sleep(1300 * time.Millisecond)
+	r.submit(r.entries[1], r.entries[1].front, id, body, 20*time.Second)
+	if err := r.awaitStart(id, 2, 3*time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		r.configure(8, false)
+		time.Sleep(configBound)
+	}
+	// A client whose cancelling is not acknowledged repeats it. It counts as cancelled when it has waited ackMs.
+	asked := time.Now()
+	cancelled := asked.Add(ackBound)
+	for time.Since(asked) < ackBound {
+		c := r.cancel(r.entries[0], id)
+		if c.status/100 == 2 || c.status == 410 {
+			cancelled = c.at
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(time.Until(cancelled) + cancelBound + 3*time.Second)
+	return r.unasked(id, cancelled), nil
+}
+
+// cutZone: jobs run at an entry of one zone. Another zone is partitioned from the others, and clients still reach it. The jobs
+// are cancelled by way of the entry there. Then the partition heals.
+func cutZone(r *rig, trouble bool) ([]string, error) {
+	inside, owner := r.entries[0], r.entries[1]
+	var ids []string
+	for range 12 {
+		id := newID()
+		ids = append(ids, id)
+		r.submit(owner, owner.front, id, jobBody(11, 1500), 20*time.Second)
+		if err := r.awaitStart(id, 1, 3*time.Second); err != nil {
+			return nil, err
+		}
+	}
+	cut := time.Now()
+	if trouble {
+		r.rec.log("zone %s is partitioned from the others", zones[0])
+		for i, p := range r.linkProxies {
+			if r.workers[i].zone == zones[0] {
+				p.cut(owner.name)
+			} else {
+				p.cut(inside.name)
+			}
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	cancelled := map[string]time.Time{}
+	for _, id := range ids {
+		c := r.cancel(inside, id)
+		if c.status/100 == 2 || c.status == 410 {
+			cancelled[id] = c.at
+		}
+	}
+	time.Sleep(time.Until(cut.Add(cutLength)))
+	healed := time.Now()
+	if trouble {
+		r.rec.log("the partition heals")
+		for _, p := range r.linkProxies {
+			p.cut("")
+		}
+	}
+	time.Sleep(8 * time.Second)
+	var broken []string
+	for _, id := range ids {
+		at, ok := cancelled[id]
+		if !ok {
+			r.rec.log("the cancelling of %s was not acknowledged", id)
+			continue
+		}
+		for _, s := range r.startsOf(id) {
+			// All machines are in touch again contactMs after the partition.
+			if s.at.After(at.Add(cancelBound)) && s.at.After(healed.Add(contactBound)) {
+				broken = append(broken, fmt.Sprintf("UNASKED: %s started task %s run %d %d ms after the cancelling of its job was acknowledged, %d ms after the partition",
+					s.worker, s.task, s.run, s.at.Sub(at).Milliseconds(), s.at.Sub(healed).Milliseconds()))
+			}
+		}
+	}
+	return broken, nil
+}
