--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -247,6 +247,10 @@
 		}
 	}
 	time.Sleep(1500 * time.Millisecond)
+	if !r.isReady(inside) {
+		return nil, errors.New("the entry of the zone has left the rotation")
+	}
+	r.rec.log("%s says that it is ready", inside.name)
 	cancelled := map[string]time.Time{}
 	for _, id := range ids {
 		c := r.cancel(inside, id)
