Do not let jobs wait when agents are lost that record no owners

Cause: each lost link to an agent was recorded as the loss of a registrar, also those that the entry closes itself because a backend server drains. Such agents were ranked among the registrars of every job for 949 ms, and a job whose first two were lost ones waited as if the record of its owner could be lost.

Ruled out: capacity, links (all linked agents had reported), and the restore window of the registrars.

Change: only agents count that are registrars, or would be by a list that lacks up to two agents.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -199,12 +199,33 @@
 		return
 	}
 	s.lastLinkLost = now
-	if v.recordsOwners {
+	if !v.recordsOwners {
+		return
+	}
+	s.recordHeldLost(now, v.agent)
+	if s.mayBeRegistrar(v.agent) {
 		s.registrarLost[v.agent] = now
-		s.recordHeldLost(now, v.agent)
 	}
 }
 
+// mayBeRegistrar reports whether an entry may have asked the agent to record owners: it is a registrar by the list of this
+// entry, or would be one by a list that lacks up to registrarsPerJob of the agents. All other agents record owners only of
+// jobs that no entry asks them for, so their loss says nothing of any job: while it counted, three in ten jobs waited
+// for Limits.OwnerLostAfter each time that ten of 75 agents were taken away.
+func (s *Scheduler) mayBeRegistrar(agent string) bool {
+	if slices.Contains(s.registrars, agent) {
+		return true
+	}
+	score := registrarScore(agent)
+	higher := 0
+	for other := range s.servers {
+		if registrarScore(other) > score {
+			higher++
+		}
+	}
+	return higher < MaxRegistrars+registrarsPerJob
+}
+
 // recordHeldLost records that the link to a registrar was lost which had another owner of some jobs. That owner may run on
 // without a record at the others: one that had no link to an earlier registrar for a while has asked that one after
 // this entry.
--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -239,6 +239,35 @@
 	}
 }
 
+// Guards against jobs that wait because agents were taken away that record no owners: when ten of 75 agents were, three in
+// ten jobs waited for 949 ms while most of the capacity was free.
+func TestLossOfOtherAgentsDoesNotDelayJobs(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 40)
+	e := f.entries[0]
+	ranked := rankFor(registrarKey, f.agents)
+	e.SetRegistrars(f.now, Registrars(f.agents))
+	f.pass(2 * time.Second)
+	f.killAgents(ranked[MaxRegistrars+registrarsPerJob:][:20]...)
+	if longest, _, waiting := f.waits(t, e, 500); waiting > 0 {
+		t.Errorf("%d of 500 jobs waited, up to %s", waiting, longest)
+	}
+}
+
+// Guards against two runs of a task when an entry whose list lacks two agents had asked the next ones in rank, and is lost
+// together with them: the other entries count these among those that may have lost records.
+func TestLossOfNextRegistrarsCounts(t *testing.T) {
+	f := newOwnerFleetWith(lostRecordLimits(), 1, 40)
+	e := f.entries[0]
+	ranked := rankFor(registrarKey, f.agents)
+	e.SetRegistrars(f.now, Registrars(f.agents))
+	f.pass(2 * time.Second)
+	f.killAgents(ranked[MaxRegistrars : MaxRegistrars+registrarsPerJob]...)
+	longest, _, waiting := f.waits(t, e, 500)
+	if waiting == 0 || longest < runsEndAfter {
+		t.Errorf("%d of 500 jobs waited, up to %s; runs may go on for %s", waiting, longest, runsEndAfter)
+	}
+}
+
 // Guards against a job that waits for ever because a frozen agent accepts links and answers nothing.
 func TestFrozenRegistrarsDoNotDelayJobsForEver(t *testing.T) {
 	f := newOwnerFleetWith(lostRecordLimits(), 1, 8)
--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -57,10 +57,16 @@
 
 // Registrars returns the agents out of a fleet that record owners of jobs: those with the highest scores.
 func Registrars(fleet []string) []string {
-	list := rankFor("registrars", fleet)
+	list := rankFor(registrarKey, fleet)
 	return list[:min(MaxRegistrars, len(list))]
 }
 
+// registrarKey is the key for which agents are ranked to choose the registrars.
+const registrarKey = "registrars"
+
+// registrarScore returns the score by which an agent ranks among the fleet for the choice of registrars.
+func registrarScore(agent string) uint64 { return rendezvous.Score(agent, []byte(registrarKey)) }
+
 // rankFor returns the agents by their rendezvous scores for a key, highest first.
 func rankFor(key string, agents []string) []string {
 	scores := make(map[string]uint64, len(agents))
