Take short jobs while an entry drains

Cause: an entry that stops rejected every job from 2.5 s after the stop signal on, although it has until 5.5 s to answer.

Change: after 2.5 s, jobs whose results are of no use after the end of the grace period are still taken.

--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -226,11 +226,11 @@
 	return e.scheduler.Waiting(queue)
 }
 
-// Leave makes the entry reject all new jobs.
-func (e *Entry) Leave() {
+// Leave makes the entry reject all new jobs but those that are over before the given time.
+func (e *Entry) Leave(until time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.scheduler.Leave()
+	e.scheduler.Leave(until)
 	e.Log.Info(event.EntryLeft, event.Fields{"jobs": len(e.waiters)})
 }
 
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -26,7 +26,8 @@
 	outcomes       []Outcome
 	decisions      []Decision
 	dirty          map[string]*server // servers with a batch to send, by agent
-	leaving        bool               // the entry stops and takes no more jobs
+	leaving        bool               // the entry stops
+	leavesAt       time.Time          // when it has to stop, while leaving is set
 	admissionRates map[loadKey]*admissionRate
 	retrySchedules map[loadKey]*retrySchedule
 	crashes        *crashLog
@@ -85,8 +86,9 @@
 	}
 }
 
-// Leave makes the scheduler reject all further jobs because the entry is stopping.
-func (s *Scheduler) Leave() { s.leaving = true }
+// Leave records that the entry is stopping and has to answer its callers until the given time. From then on it takes only
+// jobs whose results are of no use to their callers after that time.
+func (s *Scheduler) Leave(until time.Time) { s.leaving, s.leavesAt = true, until }
 
 // SetDomainsOut replaces the set of failure domains that are out of service.
 func (s *Scheduler) SetDomainsOut(domains []string) {
--- a/dispatch/jobs/submit.go
+++ b/dispatch/jobs/submit.go
@@ -38,10 +38,16 @@
 // defaultRetryAfter is the retry advice when the entry cannot tell when there will be capacity.
 const defaultRetryAfter = time.Second
 
+// endsBeforeLeaving reports whether the result of the job would be of no use any more when the entry stops, so that stopping
+// costs its caller nothing.
+func (s *Scheduler) endsBeforeLeaving(in Job) bool {
+	return !newJob(in).usefulUntil().After(s.leavesAt)
+}
+
 // refusalCode returns the code with which a job is refused because the entry is stopping, or no backend
 // server can run it, or no registrar can grant it, or 0. During warm-up, jobs are held for the first server of their service.
 func (s *Scheduler) refusalCode(now time.Time, in Job) result.Code {
-	if s.leaving {
+	if s.leaving && !s.endsBeforeLeaving(in) {
 		return result.Draining
 	}
 	if !s.hasServer(in.Queue.Service) {
