Let agents that end after a loss of power delay no jobs

Each lost link restarted the wait of FormerRunsEnd (lastLinkLost), made awaitsLostAgents true for OwnerLostAfter, and added the lost agent to the registrars of all later jobs, although entries ask only the eight registrars.

Change: a lost agent counts by the start of its process, as an agent with a link does. One that has started within OwnerLostAfter and after all losses of registrars keeps no run of an owner from before. Only agents that this entry has had on its list of registrars count as lost registrars.

--- a/dispatch/jobs/links.go
+++ b/dispatch/jobs/links.go
@@ -23,6 +23,9 @@
 	s.linkChanges++
 	v.linked = true
 	v.reported = false
+	if !v.startedAt.IsZero() {
+		v.formerStart = v.startedAt
+	}
 	v.startedAt = time.Time{}
 	v.lastContact = now
 	v.seq = 0
--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -113,7 +113,7 @@
 	if s.awaitsLostAgents(now) {
 		return false
 	}
-	since := s.lastLinkLost
+	since := s.lastFormerLost
 	for _, agent := range s.reachableRegistrars(o) {
 		if started := s.servers[agent].startedAt; started.After(since) {
 			since = started
@@ -123,13 +123,38 @@
 }
 
 // awaitsLostAgents reports whether an agent to which the link was lost within Limits.OwnerLostAfter has no link yet. It may run
-// on, and keep runs of a dead owner for longer than the lease of a former process lasts.
+// on, and keep runs of a dead owner for longer than the lease of a former process lasts. An agent that has started since the
+// loss of records keeps none, whether it runs on or not.
 func (s *Scheduler) awaitsLostAgents(now time.Time) bool {
 	return slices.ContainsFunc(s.fleet, func(v *server) bool {
-		return !v.linked && now.Sub(v.unlinkedAt) < s.limits.OwnerLostAfter
+		return !v.linked && now.Sub(v.unlinkedAt) < s.limits.OwnerLostAfter && !s.startedSinceLosses(now, v)
 	})
 }
 
+// startedSinceLosses reports whether all processes of the agent that the entry has reached have started within
+// Limits.OwnerLostAfter, and after all losses of registrars within that time.
+func (s *Scheduler) startedSinceLosses(now time.Time, v *server) bool {
+	started := v.earliestStart()
+	if started.IsZero() || now.Sub(started) >= s.limits.OwnerLostAfter {
+		return false
+	}
+	for _, lost := range s.registrarLost {
+		if now.Sub(lost) < s.limits.OwnerLostAfter && started.Before(lost) {
+			return false
+		}
+	}
+	return true
+}
+
+// earliestStart returns a time before which the agent's process has not started, or zero if none is known. Over a link without
+// a report, the process is that of the former link or a later one.
+func (v *server) earliestStart() time.Time {
+	if v.startedAt.IsZero() {
+		return v.formerStart
+	}
+	return v.startedAt
+}
+
 // awaitsFleet reports whether links to known agents, which may have run for long, are about to open.
 func (s *Scheduler) awaitsFleet(now time.Time) bool {
 	if now.Sub(s.connectedSince) >= registrarWait {
@@ -198,11 +223,16 @@
 	if !v.linked || !v.reported {
 		return
 	}
-	s.lastLinkLost = now
-	if v.recordsOwners {
+	if !s.startedSinceLosses(now, v) {
+		s.lastFormerLost = now
+	}
+	if !v.recordsOwners {
+		return
+	}
+	if s.everRegistrar[v.agent] {
 		s.registrarLost[v.agent] = now
-		s.recordHeldLost(now, v.agent)
 	}
+	s.recordHeldLost(now, v.agent)
 }
 
 // recordHeldLost records that the link to a registrar was lost which had another owner of some jobs. That owner may run on
--- a/dispatch/jobs/registrars.go
+++ b/dispatch/jobs/registrars.go
@@ -21,6 +21,7 @@
 	listed := make(map[string]time.Time, len(agents))
 	for _, agent := range agents {
 		listed[agent] = now
+		s.everRegistrar[agent] = true
 		if before, ok := s.registrarListed[agent]; ok {
 			listed[agent] = before
 		}
--- a/dispatch/jobs/replaymachine_test.go
+++ b/dispatch/jobs/replaymachine_test.go
@@ -33,6 +33,8 @@
 	offers *runtable.Offers
 	// speeds passes on the slowdowns that the entries measure.
 	speeds *runtable.Speeds
+	// owners are the records of owners of jobs; nil if the agent records none.
+	owners *ownerRecords
 }
 
 // ownerOf returns the name of an entry in offers.
--- a/dispatch/jobs/replaymessages_test.go
+++ b/dispatch/jobs/replaymessages_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
 )
@@ -13,6 +14,11 @@
 	s := sim.entries[i]
 	sim.frames[i]++
 	report := Report{Server: m.server(), Free: m.freeFor(i, sim.now), Ack: m.ackedSeqs[i], Entries: len(m.linkedEntries), OthersSlowdown: m.speeds.Others(ownerOf(i))}
+	var answers []owner.Answer
+	if m.owners != nil {
+		report.RecordsOwners, report.Uptime = true, max(time.Millisecond, sim.now.Sub(m.owners.startedAt))
+		answers = m.owners.take(i)
+	}
 	type seen struct {
 		ref       run.Ref
 		percent   int
@@ -32,6 +38,9 @@
 		for _, p := range progress {
 			s.Progress(sim.now, m.id, p.ref, p.percent, sim.now.Sub(p.startedAt))
 		}
+		for _, a := range answers {
+			s.JobAnswered(sim.now, m.id, a.Request, a.Granted)
+		}
 		for _, e := range events {
 			s.Event(sim.now, m.id, e)
 		}
@@ -111,6 +120,13 @@
 		return
 	}
 	m.ackedSeqs[i] = b.Seq
+	if m.owners != nil {
+		m.owners.handle(sim.now, i, b)
+		defer sim.sendAnswers(m)
+	}
+	if len(b.Orders) > 0 && sim.firstOrder[i].IsZero() && sim.firstOrder != nil {
+		sim.firstOrder[i] = sim.now
+	}
 	var refused []run.Event
 	for _, o := range b.Orders {
 		sim.orderCount++
--- a/dispatch/jobs/replaysimulation_test.go
+++ b/dispatch/jobs/replaysimulation_test.go
@@ -55,6 +55,8 @@
 	// largefleet_test.go.
 	partners []*partner.Set
 	frames   []int // by entry, in both directions
+	// firstOrder is when the first order of each entry has arrived, if not nil.
+	firstOrder map[int]time.Time
 }
 
 // simConfig describes the jobs and backend servers of a replay.
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -48,7 +48,10 @@
 	// firstListed is when the entry had its first list of registrars, registrarLost when it lost its newest link to each.
 	firstListed   time.Time
 	registrarLost map[string]time.Time
-	lastLinkLost  time.Time // when the newest link to any agent was lost
+	// everRegistrar holds the agents that have been listed as registrars. Others record owners as well, but no entry asks them.
+	everRegistrar map[string]bool
+	// lastFormerLost is when a link was lost to an agent that may have run since before the newest loss of records.
+	lastFormerLost time.Time
 	// startChanges counts the changes of the known starts of agents, oldest is the earliest of these starts.
 	startChanges uint64
 	oldest       linkedStart
@@ -82,6 +85,7 @@
 		bulkheads:      newBulkheads(),
 		ownerships:     map[string]*ownership{},
 		registrarLost:  map[string]time.Time{},
+		everRegistrar:  map[string]bool{},
 	}
 }
 
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -39,6 +39,7 @@
 	// recordsOwners is set if the agent records the owners of jobs.
 	recordsOwners bool
 	startedAt     time.Time // start of the agent's process, as far as reports over the present link tell; zero if unknown
+	formerStart   time.Time // startedAt over an earlier link
 	entries       int       // number of entries that share the backend server; 0 if unknown
 	lastOrder     time.Time // time of the newest order
 	probes        int       // consecutive orders while it was too slow
