--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -245,7 +245,7 @@
 	f := newOwnerFleetWith(lostRecordLimits(), 1, 40)
 	e := f.entries[0]
 	ranked := rankFor(registrarKey, f.agents)
-	e.SetRegistrars(f.now, Registrars(f.agents))
+	f.listOnlyRegistrars(e)
 	f.pass(2 * time.Second)
 	f.killAgents(ranked[MaxRegistrars+registrarsPerJob:][:20]...)
 	if longest, _, waiting := f.waits(t, e, 500); waiting > 0 {
@@ -259,7 +259,7 @@
 	f := newOwnerFleetWith(lostRecordLimits(), 1, 40)
 	e := f.entries[0]
 	ranked := rankFor(registrarKey, f.agents)
-	e.SetRegistrars(f.now, Registrars(f.agents))
+	f.listOnlyRegistrars(e)
 	f.pass(2 * time.Second)
 	f.killAgents(ranked[MaxRegistrars : MaxRegistrars+registrarsPerJob]...)
 	longest, _, waiting := f.waits(t, e, 500)
