--- a/dispatch/run/run.go
+++ b/dispatch/run/run.go
@@ -128,6 +128,17 @@
 	Reason result.Code
 	// Checkpoint identifies the newest saved state of the task; empty if there is none.
 	Checkpoint string
+	// Beside is the mean usage of other runs on the backend server while the run was in progress; empty if not known. If
+	// it is known, it has an element for the run's own kind, which may be 0.
+	Beside []KindUsage
+}
+
+// KindUsage is the capacity of a backend server that runs of one kind of request use.
+type KindUsage struct {
+	// Kind is the name of the queue.
+	Kind string
+	// Permille is in thousandths of the CPU capacity, from 0 to 1000.
+	Permille int
 }
 
 // ServerState says whether a backend server takes runs.
