Report which kinds use a backend server, and which did beside each run

An entry sees only its own runs, and cannot tell what else ran on a server. The agent now accounts for the usage by kind (package kindusage): the mean beside each run goes with the event that ends it, the present usage with each frame. It says nothing while one kind only shares the server, or while a run of unknown kind, such as one from before its restart, was in progress. An event of a run with known usage always names the run's own kind, so that an empty list means not known.

TestClaims compared events with !=, which a struct with a list does not allow; it compares them with reflect.DeepEqual now, which is as strict.

--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -6,6 +6,7 @@
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/kindusage"
 	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/run"
@@ -75,13 +76,13 @@
 
 // EventToProto converts a run event to its protobuf message.
 func EventToProto(e run.Event) *peerv1.RunEvent {
-	return &peerv1.RunEvent{Ref: RefToProto(e.Ref), Kind: kindToProto[e.Kind], Reason: uint32(e.Reason), Checkpoint: e.Checkpoint}
+	return &peerv1.RunEvent{Ref: RefToProto(e.Ref), Kind: kindToProto[e.Kind], Reason: uint32(e.Reason), Checkpoint: e.Checkpoint, Beside: UsageToProto(e.Beside)}
 }
 
 // EventFromProto converts a protobuf message to a run event. A kind that this version does not know becomes
 // 0.
 func EventFromProto(e *peerv1.RunEvent) run.Event {
-	v := run.Event{Ref: RefFromProto(e.GetRef()), Reason: result.Code(e.GetReason()), Checkpoint: e.GetCheckpoint()}
+	v := run.Event{Ref: RefFromProto(e.GetRef()), Reason: result.Code(e.GetReason()), Checkpoint: e.GetCheckpoint(), Beside: UsageFromProto(e.GetBeside())}
 	for kind, code := range kindToProto {
 		if code == e.GetKind() {
 			v.Kind = kind
@@ -90,6 +91,25 @@
 	return v
 }
 
+// UsageToProto converts the usage by kind of request to its protobuf message.
+func UsageToProto(list []run.KindUsage) []*peerv1.KindUsage {
+	var out []*peerv1.KindUsage
+	for _, u := range list {
+		out = append(out, &peerv1.KindUsage{Kind: u.Kind, CpuPermille: uint32(min(1000, max(0, u.Permille)))})
+	}
+	return out
+}
+
+// UsageFromProto converts protobuf messages to the usage by kind of request. It drops kinds beyond the number that an
+// agent accounts for, and takes usage above that of the whole server for that.
+func UsageFromProto(list []*peerv1.KindUsage) []run.KindUsage {
+	var out []run.KindUsage
+	for _, u := range list[:min(len(list), kindusage.MaxKinds)] {
+		out = append(out, run.KindUsage{Kind: u.GetKind(), Permille: int(min(1000, u.GetCpuPermille()))})
+	}
+	return out
+}
+
 // CrashToProto converts a crash of a backend server, the given time ago, to its protobuf message.
 func CrashToProto(c run.Crash, ago time.Duration) *peerv1.ServerCrash {
 	m := &peerv1.ServerCrash{Server: c.Instance, Number: c.Number, AgeMs: MillisecondsToProto(ago)}
@@ -176,7 +196,7 @@
 	return jobs.Report{
 		Server: server, Free: FreeFromProto(f.GetFree()), Ack: f.GetAck(), Entries: int(min(maxEntries, f.GetEntries())),
 		OthersSlowdown: SlowdownFromProto(f.GetSlowdownPermille()), OthersConfined: f.GetConfined(), ReportsCrashes: f.GetReportsCrashes(),
-		RecordsOwners: f.GetRecordsOwners(), Uptime: uptimeFromProto(f.GetClockMs()),
+		RecordsOwners: f.GetRecordsOwners(), Uptime: uptimeFromProto(f.GetClockMs()), Usage: UsageFromProto(f.GetUsage()),
 	}
 }
 
--- a/daemon/runagent/claims_test.go
+++ b/daemon/runagent/claims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"reflect"
 	"testing"
 	"time"
 
@@ -61,7 +62,7 @@
 			continue
 		}
 		for i, e := range f.GetEvents() {
-			if got := link.EventFromProto(e); i >= len(want) || got != want[i] {
+			if got := link.EventFromProto(e); i >= len(want) || !reflect.DeepEqual(got, want[i]) {
 				t.Errorf("event %d is %+v, want %+v", i, got, want)
 			}
 		}
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -253,6 +253,7 @@
 	f.Confined = a.confinedByOthers(now, s)
 	f.ReportsCrashes = true
 	f.RecordsOwners = true
+	f.Usage = link.UsageToProto(a.table.Usage(now))
 	for _, answer := range s.answers {
 		f.Answers = append(f.Answers, link.AnswerToProto(answer))
 	}
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"poplargw.example/dispatch/interference"
 	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/result"
 	"poplargw.example/dispatch/route"
@@ -81,6 +82,10 @@
 	Confined
 	// Released: a confined kind may use all backend servers again.
 	Released
+	// InterferenceFound: runs of a kind are found to be slowed down, or sped up, by runs of another kind beside them.
+	InterferenceFound
+	// InterferenceForgotten: such an interference is not seen any more.
+	InterferenceForgotten
 	// GivenUp: a task must not start again because backend servers crashed under it.
 	GivenUp
 )
@@ -112,6 +117,9 @@
 	Count   int
 	Share   float64
 	Crashes []CountedCrash
+	// Service and Pair describe an interference that is found or forgotten.
+	Service string
+	Pair    interference.Pair
 }
 
 // Order asks an agent to start a run.
@@ -169,6 +177,8 @@
 	RecordsOwners bool
 	// Uptime is the time since the agent's process started; 0 if unknown.
 	Uptime time.Duration
+	// Usage is the present usage of the backend server by kind of request, by the runs of all entries; empty if unknown.
+	Usage []run.KindUsage
 }
 
 // Limits configures the scheduler.
--- a/dispatch/runtable/ends.go
+++ b/dispatch/runtable/ends.go
@@ -85,7 +85,7 @@
 	t.unexpected = append(t.unexpected, UnexpectedRun{Ref: e.event.Ref, Kind: e.event.Kind, Basis: e.basis, Running: true})
 	t.runs[e.event.Ref] = &record{
 		ref: e.event.Ref, phase: stopping, accepted: true, visibleByMS: snapshot.ClockMS, listedAt: snapshot.Requested,
-		firstSeen: now, runningSince: now, stopRequested: true,
+		firstSeen: now, runningSince: now, stopRequested: true, usage: t.usage.Add(now, "", 0),
 	}
 }
 
@@ -112,7 +112,9 @@
 // end removes a run and retains its end for an entry that asks later.
 func (t *Table) end(now time.Time, r *record, how ending, checkpoint string) Event {
 	delete(t.runs, r.ref)
-	e := run.Event{Ref: r.ref, Kind: how.kind, Reason: how.code, Checkpoint: checkpoint}
+	e := run.Event{
+		Ref: r.ref, Kind: how.kind, Reason: how.code, Checkpoint: checkpoint, Beside: t.usage.Remove(now, r.usage, t.server.Capacity.CPU),
+	}
 	t.retainedEnds[r.ref] = retainedEnd{event: e, basis: how.basis, at: now, incarnation: t.incarnation, clockMS: how.clockMS}
 	return Event{Owner: r.owner, Event: e, Basis: how.basis}
 }
--- a/dispatch/runtable/order.go
+++ b/dispatch/runtable/order.go
@@ -62,6 +62,7 @@
 	expiry := t.clock.at(now, &t.uptime) + t.orderTimeout().Milliseconds()
 	t.runs[o.Ref] = &record{
 		ref: o.Ref, owner: o.Owner, demand: o.Demand, kind: o.Kind, visibleByMS: expiry, firstSeen: now, orderedMS: t.clock.ms,
+		usage: t.usage.Add(now, o.Kind, o.Demand.CPU),
 	}
 	t.trackCopies(o.Ref, expiry)
 	t.starts.Add(now, o.Kind)
--- a/dispatch/runtable/runtable.go
+++ b/dispatch/runtable/runtable.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"poplargw.example/dispatch/kindusage"
 	"poplargw.example/dispatch/run"
 	"poplargw.example/dispatch/uptime"
 )
@@ -95,6 +96,7 @@
 	// orderedMS is the newest time on the backend server's clock that was known when the run was
 	// ordered.
 	orderedMS int64
+	usage     kindusage.Run
 }
 
 // Table is an agent's record of the runs on its backend server. Create one with New.
@@ -146,6 +148,7 @@
 	crashes         []Crash       // within crashRetention, by number
 	lastCrash       uint64        // number of the newest crash
 	starts          StartRates    // on all incarnations of the backend server
+	usage           kindusage.Account
 	// silent is the crash that the backend server may have had, nil while it responds.
 	silent *Crash
 }
@@ -237,6 +240,12 @@
 	}
 }
 
+// Usage returns the present usage of the runs by kind of request; empty unless runs of two or more kinds have shared the
+// backend server lately.
+func (t *Table) Usage(now time.Time) []run.KindUsage {
+	return t.usage.Usage(now, t.server.Capacity.CPU)
+}
+
 // Free returns the capacity that no run uses. A run whose demand is not known counts as using all
 // of it.
 func (t *Table) Free() run.Demand {
--- a/dispatch/runtable/snapshot.go
+++ b/dispatch/runtable/snapshot.go
@@ -124,6 +124,7 @@
 			return
 		}
 		r = &record{ref: s.Ref, phase: running, accepted: true, visibleByMS: snapshot.ClockMS, firstSeen: now, runningSince: now, found: true}
+		r.usage = t.usage.Add(now, "", 0)
 		if t.earlyStops[s.Ref] {
 			t.requestStop(now, r)
 		}
