Keep kinds apart that slow each other down, where there is room

The entry observes the runs of a step when its last one has ended, and adds the expected harm, to the task and to the runs beside it, to the cost of a server. The term is 0 while no pair with the task's kind is found and for late jobs. It is at most one run time, and has that value on servers where the task does not meet its objective with the margin of cost, so that it never makes one of them preferable. It is on for services with jobs of two or more queues. Events 686 and 687, and three gauges by pair of kinds, show it.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -57,6 +57,8 @@
 	KindReleased             ID = 676
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
+	InterferenceFound        ID = 686
+	InterferenceForgotten    ID = 687
 )
 
 var runTexts = map[ID]string{
@@ -110,5 +112,7 @@
 	OwnerConflict:            "two entries say that they own one job",
 	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
+	InterferenceFound:        "runs of one kind are slower or faster beside runs of another",
+	InterferenceForgotten:    "interference between two kinds is not seen any more",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
 }
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -1,6 +1,7 @@
 package runentry
 
 import (
+	"math"
 	"time"
 
 	"poplargw.example/daemon/boottime"
@@ -49,11 +50,22 @@
 		e.Log.Warn(event.KindConfined, f)
 	case jobs.Released:
 		e.Log.Info(event.KindReleased, event.Fields{"queue": d.Queue})
+	case jobs.InterferenceFound:
+		e.Log.Info(event.InterferenceFound, interferenceFields(d))
+	case jobs.InterferenceForgotten:
+		e.Log.Info(event.InterferenceForgotten, interferenceFields(d))
 	case jobs.GivenUp:
 		e.Log.InfoLimited(event.TaskGivenUp, givenUpFields(d))
 	}
 }
 
+func interferenceFields(d jobs.Decision) event.Fields {
+	return event.Fields{"service": d.Service, "kind": d.Pair.Kind, "beside": d.Pair.Beside, "effect": rounded(d.Pair.Effect), "error": rounded(d.Pair.Error)}
+}
+
+// rounded returns x to three decimal places.
+func rounded(x float64) float64 { return math.Round(1000*x) / 1000 }
+
 // countedCrash is a crash in the fields of event.TaskGivenUp.
 type countedCrash struct {
 	Agent     string  `json:"agent"`
--- a/daemon/runentry/decisions_test.go
+++ b/daemon/runentry/decisions_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"poplargw.example/daemon/event"
+	"poplargw.example/dispatch/interference"
 	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/run"
 )
@@ -31,3 +32,40 @@
 		}
 	}
 }
+
+// Guards against an interference that operators cannot see: it must be logged when it is found and when it is forgotten,
+// and its gauges must go when there is no estimate any more.
+func TestInterferenceIsLoggedAndMeasured(t *testing.T) {
+	var out bytes.Buffer
+	log, err := event.NewBounded(&out, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, _ := newTestEntry(t)
+	e.Log = log
+	pair := interference.Pair{Kind: "a", Beside: "b", Effect: 1.23456, Error: 0.1, Found: true}
+	e.logDecision(jobs.Decision{Kind: jobs.InterferenceFound, Service: "svc", Pair: pair})
+	e.logDecision(jobs.Decision{Kind: jobs.InterferenceForgotten, Service: "svc", Pair: pair})
+	log.Close()
+	for _, part := range []string{`"event":686`, `"event":687`, `"service":"svc"`, `"kind":"a"`, `"beside":"b"`, `"effect":1.235`, `"error":0.1`} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("the log lacks %s: %s", part, out.String())
+		}
+	}
+	e.counters.setInterference([]jobs.ServiceInterference{{Service: "svc", Pair: pair}})
+	var text bytes.Buffer
+	e.counters.set.WritePrometheus(&text)
+	for _, line := range []string{
+		`poplargw_entry_interference_effect{service="svc",kind="a",beside="b"} 1.23456`,
+		`poplargw_entry_interference_error{service="svc",kind="a",beside="b"} 0.1`, `poplargw_entry_interference_found{service="svc",kind="a",beside="b"} 1`,
+	} {
+		if !strings.Contains(text.String(), line) {
+			t.Errorf("the metrics lack %s", line)
+		}
+	}
+	e.counters.setInterference(nil)
+	text.Reset()
+	if e.counters.set.WritePrometheus(&text); strings.Contains(text.String(), "interference") {
+		t.Error("the metrics have a pair without an estimate")
+	}
+}
--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -15,6 +15,8 @@
 type counters struct {
 	set              *metrics.Set
 	abandoned, moved *metrics.Counter
+	// interference holds the labels of the gauges of pairs of kinds.
+	interference map[string]bool
 }
 
 // newCounters registers the entry's metrics in set, or in a private set if it is nil.
@@ -39,7 +41,10 @@
 		return float64(e.partners.Len())
 	})
 	return &counters{
-		set:       set,
+		set: set,
+
+		interference: map[string]bool{},
+
 		abandoned: set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total"),
 		moved:     set.GetOrCreateCounter("poplargw_entry_runs_moved_total"),
 	}
@@ -58,3 +63,36 @@
 		c.set.GetOrCreateHistogram(fmt.Sprintf("poplargw_entry_job_seconds{queue=%q}", queue)).Update(took.Seconds())
 	}
 }
+
+// interferenceGauges are the names of the gauges of a pair of kinds, with its values.
+var interferenceGauges = map[string]func(jobs.ServiceInterference) float64{
+	"poplargw_entry_interference_effect": func(p jobs.ServiceInterference) float64 { return p.Effect },
+	"poplargw_entry_interference_error":  func(p jobs.ServiceInterference) float64 { return p.Error },
+	"poplargw_entry_interference_found": func(p jobs.ServiceInterference) float64 {
+		if p.Found {
+			return 1
+		}
+		return 0
+	},
+}
+
+// setInterference sets the gauges of the given pairs of kinds and removes those of pairs without an estimate.
+func (c *counters) setInterference(pairs []jobs.ServiceInterference) {
+	current := make(map[string]bool, len(pairs))
+	for _, p := range pairs {
+		labels := fmt.Sprintf("{service=%q,kind=%q,beside=%q}", p.Service, p.Kind, p.Beside)
+		current[labels] = true
+		for name, value := range interferenceGauges {
+			c.set.GetOrCreateGauge(name+labels, nil).Set(value(p))
+		}
+	}
+	for labels := range c.interference {
+		if current[labels] {
+			continue
+		}
+		for name := range interferenceGauges {
+			c.set.UnregisterMetric(name + labels)
+		}
+	}
+	c.interference = current
+}
--- a/daemon/runentry/stats.go
+++ b/daemon/runentry/stats.go
@@ -57,5 +57,6 @@
 			"free_cpu": free, "room_cpu": capacity, "servers": e.scheduler.Servers(),
 		})
 	}
+	e.counters.setInterference(e.scheduler.Interference())
 	e.interval = newIntervalStats(now)
 }
--- a/dispatch/jobs/fit.go
+++ b/dispatch/jobs/fit.go
@@ -137,7 +137,7 @@
 // cost returns the cost, in seconds, of placing the task on the backend server: the expected run time
 // plus a fraction of it that grows with the utilization of the server. Servers on which the task meets
 // its objective with a margin differ only by utilization, so that the fast ones stay free for tasks
-// that need them.
+// that need them. Interference is added as a fraction of the run time; see interferenceCost.
 func (s *Scheduler) cost(now time.Time, j *job, t *task, v *server) float64 {
 	slow := v.slowdown() * s.localityFactor(j.Steps[t.step], v)
 	weight := utilizationWeight
@@ -146,7 +146,7 @@
 		weight = 1
 	}
 	seconds := j.expectedRunTime(t).Seconds()
-	return seconds*slow + seconds*weight*v.utilization()
+	return seconds*slow + seconds*weight*v.utilization() + seconds*s.interferenceCost(now, j, t, v)
 }
 
 // localityFactor returns how many times longer a task of the step runs on the backend server than near
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"poplargw.example/dispatch/interference"
 	"poplargw.example/dispatch/run"
 )
 
@@ -74,6 +75,8 @@
 	// minRunTime is the largest run time at normal speed that the progress or end of a task has shown;
 	// 0 if there is none yet.
 	minRunTime time.Duration
+	// besideRuns are the completed runs of which the usage beside them is known; see observeInterference.
+	besideRuns []interference.Run
 }
 
 // newJob returns the scheduling state of a new job.
--- a/dispatch/jobs/replaymachine_test.go
+++ b/dispatch/jobs/replaymachine_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"poplargw.example/dispatch/kindusage"
 	"poplargw.example/dispatch/run"
 	"poplargw.example/dispatch/runtable"
 )
@@ -33,6 +34,10 @@
 	offers *runtable.Offers
 	// speeds passes on the slowdowns that the entries measure.
 	speeds *runtable.Speeds
+	// account is what the agent knows of the usage by kind.
+	account kindusage.Account
+	// earlierBuild is set if the agent is of a build that does not report it.
+	earlierBuild bool
 }
 
 // ownerOf returns the name of an entry in offers.
@@ -58,6 +63,10 @@
 	progress   float64       // completed fraction at progressAt
 	progressAt time.Time
 	startedAt  time.Time
+	kind       string
+	usage      kindusage.Run
+	// interference is by what fraction the run takes longer at present because of the runs beside it.
+	interference float64
 }
 
 // progress returns the fraction of the run that is completed.
@@ -65,7 +74,7 @@
 	if m.stalled {
 		return r.progress
 	}
-	return r.progress + float64(now.Sub(r.progressAt))/(float64(r.work)*m.slowdown)
+	return r.progress + float64(now.Sub(r.progressAt))/(float64(r.work)*m.slowdown*(1+r.interference))
 }
 
 // free returns the capacity that no run uses.
--- a/dispatch/jobs/replaymessages_test.go
+++ b/dispatch/jobs/replaymessages_test.go
@@ -13,6 +13,9 @@
 	s := sim.entries[i]
 	sim.frames[i]++
 	report := Report{Server: m.server(), Free: m.freeFor(i, sim.now), Ack: m.ackedSeqs[i], Entries: len(m.linkedEntries), OthersSlowdown: m.speeds.Others(ownerOf(i))}
+	if sim.reportsUsage && !m.earlierBuild {
+		report.Usage = m.account.Usage(sim.now, m.cpuCapacity)
+	}
 	type seen struct {
 		ref       run.Ref
 		percent   int
@@ -124,8 +127,11 @@
 			continue
 		}
 		m.offers.Use(ownerOf(i), o.Demand)
-		r := &simRun{entry: i, cpu: o.Demand.CPU, work: sim.taskWork[o.Ref.Task], progressAt: sim.now, startedAt: sim.now}
+		r := &simRun{entry: i, cpu: o.Demand.CPU, work: sim.taskWork[o.Ref.Task], progressAt: sim.now, startedAt: sim.now, kind: o.Kind}
+		r.usage = m.account.Add(sim.now, o.Kind, o.Demand.CPU)
 		m.runs[o.Ref] = r
+		sim.updateInterference(m)
+		sim.traceOrder(m, o)
 		sim.scheduleEnd(m, o.Ref, r)
 		sim.scheduleCrash(m, o, r)
 	}
--- a/dispatch/jobs/replayruns_test.go
+++ b/dispatch/jobs/replayruns_test.go
@@ -11,7 +11,7 @@
 	if m.stalled {
 		return
 	}
-	rest := time.Duration((1 - r.progress) * float64(r.work) * m.slowdown)
+	rest := time.Duration((1 - r.progress) * float64(r.work) * m.slowdown * (1 + r.interference))
 	at := r.progressAt
 	sim.after(rest, func() {
 		if m.runs[ref] != r || r.progressAt != at {
@@ -29,10 +29,15 @@
 func (sim *simulation) endRun(m *machine, ref run.Ref, kind run.EventKind) {
 	r := m.runs[ref]
 	delete(m.runs, ref)
+	beside := m.account.Remove(sim.now, r.usage, m.cpuCapacity)
+	if !sim.reportsUsage || m.earlierBuild {
+		beside = nil
+	}
+	sim.updateInterference(m)
 	if m.dead {
 		return
 	}
-	sim.sendEvents(m, map[int][]run.Event{r.entry: {{Ref: ref, Kind: kind}}})
+	sim.sendEvents(m, map[int][]run.Event{r.entry: {{Ref: ref, Kind: kind, Beside: beside}}})
 }
 
 // modifyMachine changes a machine; its runs continue with the new properties.
--- a/dispatch/jobs/replaysimulation_test.go
+++ b/dispatch/jobs/replaysimulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -55,6 +56,11 @@
 	// largefleet_test.go.
 	partners []*partner.Set
 	frames   []int // by entry, in both directions
+	// reportsUsage is set if the agents report the usage by kind; effects is by what fraction a run of the first kind takes
+	// longer beside a server full of the second.
+	reportsUsage bool
+	effects      map[[2]string]float64
+	orderTrace   hash.Hash64 // of the times, tasks and agents of all orders, if not nil
 }
 
 // simConfig describes the jobs and backend servers of a replay.
--- a/dispatch/jobs/reports.go
+++ b/dispatch/jobs/reports.go
@@ -20,6 +20,7 @@
 	v.largest = v.largest.Max(r.Server.Capacity)
 	v.free = r.Free
 	v.entries = r.Entries
+	v.usage = r.Usage
 	v.othersSlowdown = r.OthersSlowdown
 	v.reportsCrashes = r.ReportsCrashes
 	if !v.reported || v.recordsOwners != r.RecordsOwners {
--- a/dispatch/jobs/runend.go
+++ b/dispatch/jobs/runend.go
@@ -38,6 +38,7 @@
 	switch e.Kind {
 	case run.Done:
 		s.taskDone(now, a)
+		s.observeInterference(now, a, e.Beside)
 	case run.Failed:
 		s.taskFailed(now, a, e)
 	case run.NotRun:
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -6,6 +6,7 @@
 
 	"poplargw.example/dispatch/estimate"
 	"poplargw.example/dispatch/health"
+	"poplargw.example/dispatch/interference"
 	"poplargw.example/dispatch/run"
 )
 
@@ -52,8 +53,9 @@
 	// startChanges counts the changes of the known starts of agents, oldest is the earliest of these starts.
 	startChanges uint64
 	oldest       linkedStart
-	lastRequest  uint64     // number of the newest request for a job
-	singleServer [1]*server // argument of dispatchTo, kept to avoid an allocation
+	lastRequest  uint64                         // number of the newest request for a job
+	interference map[string]*interference.Model // by service
+	singleServer [1]*server                     // argument of dispatchTo, kept to avoid an allocation
 }
 
 // expectation is the number of agents that are expected to connect, until a time after the start of the
@@ -82,6 +84,7 @@
 		bulkheads:      newBulkheads(),
 		ownerships:     map[string]*ownership{},
 		registrarLost:  map[string]time.Time{},
+		interference:   map[string]*interference.Model{},
 	}
 }
 
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -47,6 +47,7 @@
 	pausedUntil time.Time
 	// inBulkhead is set while the backend server takes only tasks of confined kinds.
 	inBulkhead bool
+	usage      []run.KindUsage // as last reported
 }
 
 // available returns the free capacity less the demand of the orders that the agent's report does not
