--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -59,6 +59,8 @@
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
 	RecordsAwaited           ID = 681
+	InterferenceFound        ID = 686
+	InterferenceForgotten    ID = 687
 )
 
 var runTexts = map[ID]string{
@@ -114,5 +116,7 @@
 	JobAdmitted:              "job admitted",
 	RunsListed:               "backend server has listed its runs since the agent's start",
 	RecordsAwaited:           "jobs waited because records of owners may have been lost",
+	InterferenceFound:        "runs of one kind are slower or faster beside runs of another",
+	InterferenceForgotten:    "interference between two kinds is not seen any more",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
 }
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -258,6 +258,7 @@
 	f.RecordsOwners = true
 	f.RunsListed = a.table.RunsListed(now)
 	f.ListedAgents = a.listedFor(s)
+	f.Usage = link.UsageToProto(a.table.Usage(now))
 	for _, answer := range s.answers {
 		f.Answers = append(f.Answers, link.AnswerToProto(answer))
 	}
