Record cancels at the registrars of a job, and answer 410 only when all of them know no owner

Cause: a cancel was known at one entry only.

Change: an entry sends each cancel to all registrars of the job that it reaches. The result is 200 if the owner was told or all registrars but one have recorded the cancel, 410 if all have said that no entry may have the job, otherwise 503. An owner that has lost the links to all registrars of a job orders none of its tasks until the first frame over a new link, which carries the cancels. Events 623 and 679, metrics poplargw_agent_cancels and poplargw_entry_cancels_total.

Literals of owner.Answer in tests name their fields.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -27,6 +27,7 @@
 	OwnerAnswered  ID = 620
 	OwnerConflict  ID = 621
 	RowsUnreadable ID = 622
+	CancelRecorded ID = 623
 
 	JobEnded                 ID = 650
 	JobAbandoned             ID = 651
@@ -57,6 +58,7 @@
 	KindReleased             ID = 676
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
+	CancelAnswered           ID = 679
 )
 
 var runTexts = map[ID]string{
@@ -110,5 +112,7 @@
 	OwnerConflict:            "two entries say that they own one job",
 	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
+	CancelRecorded:           "cancel of a job arrived from an entry",
+	CancelAnswered:           "cancel of a job answered",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
 }
--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -219,10 +219,22 @@
 
 // AnswerToProto converts the answer to a request for a job to its protobuf message.
 func AnswerToProto(a owner.Answer) *peerv1.JobAnswer {
-	return &peerv1.JobAnswer{Job: a.Job, Number: a.Number, Granted: a.Granted}
+	return &peerv1.JobAnswer{Job: a.Job, Number: a.Number, Granted: a.Granted, Cancelled: a.Cancelled}
 }
 
-// AnswerFromProto converts a protobuf message to the request for a job that it answers, and whether that is granted.
-func AnswerFromProto(a *peerv1.JobAnswer) (in owner.Request, granted bool) {
-	return owner.Request{Job: a.GetJob(), Number: a.GetNumber()}, a.GetGranted()
+// AnswerFromProto converts a protobuf message to the answer to a request for a job, without the entry.
+func AnswerFromProto(a *peerv1.JobAnswer) owner.Answer {
+	return owner.Answer{
+		Request: owner.Request{Job: a.GetJob(), Number: a.GetNumber()}, Granted: a.GetGranted() && !a.GetCancelled(), Cancelled: a.GetCancelled(),
+	}
+}
+
+// CancelAnswerToProto converts the answer to a cancel of a job to its protobuf message.
+func CancelAnswerToProto(job string, a jobs.CancelAnswer) *peerv1.CancelAnswer {
+	return &peerv1.CancelAnswer{Job: job, PassedOn: a.PassedOn, Recorded: a.Recorded, MayHave: a.MayHave}
+}
+
+// CancelAnswerFromProto converts a protobuf message to the answer to a cancel of a job.
+func CancelAnswerFromProto(a *peerv1.CancelAnswer) jobs.CancelAnswer {
+	return jobs.CancelAnswer{PassedOn: a.GetPassedOn(), Recorded: a.GetRecorded(), MayHave: a.GetMayHave()}
 }
--- a/daemon/runagent/metrics.go
+++ b/daemon/runagent/metrics.go
@@ -24,6 +24,11 @@
 		set = metrics.NewSet()
 	}
 	set.GetOrCreateGauge("poplargw_agent_leased_runs", func() float64 { return float64(a.runCount()) })
+	set.GetOrCreateGauge("poplargw_agent_cancels", func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return float64(a.owners.Cancels())
+	})
 	return &counters{
 		set:        set,
 		orders:     set.GetOrCreateCounter("poplargw_agent_orders_total"),
--- a/daemon/runagent/ownership.go
+++ b/daemon/runagent/ownership.go
@@ -7,6 +7,7 @@
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/daemon/event"
 	"poplargw.example/daemon/link"
+	"poplargw.example/dispatch/jobs"
 	"poplargw.example/dispatch/owner"
 )
 
@@ -30,6 +31,7 @@
 		grants, conflicts := a.owners.Restore(now, s.entry, f.GetOwned())
 		a.queueGrants(grants)
 		a.reportConflicts(now, s, f, conflicts)
+		a.tellCancelled(s, f.GetOwned())
 	}
 	for _, job := range f.GetReleases() {
 		if grant, ok := a.owners.Release(s.entry, job); ok {
@@ -102,21 +104,73 @@
 // expireOwners ends the ownerships of lost entries. The caller must hold a.mu.
 func (a *Agent) expireOwners(now time.Time) {
 	a.queueGrants(a.owners.Tick(now))
+	a.answerHeldCancels(now)
 	a.sendGrants(nil)
 }
 
-// passOnCancels passes cancels from the entry of the session on to the entries that own the jobs, and queues the answers. The
-// caller must hold a.mu.
-func (a *Agent) passOnCancels(s *session, jobs []string) {
-	for _, job := range jobs {
-		target := a.sessions[a.owners.Owner(job)]
-		s.cancelAnswers = append(s.cancelAnswers, &peerv1.CancelAnswer{Job: job, PassedOn: target != nil})
-		if target == nil {
+// handleCancels records the cancels of a frame and passes them on to the entries that own the jobs or wait for them. It is called before
+// handleOwnership: an entry that releases a job which it cancels must not hand it to the next one. The caller must hold a.mu.
+func (a *Agent) handleCancels(now time.Time, s *session, jobIDs []string) {
+	for _, job := range jobIDs {
+		c, refused := a.owners.Cancel(now, s.entry, job)
+		a.queueGrants(refused)
+		if c.Recorded && c.Owner == "" && !a.owners.Restored() {
+			a.heldCancels = append(a.heldCancels, heldCancel{s, job})
 			continue
 		}
-		target.cancels = append(target.cancels, job)
-		if target != s {
-			target.send(a, nil)
+		answer := jobs.CancelAnswer{Recorded: c.Recorded, MayHave: c.MayHave || c.Owner != ""}
+		if c.Owner != "" {
+			answer.PassedOn = a.passOnCancel(now, s, c, job)
+		}
+		s.cancelAnswers = append(s.cancelAnswers, link.CancelAnswerToProto(job, answer))
+		a.Log.InfoLimited(event.CancelRecorded, event.Fields{
+			"job": job, "entry": s.entry, "owner": c.Owner, "recorded": c.Recorded, "passed_on": answer.PassedOn, "may_have": answer.MayHave,
+		})
+	}
+}
+
+// heldCancel is a cancel whose answer awaits the end of the restore window: an owner may still report.
+type heldCancel struct {
+	session *session
+	job     string
+}
+
+// answerHeldCancels queues the answers to cancels that came within the restore window, once it has passed. Their number is bounded by
+// that of recorded cancels. The caller must hold a.mu.
+func (a *Agent) answerHeldCancels(now time.Time) {
+	if len(a.heldCancels) == 0 || !a.owners.Restored() {
+		return
+	}
+	held := a.heldCancels
+	a.heldCancels = nil
+	for _, h := range held {
+		if s := h.session; a.sessions[s.entry] == s {
+			a.handleCancels(now, s, []string{h.job})
+			s.send(a, nil)
+		}
+	}
+}
+
+// passOnCancel passes a cancel on to the owner of the job, and reports whether the owner has it or gets it for certain: it
+// is told again over its next link if the cancel is recorded. The caller must hold a.mu.
+func (a *Agent) passOnCancel(now time.Time, s *session, c owner.CancelAnswer, job string) bool {
+	target := a.sessions[c.Owner]
+	if target == nil || target == s {
+		return target == s
+	}
+	target.cancels = append(target.cancels, job)
+	target.send(a, nil)
+	return c.Recorded || now.Sub(target.lastReceived) <= maxSilence
+}
+
+// maxSilence is the silence of an entry above which its link may be dead. Entries send a frame at least every 140 ms.
+const maxSilence = 300 * time.Millisecond
+
+// tellCancelled queues the cancels of jobs that an entry owns as it says over a new link. The caller must hold a.mu.
+func (a *Agent) tellCancelled(s *session, owned []string) {
+	for _, job := range owned {
+		if a.owners.Cancelled(job) {
+			s.cancels = append(s.cancels, job)
 		}
 	}
 }
--- a/daemon/runagent/ownership_test.go
+++ b/daemon/runagent/ownership_test.go
@@ -26,7 +26,10 @@
 	t       *testing.T
 	conn    *link.Conn
 	answers chan *peerv1.JobAnswer
-	stop    context.CancelFunc
+	// cancels are those that the agent passes on, cancelAnswers its answers to those of this entry.
+	cancels       chan string
+	cancelAnswers chan *peerv1.CancelAnswer
+	stop          context.CancelFunc
 
 	mu  sync.Mutex
 	seq uint64
@@ -57,6 +60,12 @@
 
 // dialOwnerAgent opens a link to the agent as the named entry.
 func dialOwnerAgent(t *testing.T, addr, name string) *testEntry {
+	t.Helper()
+	return dialOwnerAgentWith(t, addr, name)
+}
+
+// dialOwnerAgentWith is dialOwnerAgent for an entry that owns jobs.
+func dialOwnerAgentWith(t *testing.T, addr, name string, owned ...string) *testEntry {
 	t.Helper()
 	conn, err := link.Dial(t.Context(), addr, nil, answerLimit)
 	if err != nil {
@@ -64,8 +73,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	e := &testEntry{t: t, conn: conn, answers: make(chan *peerv1.JobAnswer, 16), stop: stop}
+	e.cancels, e.cancelAnswers = make(chan string, 16), make(chan *peerv1.CancelAnswer, 16)
 	t.Cleanup(func() { stop(); conn.Close() })
-	e.send(&peerv1.EntryFrame{Hello: &peerv1.LinkHello{Id: name, Incarnation: "1"}})
+	e.send(&peerv1.EntryFrame{Hello: &peerv1.LinkHello{Id: name, Incarnation: "1"}, Owned: owned})
 	go e.receive()
 	go func() {
 		for ctx.Err() == nil {
@@ -94,6 +104,12 @@
 		for _, a := range f.GetAnswers() {
 			e.answers <- a
 		}
+		for _, job := range f.GetCancels() {
+			e.cancels <- job
+		}
+		for _, a := range f.GetCancelAnswers() {
+			e.cancelAnswers <- a
+		}
 	}
 }
 
--- a/daemon/runagent/session.go
+++ b/daemon/runagent/session.go
@@ -133,8 +133,8 @@
 	s.confirmedSeq = max(s.confirmedSeq, min(f.GetAck(), s.seq))
 	a.table.Request(now, s.entry, now.Add(link.SlackFromProto(f.GetSlackMs())), link.DemandFromProto(f.GetWant()))
 	a.table.Confirmed(s.entry, token)
+	a.handleCancels(now, s, f.GetCancels())
 	a.handleOwnership(now, s, f)
-	a.passOnCancels(s, f.GetCancels())
 	a.speeds.Set(s.entry, link.SlowdownFromProto(f.GetSlowdownPermille()))
 	if out := f.GetOut(); out != nil {
 		a.table.SetDomainsOut(out.GetRevision(), out.GetDomains())
--- a/daemon/runentry/cancel.go
+++ b/daemon/runentry/cancel.go
@@ -6,96 +6,75 @@
 	"time"
 
 	"poplargw.example/daemon/boottime"
-)
-
-// CancelResult tells what has become of a cancel.
-type CancelResult int
-
-// Results of a cancel.
-const (
-	// CancelDone: the job is cancelled, or the entry that has it was told.
-	CancelDone CancelResult = iota
-	// CancelNoJob: no entry has the job, as far as its registrars know.
-	CancelNoJob
-	// CancelUnanswered: it is not known whether another entry has the job.
-	CancelUnanswered
+	"poplargw.example/daemon/event"
+	"poplargw.example/dispatch/jobs"
 )
 
 // cancelAnswerLimit is how long a cancel waits for the answers of registrars. A silent link is closed after 200 ms.
 const cancelAnswerLimit = 500 * time.Millisecond
 
-// Cancel ends a job on behalf of its caller. If the entry does not have the job, Cancel passes on the cancel to the entry that owns
-// it, by way of the registrars of the job.
-func (e *Entry) Cancel(ctx context.Context, id string) CancelResult {
+// pendingCancel is a cancel that awaits the answers of registrars.
+type pendingCancel struct {
+	job  string
+	done chan jobs.CancelResult // has space for the result
+}
+
+// Cancel ends a job on behalf of its caller, and sends the cancel to the registrars of the job, which pass it on to the entry that owns
+// the job and grant the job to no other one. It waits for their answers if this entry does not own the job. It makes no store call.
+func (e *Entry) Cancel(ctx context.Context, id string) jobs.CancelResult {
+	began := boottime.Now()
 	c, result := e.beginCancel(id)
-	if c == nil {
-		return result
+	if c != nil {
+		result = e.awaitCancel(ctx, c)
 	}
-	timer := time.NewTimer(cancelAnswerLimit)
-	defer timer.Stop()
-	defer e.endCancel(c)
-	select {
-	case result = <-c.done:
-		return result
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return CancelUnanswered
+	e.counters.cancels(result).Inc()
+	e.Log.InfoLimited(event.CancelAnswered, event.Fields{"job": id, "result": result.String(), "took_ms": boottime.Now().Sub(began).Milliseconds()})
+	return result
 }
 
-// beginCancel cancels a job of this entry, or asks its registrars. It returns the cancel if answers are awaited, and
-// otherwise its result.
-func (e *Entry) beginCancel(id string) (*remoteCancel, CancelResult) {
+// beginCancel sends a cancel to the registrars. It returns the cancel if answers are awaited, and otherwise its result.
+func (e *Entry) beginCancel(id string) (*pendingCancel, jobs.CancelResult) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.waiters[id]) > 0 {
-		e.scheduler.Cancel(id)
-		e.flush()
-		return nil, CancelDone
-	}
-	if s := e.history.states[id]; s == Completed || s == Cancelled {
-		return nil, CancelNoJob
-	}
-	asked := e.scheduler.RequestCancel(boottime.Now(), id)
-	if asked == 0 {
-		return nil, CancelUnanswered
+	now := boottime.Now()
+	e.dropJobsAfterPause(now)
+	result := e.scheduler.RequestCancel(now, id)
+	e.flush()
+	if result != jobs.CancelPending {
+		return nil, result
 	}
-	c := &remoteCancel{job: id, unanswered: asked, done: make(chan CancelResult, 1)}
+	c := &pendingCancel{job: id, done: make(chan jobs.CancelResult, 1)}
 	e.cancels = append(e.cancels, c)
-	e.flush()
-	return c, CancelDone
+	return c, result
 }
 
-// endCancel forgets a cancel that awaits no answer any more.
-func (e *Entry) endCancel(c *remoteCancel) {
+// awaitCancel waits for the result of a cancel, at most for cancelAnswerLimit.
+func (e *Entry) awaitCancel(ctx context.Context, c *pendingCancel) jobs.CancelResult {
+	timer := time.NewTimer(cancelAnswerLimit)
+	defer timer.Stop()
+	select {
+	case result := <-c.done:
+		return result
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cancels = slices.DeleteFunc(e.cancels, func(o *remoteCancel) bool { return o == c })
-}
-
-// remoteCancel is a cancel that awaits the answers of registrars.
-type remoteCancel struct {
-	job        string
-	unanswered int               // registrars
-	done       chan CancelResult // has space for the result
+	e.cancels = slices.DeleteFunc(e.cancels, func(o *pendingCancel) bool { return o == c })
+	return e.scheduler.FinalCancelState(boottime.Now(), c.job)
 }
 
-// remoteCancels are the cancels that await answers.
-type remoteCancels []*remoteCancel
-
-// answered records the answer of a registrar to the cancels of a job.
-func (l remoteCancels) answered(job string, passedOn bool) {
-	for _, c := range l {
-		if c.job != job || c.unanswered == 0 {
-			continue
-		}
-		c.unanswered--
-		switch {
-		case passedOn:
-			c.unanswered = 0
-			c.done <- CancelDone
-		case c.unanswered == 0:
-			c.done <- CancelNoJob
-		}
+// settleCancels delivers the results of cancels that await no answer any more. The caller must hold e.mu.
+func (e *Entry) settleCancels(now time.Time) {
+	if len(e.cancels) == 0 {
+		return
 	}
+	e.cancels = slices.DeleteFunc(e.cancels, func(c *pendingCancel) bool {
+		result := e.scheduler.CancelState(now, c.job)
+		if result == jobs.CancelPending {
+			return false
+		}
+		c.done <- result
+		return true
+	})
 }
--- a/daemon/runentry/entry.go
+++ b/daemon/runentry/entry.go
@@ -58,7 +58,7 @@
 	tickDelays      lag.Meter // delays of tick beyond tickInterval
 	responseDelays  lag.Meter // round-trip times of probes beyond each agent's minimum
 	history         *jobHistory
-	cancels         remoteCancels
+	cancels         []*pendingCancel
 	interval        intervalStats
 	partnersChanged chan struct{} // signals that partners were added
 	lastReady       bool          // result of the previous call of Ready
@@ -122,6 +122,7 @@
 		e.closeSilentLinks(now)
 	}
 	e.scheduler.Tick(now)
+	e.settleCancels(now)
 	e.updatePartners(now)
 	e.flush()
 	e.sendHeartbeats(now)
--- a/daemon/runentry/grant_bench_test.go
+++ b/daemon/runentry/grant_bench_test.go
@@ -140,6 +140,7 @@
 			slices.Sort(waits)
 			b.ReportMetric(waits[len(waits)/2].Seconds()*1e6, "median-us")
 			b.ReportMetric(waits[len(waits)*9/10].Seconds()*1e6, "p90-us")
+			b.ReportMetric(waits[len(waits)*99/100].Seconds()*1e6, "p99-us")
 		})
 	}
 }
--- a/daemon/runentry/links.go
+++ b/daemon/runentry/links.go
@@ -185,15 +185,15 @@
 		e.scheduler.ServerCrashed(now, a.id, crash, ago)
 	}
 	for _, v := range f.GetAnswers() {
-		in, granted := link.AnswerFromProto(v)
-		e.scheduler.JobAnswered(now, a.id, in, granted)
+		e.scheduler.JobAnswered(now, a.id, link.AnswerFromProto(v))
 	}
 	for _, id := range f.GetCancels() {
 		e.scheduler.Cancel(id)
 	}
 	for _, v := range f.GetCancelAnswers() {
-		e.cancels.answered(v.GetJob(), v.GetPassedOn())
+		e.scheduler.CancelAnswered(a.id, v.GetJob(), link.CancelAnswerFromProto(v))
 	}
+	e.settleCancels(now)
 	for _, v := range f.GetEvents() {
 		e.scheduler.Event(now, a.id, link.EventFromProto(v))
 	}
--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -58,3 +58,8 @@
 		c.set.GetOrCreateHistogram(fmt.Sprintf("poplargw_entry_job_seconds{queue=%q}", queue)).Update(took.Seconds())
 	}
 }
+
+// cancels counts the cancels of callers by their result.
+func (c *counters) cancels(result jobs.CancelResult) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("poplargw_entry_cancels_total{result=%q}", result.String()))
+}
--- a/daemon/runentry/submit.go
+++ b/daemon/runentry/submit.go
@@ -50,7 +50,7 @@
 	e.dropJobsAfterPause(now)
 	e.interval.offered++
 	if known, _ := e.scheduler.Has(j.ID); !known {
-		if e.history.states[j.ID] == Cancelled {
+		if e.history.states[j.ID] == Cancelled || e.scheduler.Cancelled(j.ID) {
 			return jobs.Outcome{Job: j.ID, Code: result.Cancelled, Effect: result.Unknown}, false
 		}
 		if e.cpuShort() {
--- a/dispatch/jobs/jobend.go
+++ b/dispatch/jobs/jobend.go
@@ -1,10 +1,6 @@
 package jobs
 
-import (
-	"time"
-
-	"poplargw.example/dispatch/result"
-)
+import "poplargw.example/dispatch/result"
 
 // Abandon drops a job whose caller has disconnected or cancelled it, and stops its runs. The job gets
 // no outcome.
@@ -21,21 +17,9 @@
 	}
 }
 
-// Cancel ends a job on behalf of its caller.
+// Cancel ends a job that its caller has cancelled, here or at another entry. See RequestCancel.
 func (s *Scheduler) Cancel(id string) { s.GiveUp(id, result.Cancelled) }
 
-// RequestCancel asks the registrars of a job that the entry does not have to pass a cancel on to the job's owner. It returns the
-// number of agents that it asks; each answers.
-func (s *Scheduler) RequestCancel(now time.Time, id string) int {
-	s.observeRegistrars(now)
-	agents := s.reachableRegistrars(&ownership{order: s.orderFor(now, id)})
-	for _, agent := range agents {
-		b := s.batch(s.servers[agent])
-		b.Cancels = append(b.Cancels, id)
-	}
-	return len(agents)
-}
-
 // drop removes a job and stops its runs.
 func (s *Scheduler) drop(j *job) {
 	delete(s.jobs, j.ID)
--- a/dispatch/jobs/links.go
+++ b/dispatch/jobs/links.go
@@ -28,6 +28,7 @@
 	v.seq = 0
 	v.unacked = nil
 	v.batch = Batch{}
+	s.suspendOrders(agent)
 	b := s.batch(v)
 	for _, a := range v.runsInOrder() {
 		b.Claims = append(b.Claims, Claim{Ref: a.ref, Demand: a.demand, Age: now.Sub(a.orderedAt)})
@@ -35,6 +36,7 @@
 			b.Stops = append(b.Stops, a.ref)
 		}
 	}
+	s.restoreCancels(now, agent, b)
 	s.restoreOwnerships(agent, b)
 }
 
@@ -46,6 +48,7 @@
 		s.linkChanges++
 		s.recordLinkEnd(now, v)
 		v.linked, v.unlinkedAt = false, now
+		s.suspendOrders(agent)
 	}
 }
 
--- a/dispatch/jobs/ownerfleet_test.go
+++ b/dispatch/jobs/ownerfleet_test.go
@@ -149,11 +149,13 @@
 	}
 	b, table := e.frames[agent][0], f.tables[agent]
 	e.frames[agent] = e.frames[agent][1:]
+	f.deliverCancels(e, agent, b.Cancels)
 	table.Contact(f.now, e.name)
 	f.heard[e][agent] = b.at
 	if b.Seq == 1 {
 		grants, _ := table.Restore(f.now, e.name, b.Owned)
 		f.queue(agent, grants...)
+		f.tellCancelled(e, agent, b.Owned)
 	}
 	for _, job := range b.Releases {
 		if a, ok := table.Release(e.name, job); ok {
@@ -190,7 +192,7 @@
 	e.answers[agent] = e.answers[agent][1:]
 	e.tokens[agent] = f.now
 	e.RecordMessage(f.now, agent)
-	e.JobAnswered(f.now, agent, a.Request, a.Granted)
+	e.JobAnswered(f.now, agent, a.Answer)
 	f.take(e)
 }
 
--- a/dispatch/jobs/ownerrequests.go
+++ b/dispatch/jobs/ownerrequests.go
@@ -42,17 +42,20 @@
 }
 
 // JobAnswered records the answer of a registrar to a request. Answers to requests that were withdrawn or repeated
-// since are ignored.
-func (s *Scheduler) JobAnswered(now time.Time, agent string, in owner.Request, isGranted bool) {
-	o := s.ownerships[in.Job]
+// since are ignored, unless they say that the job was cancelled: that remains so.
+func (s *Scheduler) JobAnswered(now time.Time, agent string, a owner.Answer) {
+	if a.Cancelled {
+		s.Cancel(a.Job)
+	}
+	o := s.ownerships[a.Job]
 	if o == nil {
 		return
 	}
 	r := o.request(agent)
-	if r == nil || r.number != in.Number || r.state == withdrawn {
+	if r == nil || r.number != a.Number || r.state == withdrawn {
 		return
 	}
-	if isGranted {
+	if a.Granted {
 		r.state = granted
 	} else {
 		r.state = held
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -99,13 +99,31 @@
 	o.owned = o.owned || s.conceded(now, o)
 	s.confirm(o)
 	j := s.jobs[o.job]
-	if j == nil || j.mayOrder || !o.owned || o.runs > 0 && !j.begun {
+	if j == nil || j.mayOrder || !o.owned || !s.hasContact(o) || o.runs > 0 && !j.begun {
 		return
 	}
 	j.mayOrder, j.begun = true, true
 	s.dispatchJob(now, j)
 }
 
+// hasContact reports whether a registrar that has granted the job is reachable, or the job is owned without any. Without contact, the
+// entry does not learn that the job was cancelled elsewhere.
+func (s *Scheduler) hasContact(o *ownership) bool {
+	return o.confirmed.IsZero() || slices.ContainsFunc(o.requests, func(r *request) bool { return r.state == granted && s.reachable(r.agent) })
+}
+
+// suspendOrders is called when the link to an agent has ended or was replaced. Jobs whose last registrar it was are not ordered until
+// the first frame over a new link, which carries the cancels, or the grant of another registrar.
+func (s *Scheduler) suspendOrders(agent string) {
+	for _, o := range s.ownerships {
+		if o.owned && o.granted(agent) && !s.hasContact(o) {
+			if j := s.jobs[o.job]; j != nil {
+				j.mayOrder = false
+			}
+		}
+	}
+}
+
 // confirm records the newest message of the registrars that have granted the job.
 func (s *Scheduler) confirm(o *ownership) {
 	for _, r := range o.requests {
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -39,6 +39,8 @@
 	declaredErrors map[string]*declaredError   // by service
 	registrars     []string                    // agents that may record owners of jobs
 	ownerships     map[string]*ownership       // by job
+	cancels        map[string]*cancel          // by job
+	cancelOrder    []*cancel                   // the values of cancels, oldest first
 	// linkChanges counts the changes of which agents are reachable as registrars.
 	linkChanges uint64
 	// registrarListed holds when each registrar was first listed, connectedSince since when the entry has had a link.
@@ -81,6 +83,7 @@
 		crashes:        newCrashLog(),
 		bulkheads:      newBulkheads(),
 		ownerships:     map[string]*ownership{},
+		cancels:        map[string]*cancel{},
 		registrarLost:  map[string]time.Time{},
 	}
 }
--- a/dispatch/jobs/tick.go
+++ b/dispatch/jobs/tick.go
@@ -8,6 +8,7 @@
 	s.removeLostAgents(now)
 	s.observeRegistrars(now)
 	s.advanceOwnerships(now)
+	s.expireCancels(now)
 	s.updateBulkheads(now)
 	s.moveStragglers(now)
 	s.updateSlowdowns()
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -147,7 +147,7 @@
 	Requests []owner.Request
 	Releases []string
 	Owned    []string
-	// Cancels lists jobs of other entries that a caller has cancelled; see Scheduler.RequestCancel.
+	// Cancels lists jobs that a caller has cancelled at this entry; see Scheduler.RequestCancel.
 	Cancels []string
 }
 
--- a/dispatch/owner/owner.go
+++ b/dispatch/owner/owner.go
@@ -31,11 +31,12 @@
 }
 
 // Answer tells an entry that an agent has granted it a job, or that another entry owns the job. In that case the
-// grant follows once the owner has released the job or is lost.
+// grant follows once the owner has released the job or is lost. Cancelled is set if the job was cancelled: it is not granted.
 type Answer struct {
 	Entry string
 	Request
-	Granted bool
+	Granted   bool
+	Cancelled bool
 }
 
 // claimant is an entry with the number of its newest request.
@@ -76,11 +77,19 @@
 	jobs     map[string]*record
 	// contacts holds the uptime at the newest message of each entry that owns a job or waits for one.
 	contacts map[string]time.Duration
+	// cancels holds the jobs that were cancelled, lostJobs those whose owner was lost.
+	cancels, lostJobs jobTimes
+	// unnamedLost is set if the owner of a job was lost that is not in lostJobs, last at the uptime unnamedLostAt.
+	unnamedLost   bool
+	unnamedLostAt time.Duration
 }
 
 // New returns the table of an agent that has just started.
 func New(now time.Time, limits Limits) *Table {
-	return &Table{limits: limits, uptime: uptime.New(now, limits.MaxTickGap), jobs: map[string]*record{}, contacts: map[string]time.Duration{}}
+	return &Table{
+		limits: limits, uptime: uptime.New(now, limits.MaxTickGap), jobs: map[string]*record{}, contacts: map[string]time.Duration{},
+		cancels: newJobTimes(maxCancels), lostJobs: newJobTimes(maxLostJobs),
+	}
 }
 
 // Len returns the number of jobs that have an owner or are requested.
@@ -126,6 +135,9 @@
 // request implements Request and Register; wait adds the entry to those that wait.
 func (t *Table) request(now time.Time, entry string, in Request, wait func(*record, claimant)) (Answer, bool) {
 	t.contacts[entry] = t.uptime.At(now)
+	if t.Cancelled(in.Job) {
+		return Answer{Entry: entry, Request: in, Cancelled: true}, true
+	}
 	r := t.record(in.Job)
 	if r.owner == entry {
 		return Answer{Entry: entry, Request: in, Granted: true}, true
@@ -196,6 +208,7 @@
 		t.contacts[entry] = t.uptime.At(now)
 	}
 	for _, job := range jobs {
+		t.lostJobs.remove(job)
 		r := t.record(job)
 		switch r.owner {
 		case "", entry:
@@ -232,8 +245,14 @@
 			continue
 		}
 		delete(t.contacts, entry)
+		for job, r := range t.jobs {
+			if r.owner == entry {
+				t.recordLost(now, job)
+			}
+		}
 		grants = append(grants, t.drop(entry, func(string) bool { return true })...)
 	}
+	t.expireCancels(now)
 	if !t.restored && t.uptime.At(now) >= t.limits.RestoreWindow {
 		t.restored = true
 		grants = append(grants, t.answerAll()...)
--- a/dispatch/owner/owner_test.go
+++ b/dispatch/owner/owner_test.go
@@ -29,7 +29,7 @@
 // requireAnswer fails the test unless the answer is the expected one.
 func requireAnswer(t *testing.T, got Answer, ok bool, entry string, number uint64, granted bool) {
 	t.Helper()
-	if want := (Answer{entry, Request{"job", number}, granted}); !ok || got != want {
+	if want := (Answer{Entry: entry, Request: Request{"job", number}, Granted: granted}); !ok || got != want {
 		t.Fatalf("answer %+v, %t, want %+v", got, ok, want)
 	}
 }
@@ -109,7 +109,7 @@
 		grants = o.Tick(now)
 	}
 	slices.SortFunc(grants, func(a, b Answer) int { return cmp.Compare(a.Number, b.Number) })
-	if want := []Answer{{"b", Request{"job", 1}, false}, {"b", Request{"other", 2}, true}}; !slices.Equal(grants, want) {
+	if want := []Answer{{Entry: "b", Request: Request{"job", 1}, Granted: false}, {Entry: "b", Request: Request{"other", 2}, Granted: true}}; !slices.Equal(grants, want) {
 		t.Errorf("answers %+v, want %+v", grants, want)
 	}
 	if o.Owner("job") != "a" {
@@ -125,7 +125,7 @@
 	o.Request(now, "a", Request{"kept", 2})
 	o.Request(now, "b", Request{"job", 3})
 	grants, conflicts := o.Restore(now, "a", []string{"kept"})
-	if len(grants) != 1 || grants[0] != (Answer{"b", Request{"job", 3}, true}) || len(conflicts) > 0 {
+	if len(grants) != 1 || grants[0] != (Answer{Entry: "b", Request: Request{"job", 3}, Granted: true}) || len(conflicts) > 0 {
 		t.Fatalf("grants %+v, conflicts %v", grants, conflicts)
 	}
 	if _, conflicts := o.Restore(now, "a", []string{"job", "kept"}); len(conflicts) != 1 || conflicts[0] != "job" || o.Owner("job") != "b" {
--- a/dispatch/owner/restore_test.go
+++ b/dispatch/owner/restore_test.go
@@ -22,7 +22,7 @@
 			got[a]++
 		}
 	}
-	for _, want := range []Answer{{"a", Request{"job", 1}, true}, {"b", Request{"job", 2}, false}, {"c", Request{"job", 3}, false}} {
+	for _, want := range []Answer{{Entry: "a", Request: Request{"job", 1}, Granted: true}, {Entry: "b", Request: Request{"job", 2}, Granted: false}, {Entry: "c", Request: Request{"job", 3}, Granted: false}} {
 		if got[want] != 1 {
 			t.Errorf("answer %+v given %d times", want, got[want])
 		}
@@ -42,7 +42,7 @@
 		o.Contact(now, "b")
 		answers = append(answers, o.Tick(now)...)
 	}
-	if len(answers) != 1 || answers[0] != (Answer{"b", Request{"job", 2}, false}) {
+	if len(answers) != 1 || answers[0] != (Answer{Entry: "b", Request: Request{"job", 2}, Granted: false}) {
 		t.Errorf("answers %+v", answers)
 	}
 }
@@ -83,7 +83,7 @@
 		now = now.Add(limits.MaxTickGap)
 		answers = append(answers, o.Tick(now)...)
 	}
-	if want := (Answer{"b", Request{"job", 2}, false}); len(answers) != 1 || answers[0] != want {
+	if want := (Answer{Entry: "b", Request: Request{"job", 2}, Granted: false}); len(answers) != 1 || answers[0] != want {
 		t.Errorf("answers %+v, want %+v", answers, want)
 	}
 }
