--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -27,6 +27,7 @@
 	OwnerAnswered  ID = 620
 	OwnerConflict  ID = 621
 	RowsUnreadable ID = 622
+	CancelRecorded ID = 623
 	RunsListed     ID = 625
 
 	JobEnded                 ID = 650
@@ -58,6 +59,7 @@
 	KindReleased             ID = 676
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
+	CancelAnswered           ID = 679
 	RecordsAwaited           ID = 681
 	InterferenceFound        ID = 686
 	InterferenceForgotten    ID = 687
@@ -118,5 +120,7 @@
 	RecordsAwaited:           "jobs waited because records of owners may have been lost",
 	InterferenceFound:        "runs of one kind are slower or faster beside runs of another",
 	InterferenceForgotten:    "interference between two kinds is not seen any more",
+	CancelRecorded:           "cancel of a job arrived from an entry",
+	CancelAnswered:           "cancel of a job answered",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
 }
--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -96,3 +96,8 @@
 	}
 	c.interference = current
 }
+
+// cancels counts the cancels of callers by their result.
+func (c *counters) cancels(result jobs.CancelResult) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("poplargw_entry_cancels_total{result=%q}", result.String()))
+}
--- a/dispatch/jobs/replaymessages_test.go
+++ b/dispatch/jobs/replaymessages_test.go
@@ -42,7 +42,7 @@
 			s.Progress(sim.now, m.id, p.ref, p.percent, sim.now.Sub(p.startedAt))
 		}
 		for _, a := range answers {
-			s.JobAnswered(sim.now, m.id, a.Request, a.Granted)
+			s.JobAnswered(sim.now, m.id, a)
 		}
 		for _, e := range events {
 			s.Event(sim.now, m.id, e)
