Wait for the agents after the loss of an owner, whose run may be on a suspended VM

Cause: registrars granted a job 949 ms after its owner had become silent, and did not say that there had been one.

Change: a registrar keeps for 60 s which jobs had an owner that was lost, and says so in a grant to another entry (JobAnswer.owner_lost). That entry orders nothing of the job until each agent that it knows has run for 809 ms since the loss: its messages have arrived without a gap above 200 ms. An agent that was removed because of its silence counts for a minute as one that has not answered. Until then the job waits, and its effect is unknown (code 3007). Without a loss nothing is sent and nothing waits.

TestEntryThatWaitsForOwnerAlsoWaitsWhenItsRegistrarsAreLost and TestEntryBehindWaitingEntryWaitsForOwner required a start within 1 s of the loss although two agents stayed away, which is the fault. They require no start while the agents are away, and a start within the same second after they are back.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -59,6 +59,7 @@
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
 	CancelAnswered           ID = 679
+	FormerOwnerLost          ID = 680
 )
 
 var runTexts = map[ID]string{
@@ -113,6 +114,7 @@
 	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
 	CancelRecorded:           "cancel of a job arrived from an entry",
+	FormerOwnerLost:          "job was granted after the loss of its owner; it waits until no run of that owner can go on",
 	CancelAnswered:           "cancel of a job answered",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
 }
--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -219,13 +219,14 @@
 
 // AnswerToProto converts the answer to a request for a job to its protobuf message.
 func AnswerToProto(a owner.Answer) *peerv1.JobAnswer {
-	return &peerv1.JobAnswer{Job: a.Job, Number: a.Number, Granted: a.Granted, Cancelled: a.Cancelled}
+	return &peerv1.JobAnswer{Job: a.Job, Number: a.Number, Granted: a.Granted, Cancelled: a.Cancelled, OwnerLost: a.OwnerLost}
 }
 
 // AnswerFromProto converts a protobuf message to the answer to a request for a job, without the entry.
 func AnswerFromProto(a *peerv1.JobAnswer) owner.Answer {
 	return owner.Answer{
 		Request: owner.Request{Job: a.GetJob(), Number: a.GetNumber()}, Granted: a.GetGranted() && !a.GetCancelled(), Cancelled: a.GetCancelled(),
+		OwnerLost: a.GetOwnerLost(),
 	}
 }
 
--- a/daemon/link/convert_test.go
+++ b/daemon/link/convert_test.go
@@ -7,6 +7,7 @@
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/dispatch/jobs"
+	"poplargw.example/dispatch/owner"
 	"poplargw.example/dispatch/run"
 )
 
@@ -64,3 +65,23 @@
 		t.Errorf("crash is sent as %v", m)
 	}
 }
+
+// Guards against an answer that loses what it says about a cancel or a lost owner, and against a grant of a job that was cancelled.
+func TestJobAnswerSurvivesConversion(t *testing.T) {
+	in := owner.Request{Job: "j", Number: 3}
+	for _, a := range []owner.Answer{
+		{Request: in, Granted: true}, {Request: in, Granted: true, OwnerLost: true}, {Request: in, Cancelled: true}, {Request: in},
+	} {
+		if got := AnswerFromProto(AnswerToProto(a)); got != a {
+			t.Errorf("%+v became %+v", a, got)
+		}
+	}
+	if got := AnswerFromProto(&peerv1.JobAnswer{Job: "j", Granted: true, Cancelled: true}); got.Granted || !got.Cancelled {
+		t.Errorf("a cancelled job is granted: %+v", got)
+	}
+	for _, a := range []jobs.CancelAnswer{{PassedOn: true}, {Recorded: true}, {MayHave: true}, {}} {
+		if got := CancelAnswerFromProto(CancelAnswerToProto("j", a)); got != a {
+			t.Errorf("%+v became %+v", a, got)
+		}
+	}
+}
--- a/daemon/runagent/ownership_test.go
+++ b/daemon/runagent/ownership_test.go
@@ -173,3 +173,29 @@
 	dialOwnerAgent(t, addr, "e1")
 	next.wantAnswer(7, true)
 }
+
+// Guards against a grant that hides the loss of the former owner, whose run may be on a suspended VM (review/6).
+func TestGrantAfterLossOfOwnerSaysSo(t *testing.T) {
+	addr := startOwnerAgent(t)
+	owner, next := dialOwnerAgent(t, addr, "e1"), dialOwnerAgent(t, addr, "e2")
+	owner.request(1)
+	owner.wantAnswer(1, true)
+	owner.stop()
+	owner.conn.Close()
+	for number := uint64(2); ; number++ {
+		next.request(number)
+		var a *peerv1.JobAnswer
+		select {
+		case a = <-next.answers:
+		case <-time.After(answerLimit):
+			t.Fatal("no answer")
+		}
+		if a.GetGranted() {
+			if !a.GetOwnerLost() {
+				t.Errorf("answer %v", a)
+			}
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -49,6 +49,9 @@
 		e.Log.Warn(event.KindConfined, f)
 	case jobs.Released:
 		e.Log.Info(event.KindReleased, event.Fields{"queue": d.Queue})
+	case jobs.FormerOwnerLost:
+		e.counters.ownersLost.Inc()
+		e.Log.InfoLimited(event.FormerOwnerLost, event.Fields{"job": d.Job, "silent": d.Silent})
 	case jobs.GivenUp:
 		e.Log.InfoLimited(event.TaskGivenUp, givenUpFields(d))
 	}
--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -15,6 +15,7 @@
 type counters struct {
 	set              *metrics.Set
 	abandoned, moved *metrics.Counter
+	ownersLost       *metrics.Counter // jobs that were granted after the loss of their owner
 }
 
 // newCounters registers the entry's metrics in set, or in a private set if it is nil.
@@ -39,9 +40,10 @@
 		return float64(e.partners.Len())
 	})
 	return &counters{
-		set:       set,
-		abandoned: set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total"),
-		moved:     set.GetOrCreateCounter("poplargw_entry_runs_moved_total"),
+		set:        set,
+		abandoned:  set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total"),
+		ownersLost: set.GetOrCreateCounter("poplargw_entry_owners_lost_total"),
+		moved:      set.GetOrCreateCounter("poplargw_entry_runs_moved_total"),
 	}
 }
 
--- a/dispatch/jobs/jobend.go
+++ b/dispatch/jobs/jobend.go
@@ -41,8 +41,11 @@
 	o.LatencyObjective = j.latencyObjective()
 	if o.Code != 0 {
 		o.Effect = result.NotRun
-		if j.mayHaveRun() || o.Code == result.ServerCrashes {
+		switch {
+		case j.mayHaveRun() || o.Code == result.ServerCrashes:
 			o.Effect = result.Run // under crashes, perhaps on the orders of another entry
+		case s.hadLostOwner(j.ID):
+			o.Code, o.Effect = codeOfUnknown(o.Code), result.Unknown
 		}
 	}
 	s.outcomes = append(s.outcomes, o)
--- a/dispatch/jobs/links.go
+++ b/dispatch/jobs/links.go
@@ -17,6 +17,7 @@
 	} else if v.lost {
 		s.joinFleet(v)
 	}
+	delete(s.missing, agent)
 	s.recordConnection(now)
 	s.observeRegistrars(now)
 	s.recordLinkEnd(now, v)
@@ -56,6 +57,7 @@
 func (s *Scheduler) RecordMessage(now time.Time, agent string) {
 	if v := s.servers[agent]; v != nil && v.linked {
 		v.lastContact = now
+		v.recordMessage(now, s.limits.SilenceLimit)
 	}
 }
 
--- a/dispatch/jobs/lostrecords_test.go
+++ b/dispatch/jobs/lostrecords_test.go
@@ -394,9 +394,7 @@
 	}
 	f.killAgents(order[1], order[2])
 	f.killEntry(first)
-	if wait := f.passUntilRuns(second, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
-		t.Errorf("the second entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
-	}
+	f.requireRunsAfterReturn(t, second, order[1], order[2])
 }
 
 // Guards against a job that waits for long because the link to a registrar that had another owner was reset, although that
@@ -473,7 +471,18 @@
 	f.killEntry(first)
 	second.Abandon("j")
 	f.take(second)
-	if wait := f.passUntilRuns(third, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
-		t.Errorf("the third entry ordered tasks %s after the owner's death, runs may go on for %s", wait, runsEndAfter)
+	f.requireRunsAfterReturn(t, third, order[1], order[2])
+}
+
+// requireRunsAfterReturn fails the test if the entry orders tasks of a lost owner while agents are away, which may be suspended with a run, or
+// does not once they have run for the time in which such a run ends.
+func (f *ownerFleet) requireRunsAfterReturn(t *testing.T, e *ownerEntry, agents ...string) {
+	t.Helper()
+	if wait := f.passUntilRuns(e, 2*time.Second); wait < 2*time.Second {
+		t.Errorf("%s ordered tasks %s after the owner's death, while agents are away", e.name, wait)
+	}
+	f.restartAgents(agents...)
+	if wait := f.passUntilRuns(e, 2*time.Second); wait < runsEndAfter || wait > 1000*time.Millisecond {
+		t.Errorf("%s ordered tasks %s after the agents were back, runs may go on for %s", e.name, wait, runsEndAfter)
 	}
 }
--- a/dispatch/jobs/ownerrequests.go
+++ b/dispatch/jobs/ownerrequests.go
@@ -55,6 +55,9 @@
 	if r == nil || r.number != a.Number || r.state == withdrawn {
 		return
 	}
+	if a.OwnerLost {
+		s.recordOwnerLost(now, o)
+	}
 	if a.Granted {
 		r.state = granted
 	} else {
--- a/dispatch/jobs/ownership.go
+++ b/dispatch/jobs/ownership.go
@@ -60,6 +60,10 @@
 	heldBy   string
 	// runs is the number of runs of the job that may not have ended, of all its submissions to this entry.
 	runs int
+	// ownerLost is when a registrar granted the job and said that its former owner was lost; zero if none has. formerRunsEnded is set once
+	// the agents have shown that no run of that owner goes on.
+	ownerLost       time.Time
+	formerRunsEnded bool
 }
 
 func (o *ownership) request(agent string) *request {
@@ -99,7 +103,7 @@
 	o.owned = o.owned || s.conceded(now, o)
 	s.confirm(o)
 	j := s.jobs[o.job]
-	if j == nil || j.mayOrder || !o.owned || !s.hasContact(o) || o.runs > 0 && !j.begun {
+	if j == nil || j.mayOrder || !o.owned || !s.hasContact(o) || s.awaitsFormerRuns(o) || o.runs > 0 && !j.begun {
 		return
 	}
 	j.mayOrder, j.begun = true, true
@@ -142,6 +146,9 @@
 // settled reports whether nothing is due for a job: the entry owns it, no link has changed since, and a registrar was heard
 // not long ago. Most jobs are settled, so a tick costs little with many jobs.
 func (s *Scheduler) settled(now time.Time, o *ownership) bool {
+	if !o.ownerLost.IsZero() && !o.formerRunsEnded {
+		return false
+	}
 	return o.owned && o.linkChanges == s.linkChanges && (o.confirmed.IsZero() || now.Sub(o.confirmed) < (s.limits.LostAfter-contactMargin)/2)
 }
 
@@ -149,6 +156,7 @@
 // still have it, until the runs of the job have ended.
 func (s *Scheduler) lapse(now time.Time, o *ownership) {
 	o.owned, o.since, o.confirmed = false, now, time.Time{}
+	o.formerRunsEnded = false
 	if j := s.jobs[o.job]; j != nil {
 		j.mayOrder = false
 	}
--- a/dispatch/jobs/removal.go
+++ b/dispatch/jobs/removal.go
@@ -24,6 +24,7 @@
 			continue
 		}
 		s.recordDecision(Decision{Kind: Lost, Agent: v.agent, Age: now.Sub(v.lastContact), Runs: len(v.runs)})
+		s.recordMissing(v)
 		if len(v.runs) == 0 {
 			s.remove(v)
 			continue
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -39,6 +39,7 @@
 	declaredErrors map[string]*declaredError   // by service
 	registrars     []string                    // agents that may record owners of jobs
 	ownerships     map[string]*ownership       // by job
+	missing        map[string]time.Time        // agents that were removed because of their silence, with their newest message
 	cancels        map[string]*cancel          // by job
 	cancelOrder    []*cancel                   // the values of cancels, oldest first
 	// linkChanges counts the changes of which agents are reachable as registrars.
@@ -83,6 +84,7 @@
 		crashes:        newCrashLog(),
 		bulkheads:      newBulkheads(),
 		ownerships:     map[string]*ownership{},
+		missing:        map[string]time.Time{},
 		cancels:        map[string]*cancel{},
 		registrarLost:  map[string]time.Time{},
 	}
--- a/dispatch/jobs/server.go
+++ b/dispatch/jobs/server.go
@@ -21,6 +21,8 @@
 	largest     run.Demand // largest capacity, of each resource, that the instance has reported
 	linked      bool       // the entry has a link to the agent
 	lastContact time.Time  // time of the newest message from the agent
+	lastMessage time.Time  // as lastContact, without the times at which links were opened
+	heardSince  time.Time  // time since which messages have arrived without a gap; see recordMessage
 	unlinkedAt  time.Time  // time of the end of the newest link that has ended
 	lost        bool       // kept for its runs alone, and not in Scheduler.fleet
 	seq         uint64     // number of the newest frame sent to the agent
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -83,6 +83,8 @@
 	Released
 	// GivenUp: a task must not start again because backend servers crashed under it.
 	GivenUp
+	// FormerOwnerLost: the job was granted after the loss of its owner, whose runs may go on.
+	FormerOwnerLost
 )
 
 // Decision describes a decision and the facts that it was based on.
@@ -90,6 +92,9 @@
 	Kind  DecisionKind
 	Agent string
 	Ref   run.Ref
+	Job   string // of FormerOwnerLost
+	// Silent is the number of agents that have not shown yet that no run of the former owner goes on.
+	Silent int
 	// Attempt numbers the runs of the task in this entry, from 1.
 	Attempt int
 	// End and Reason tell how a returned run ended.
--- a/dispatch/owner/cancels.go
+++ b/dispatch/owner/cancels.go
@@ -8,8 +8,6 @@
 	// maxCancels bounds the cancels that are kept. A fleet that cancels 1,000 jobs a second, and so records up to 1,000 a second at each of
 	// its registrars, exceeds it; further cancels are passed on and not recorded, which the answer says.
 	maxCancels = 16384
-	// maxLostJobs bounds the jobs of lost owners that are kept by name.
-	maxLostJobs = 16384
 )
 
 // CancelAnswer is the answer to a cancel.
@@ -27,7 +25,7 @@
 type jobTimes struct {
 	limit int
 	at    map[string]time.Duration
-	// order holds the jobs in the order in which they were added. A job that was removed or added again since may still be in it.
+	// order holds the jobs in the order in which they were added. A job that was added again is in it twice.
 	order []jobTime
 }
 
@@ -58,9 +56,6 @@
 	return ok
 }
 
-// remove removes a job. Its place counts towards the limit until its time has passed.
-func (l *jobTimes) remove(job string) { delete(l.at, job) }
-
 // expire removes the jobs that were added before the given uptime.
 func (l *jobTimes) expire(before time.Duration) {
 	n := 0
@@ -86,7 +81,7 @@
 // job, which they do not get any more. The owner on record keeps the job until it releases it; the caller passes the cancel on to it.
 func (t *Table) Cancel(now time.Time, entry, job string) (CancelAnswer, []Answer) {
 	answer := CancelAnswer{Recorded: t.cancels.add(job, t.uptime.At(now))}
-	answer.MayHave = !answer.Recorded || !t.restored || t.lostJobs.has(job) || t.lostUnnamed(now)
+	answer.MayHave = !answer.Recorded || !t.restored || t.lostOwners.has(job)
 	r := t.jobs[job]
 	if r == nil {
 		return answer, nil
@@ -122,21 +117,9 @@
 	return false
 }
 
-// recordLost records that the owner of a job was lost. It may have been cut off, and come back with the job.
-func (t *Table) recordLost(now time.Time, job string) {
-	if !t.lostJobs.add(job, t.uptime.At(now)) {
-		t.unnamedLost, t.unnamedLostAt = true, t.uptime.At(now)
-	}
-}
-
-// lostUnnamed reports whether the owner of a job was lost within cancelRetention that could not be recorded by name.
-func (t *Table) lostUnnamed(now time.Time) bool {
-	return t.unnamedLost && t.uptime.Since(t.unnamedLostAt, now) < cancelRetention
-}
-
 // expireCancels forgets cancels and lost owners after cancelRetention.
 func (t *Table) expireCancels(now time.Time) {
 	before := t.uptime.At(now) - cancelRetention
 	t.cancels.expire(before)
-	t.lostJobs.expire(before)
+	t.lostOwners.expire(before)
 }
--- a/dispatch/owner/owner.go
+++ b/dispatch/owner/owner.go
@@ -32,11 +32,13 @@
 
 // Answer tells an entry that an agent has granted it a job, or that another entry owns the job. In that case the
 // grant follows once the owner has released the job or is lost. Cancelled is set if the job was cancelled: it is not granted.
+// OwnerLost is set in a grant if another entry that owned the job was lost, whose runs may go on on a suspended VM.
 type Answer struct {
 	Entry string
 	Request
 	Granted   bool
 	Cancelled bool
+	OwnerLost bool
 }
 
 // claimant is an entry with the number of its newest request.
@@ -76,19 +78,16 @@
 	restored bool         // the RestoreWindow has passed
 	jobs     map[string]*record
 	// contacts holds the uptime at the newest message of each entry that owns a job or waits for one.
-	contacts map[string]time.Duration
-	// cancels holds the jobs that were cancelled, lostJobs those whose owner was lost.
-	cancels, lostJobs jobTimes
-	// unnamedLost is set if the owner of a job was lost that is not in lostJobs, last at the uptime unnamedLostAt.
-	unnamedLost   bool
-	unnamedLostAt time.Duration
+	contacts   map[string]time.Duration
+	cancels    jobTimes // the jobs that were cancelled
+	lostOwners lostOwners
 }
 
 // New returns the table of an agent that has just started.
 func New(now time.Time, limits Limits) *Table {
 	return &Table{
 		limits: limits, uptime: uptime.New(now, limits.MaxTickGap), jobs: map[string]*record{}, contacts: map[string]time.Duration{},
-		cancels: newJobTimes(maxCancels), lostJobs: newJobTimes(maxLostJobs),
+		cancels: newJobTimes(maxCancels), lostOwners: newLostOwners(),
 	}
 }
 
@@ -140,7 +139,7 @@
 	}
 	r := t.record(in.Job)
 	if r.owner == entry {
-		return Answer{Entry: entry, Request: in, Granted: true}, true
+		return Answer{Entry: entry, Request: in, Granted: true, OwnerLost: t.lostOwners.hasOther(in.Job, entry)}, true
 	}
 	wait(r, claimant{entry, in.Number})
 	if r.owner != "" {
@@ -162,12 +161,18 @@
 func (t *Table) grantNext(job string, r *record) Answer {
 	next := r.waiting[0]
 	r.owner, r.waiting = next.entry, r.waiting[1:]
-	return Answer{Entry: next.entry, Request: Request{Job: job, Number: next.number}, Granted: true}
+	return Answer{Entry: next.entry, Request: Request{Job: job, Number: next.number}, Granted: true, OwnerLost: t.lostOwners.hasOther(job, next.entry)}
 }
 
 // Release records that the entry neither owns nor wants the job any more: none of its runs of the job is left. It
 // returns the resulting grant to another entry, if there is one.
 func (t *Table) Release(entry, job string) (Answer, bool) {
+	t.lostOwners.forget(entry, job)
+	return t.release(entry, job)
+}
+
+// release is Release for an entry that may have runs of the job left.
+func (t *Table) release(entry, job string) (Answer, bool) {
 	r := t.jobs[job]
 	if r == nil {
 		return Answer{}, false
@@ -203,12 +208,12 @@
 	for _, job := range jobs {
 		owned[job] = true
 	}
+	t.lostOwners.restore(entry, owned)
 	grants = t.drop(entry, func(job string) bool { return !owned[job] })
 	if len(jobs) > 0 {
 		t.contacts[entry] = t.uptime.At(now)
 	}
 	for _, job := range jobs {
-		t.lostJobs.remove(job)
 		r := t.record(job)
 		switch r.owner {
 		case "", entry:
@@ -228,7 +233,7 @@
 		if !accepts(job) || r.owner != entry && !r.remove(entry) {
 			continue
 		}
-		if a, ok := t.Release(entry, job); ok {
+		if a, ok := t.release(entry, job); ok {
 			grants = append(grants, a)
 		}
 	}
@@ -247,7 +252,7 @@
 		delete(t.contacts, entry)
 		for job, r := range t.jobs {
 			if r.owner == entry {
-				t.recordLost(now, job)
+				t.lostOwners.add(entry, job, t.uptime.At(now))
 			}
 		}
 		grants = append(grants, t.drop(entry, func(string) bool { return true })...)
--- a/dispatch/owner/owner_test.go
+++ b/dispatch/owner/owner_test.go
@@ -69,6 +69,10 @@
 		if len(grants) == 0 {
 			continue
 		}
+		if !grants[0].OwnerLost {
+			t.Error("the grant does not say that the owner was lost")
+		}
+		grants[0].OwnerLost = false
 		requireAnswer(t, grants[0], true, "b", 2, true)
 		if silent := now.Sub(contact); silent <= limits.LostAfter || silent > limits.LostAfter+limits.MaxTickGap {
 			t.Errorf("granted after %s of silence", silent)
