--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -63,6 +63,7 @@
 	RecordsAwaited           ID = 681
 	InterferenceFound        ID = 686
 	InterferenceForgotten    ID = 687
+	FormerOwnerLost          ID = 680
 )
 
 var runTexts = map[ID]string{
@@ -121,6 +122,7 @@
 	InterferenceFound:        "runs of one kind are slower or faster beside runs of another",
 	InterferenceForgotten:    "interference between two kinds is not seen any more",
 	CancelRecorded:           "cancel of a job arrived from an entry",
+	FormerOwnerLost:          "job was granted after the loss of its owner; it waits until no run of that owner can go on",
 	CancelAnswered:           "cancel of a job answered",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
 }
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -54,6 +54,9 @@
 		e.Log.Info(event.InterferenceFound, interferenceFields(d))
 	case jobs.InterferenceForgotten:
 		e.Log.Info(event.InterferenceForgotten, interferenceFields(d))
+	case jobs.FormerOwnerLost:
+		e.counters.ownersLost.Inc()
+		e.Log.InfoLimited(event.FormerOwnerLost, event.Fields{"job": d.Job, "silent": d.Silent})
 	case jobs.GivenUp:
 		e.Log.InfoLimited(event.TaskGivenUp, givenUpFields(d))
 	}
--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -17,6 +17,7 @@
 	abandoned, moved *metrics.Counter
 	// interference holds the labels of the gauges of pairs of kinds.
 	interference map[string]bool
+	ownersLost   *metrics.Counter // jobs that were granted after the loss of their owner
 }
 
 // newCounters registers the entry's metrics in set, or in a private set if it is nil.
@@ -41,12 +42,11 @@
 		return float64(e.partners.Len())
 	})
 	return &counters{
-		set: set,
-
 		interference: map[string]bool{},
-
-		abandoned: set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total"),
-		moved:     set.GetOrCreateCounter("poplargw_entry_runs_moved_total"),
+		set:          set,
+		abandoned:    set.GetOrCreateCounter("poplargw_entry_jobs_abandoned_total"),
+		ownersLost:   set.GetOrCreateCounter("poplargw_entry_owners_lost_total"),
+		moved:        set.GetOrCreateCounter("poplargw_entry_runs_moved_total"),
 	}
 }
 
