--- a/dispatch/jobs/replayarrivals_test.go
+++ b/dispatch/jobs/replayarrivals_test.go
@@ -86,19 +86,22 @@
 	id := fmt.Sprintf("%s%d", k.name, sim.lastID)
 	base := k.work.Seconds() * math.Exp(0.4*sim.rng.NormFloat64()-0.08)
 	estimate := base * math.Exp(0.4*sim.rng.NormFloat64()-0.08)
+	base *= sim.load.tailFactor(sim.rng)
+	affinity := sim.load.affinityOf(k.name, sim.rng)
 	longest := 0.0
 	for t := range k.width {
 		work := base * (1 + 0.15*(2*sim.rng.Float64()-1))
 		longest = max(longest, work)
 		sim.taskWork[run.TaskName(id, 0, 0, t)] = time.Duration(work * float64(time.Second))
 	}
-	sim.longestTask[id], sim.arrived[id], sim.kindOfJob[id] = time.Duration(longest*float64(time.Second)), sim.now, k
+	sim.longestTask[id], sim.arrived[id], sim.kindOfJob[id] = time.Duration(longest*float64(time.Second)), sim.now, sim.load.tallied(k, affinity)
+	sim.affinityOfJob[id] = affinity
 	sim.crashing.choose(sim, id, k)
 	i := sim.pickEntry()
 	o, ok := sim.entries[i].Submit(sim.now, Job{
 		ID: id, Arrived: sim.now,
 		Queue: route.Queue{Name: k.name, Service: sim.pickService(), Attempts: 3, Stretch: 1.6, Latency: sim.latency, Priority: k.priority},
-		Steps: []Step{{Count: k.width, Demand: run.Demand{CPU: sim.taskCPU, MemoryMB: 64}, Estimate: time.Duration(estimate * float64(time.Second))}},
+		Steps: []Step{{Count: k.width, Demand: run.Demand{CPU: sim.taskCPU, MemoryMB: 64}, Estimate: time.Duration(estimate * float64(time.Second)), Affinity: affinity}},
 	})
 	if !ok {
 		o.Job = id
--- a/dispatch/jobs/replaymachine_test.go
+++ b/dispatch/jobs/replaymachine_test.go
@@ -29,6 +29,7 @@
 	linkedEntries []int
 	domain        string
 	service       string
+	labels        []string
 	// offers divides the free capacity among the entries.
 	offers *runtable.Offers
 	// speeds passes on the slowdowns that the entries measure.
@@ -82,6 +83,7 @@
 	v := serverOf(m.id, m.cpuCapacity)
 	v.Domain = m.domain
 	v.Service = m.service
+	v.Labels = m.labels
 	if m.crashes > 0 {
 		v.Instance = fmt.Sprintf("%s-%d", v.Instance, m.crashes)
 	}
--- a/dispatch/jobs/replaymessages_test.go
+++ b/dispatch/jobs/replaymessages_test.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		m.offers.Use(ownerOf(i), o.Demand)
-		r := &simRun{entry: i, cpu: o.Demand.CPU, work: sim.taskWork[o.Ref.Task], progressAt: sim.now, startedAt: sim.now}
+		r := &simRun{entry: i, cpu: o.Demand.CPU, work: sim.workOn(m, o.Ref), progressAt: sim.now, startedAt: sim.now}
 		m.runs[o.Ref] = r
 		sim.scheduleEnd(m, o.Ref, r)
 		sim.scheduleCrash(m, o, r)
--- a/dispatch/jobs/replaysimulation_test.go
+++ b/dispatch/jobs/replaysimulation_test.go
@@ -36,6 +36,8 @@
 	taskWork    map[string]time.Duration // run time of each task
 	arrived     map[string]time.Time
 	kindOfJob   map[string]requestKind
+	// affinityOfJob is the rack that holds the data of each job, or empty.
+	affinityOfJob map[string]string
 	// Only jobs that arrive from measureFrom to measureUntil count; a zero measureUntil means no end.
 	measureFrom   time.Time
 	measureUntil  time.Time
@@ -70,6 +72,8 @@
 	services      []string
 	taskCPU       int64 // CPU demand of every task, in millicores
 	machines      int   // number of backend servers; 0 means 11
+	// load adds data in racks and long tails; its zero value adds nothing.
+	load hardLoad
 }
 
 // baseConfig is the configuration of both sites: three kinds, one service, backend servers with 32 and
@@ -87,13 +91,13 @@
 	sim := &simulation{
 		simConfig: config,
 		t:         t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), longestTask: map[string]time.Duration{},
-		taskWork: map[string]time.Duration{}, arrived: map[string]time.Time{}, kindOfJob: map[string]requestKind{}, byKind: map[string]*tally{},
+		taskWork: map[string]time.Duration{}, arrived: map[string]time.Time{}, kindOfJob: map[string]requestKind{}, affinityOfJob: map[string]string{}, byKind: map[string]*tally{},
 		demandSent: map[linkKey]bool{}, failedEntries: map[int]bool{}, heartbeatInterval: 50 * time.Millisecond, byID: map[string]*machine{},
 		frames: make([]int, entries),
 	}
 	sim.addMachines(cmp.Or(config.machines, 11), 1, slowdowns, entries)
 	for i := range entries {
-		sim.entries = append(sim.entries, New(testLimits))
+		sim.entries = append(sim.entries, New(config.load.limits()))
 		for _, m := range sim.machines {
 			sim.link(i, m)
 		}
@@ -109,7 +113,7 @@
 		i := len(sim.machines)
 		m := &machine{
 			id: fmt.Sprintf("m%02d", i), cpuCapacity: sim.cpuCapacities[i%len(sim.cpuCapacities)], service: sim.services[i%len(sim.services)], slowdown: slowdowns[i%len(slowdowns)], runs: map[run.Ref]*simRun{},
-			ackedSeqs: make([]uint64, entries), offers: runtable.NewOffers(sim.offerHold), speeds: runtable.NewSpeeds(), domain: domainName(i % domains),
+			ackedSeqs: make([]uint64, entries), offers: runtable.NewOffers(sim.offerHold), speeds: runtable.NewSpeeds(), domain: domainName(i % domains), labels: sim.load.labelsOf(i),
 		}
 		sim.machines = append(sim.machines, m)
 		sim.byID[m.id] = m
