Keep places near data in high demand, and wait there while that is in time

Cause: while 0.6 of the short jobs name one rack, tasks without affinity took the places that became free in it, and the tasks whose data is there ran elsewhere at three times the capacity. Change: other tasks leave free on each server near the data what one such job needs, in proportion to the use of these servers. A task waits near its data while its expected end there meets the objective with the margin for declared times. Event 684 and two gauges show them.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -57,6 +57,7 @@
 	KindReleased             ID = 676
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
+	PlacesKeptNearData       ID = 684
 )
 
 var runTexts = map[ID]string{
@@ -111,4 +112,5 @@
 	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
+	PlacesKeptNearData:       "keeping places free near data in high demand began or ended",
 }
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -1,6 +1,7 @@
 package runentry
 
 import (
+	"math"
 	"time"
 
 	"poplargw.example/daemon/boottime"
@@ -49,6 +50,10 @@
 		e.Log.Warn(event.KindConfined, f)
 	case jobs.Released:
 		e.Log.Info(event.KindReleased, event.Fields{"queue": d.Queue})
+	case jobs.KeptNearData:
+		e.Log.InfoLimited(event.PlacesKeptNearData, event.Fields{
+			"service": d.Service, "label": d.Label, "places": d.Count, "demand": math.Round(d.Share*1000) / 1000,
+		})
 	case jobs.GivenUp:
 		e.Log.InfoLimited(event.TaskGivenUp, givenUpFields(d))
 	}
--- a/daemon/runentry/decisions_test.go
+++ b/daemon/runentry/decisions_test.go
@@ -11,6 +11,24 @@
 	"poplargw.example/dispatch/run"
 )
 
+// Guards against places that are kept near data without a line that says near which, how many and why.
+func TestPlacesKeptNearDataAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	log, err := event.NewBounded(&out, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, _ := newTestEntry(t)
+	e.Log = log
+	e.logDecision(jobs.Decision{Kind: jobs.KeptNearData, Service: "svc", Label: "rack-1", Count: 2, Share: 0.61})
+	log.Close()
+	for _, part := range []string{`"event":684`, `"service":"svc"`, `"label":"rack-1"`, `"places":2`, `"demand":0.61`} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("the log lacks %s: %s", part, out.String())
+		}
+	}
+}
+
 // Guards against a log that says that a task was given up but not under which crashes, and beside which other runs.
 func TestGivenUpTaskIsLoggedWithItsCrashes(t *testing.T) {
 	var out bytes.Buffer
--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -33,6 +33,8 @@
 	gauge("poplargw_entry_waiting_tasks", func(s jobs.Stats) int { return s.WaitingTasks })
 	gauge("poplargw_entry_runs", func(s jobs.Stats) int { return s.Runs })
 	gauge("poplargw_entry_usable_servers", func(s jobs.Stats) int { return s.Servers })
+	gauge("poplargw_entry_far_runs", func(s jobs.Stats) int { return s.FarRuns })
+	gauge("poplargw_entry_places_kept_near_data", func(s jobs.Stats) int { return s.PlacesKept })
 	set.GetOrCreateGauge("poplargw_entry_partners", func() float64 {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/dispatch/jobs/fit.go
+++ b/dispatch/jobs/fit.go
@@ -23,7 +23,13 @@
 	if step.MaxPerServer > 0 && s.runsOfStep(j, t.step, v) >= step.MaxPerServer {
 		return false
 	}
-	return s.fastEnough(now, j, t, v)
+	return s.suitable(now, j, t, v) && !s.keptForOthers(j, t, v)
+}
+
+// suitable reports whether the task is better placed on the backend server, once that has capacity, than waiting for
+// another one.
+func (s *Scheduler) suitable(now time.Time, j *job, t *task, v *server) bool {
+	return s.fastEnough(now, j, t, v) && !s.waitsNearData(now, j, t, v)
 }
 
 // hasCapacity reports whether the backend server accepts tasks like t and has free capacity for one.
--- a/dispatch/jobs/job.go
+++ b/dispatch/jobs/job.go
@@ -71,6 +71,9 @@
 	runTime   time.Duration
 	// completed are the completed runs.
 	completed []completedRun
+	// waitsNear is whether its tasks wait for servers near their data, as of nearCheckedAt.
+	waitsNear     bool
+	nearCheckedAt time.Time
 	// minRunTime is the largest run time at normal speed that the progress or end of a task has shown;
 	// 0 if there is none yet.
 	minRunTime time.Duration
--- a/dispatch/jobs/queue.go
+++ b/dispatch/jobs/queue.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		// A task that must run alone takes an idle backend server and reserves none: a part of one is no use to it.
-		if !t.avoided[v.state.Instance] && !s.mustRunAlone(j, t) && s.bulkheadAllows(j, v) && s.fastEnough(now, j, t, v) {
+		if !t.avoided[v.state.Instance] && !s.mustRunAlone(j, t) && s.bulkheadAllows(j, v) && s.suitable(now, j, t, v) && !s.keptForOthers(j, t, v) {
 			sum = sum.Add(step.Demand)
 		}
 	}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -28,6 +28,7 @@
 	dirty          map[string]*server // servers with a batch to send, by agent
 	leaving        bool               // the entry stops and takes no more jobs
 	admissionRates map[loadKey]*admissionRate
+	localDemands   map[dataKey]*localDemand
 	retrySchedules map[loadKey]*retrySchedule
 	crashes        *crashLog
 	bulkheads      *bulkheads
@@ -77,6 +78,7 @@
 		declaredErrors: map[string]*declaredError{},
 		dirty:          map[string]*server{},
 		admissionRates: map[loadKey]*admissionRate{},
+		localDemands:   map[dataKey]*localDemand{},
 		retrySchedules: map[loadKey]*retrySchedule{},
 		crashes:        newCrashLog(),
 		bulkheads:      newBulkheads(),
@@ -156,6 +158,14 @@
 	st.Servers = s.Servers()
 	for _, v := range s.servers {
 		st.Runs += len(v.runs)
+		for _, a := range v.runs {
+			if a.localityFactor > 1 {
+				st.FarRuns++
+			}
+		}
+	}
+	for _, d := range s.localDemands {
+		st.PlacesKept += d.kept * d.near.servers
 	}
 	for _, j := range s.jobsByArrival() {
 		if j.startedAt.IsZero() {
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -83,6 +83,8 @@
 	Released
 	// GivenUp: a task must not start again because backend servers crashed under it.
 	GivenUp
+	// KeptNearData: other tasks leave places free near some data, or, with a Count of 0, no longer do.
+	KeptNearData
 )
 
 // Decision describes a decision and the facts that it was based on.
@@ -107,6 +109,9 @@
 	Suspects int
 	// Queue is the name of the queue of a kind that is confined or released.
 	Queue string
+	// Service and Label identify the data near which places are kept, Count the places on each server, Share the
+	// demand as a part of the entry's share of the servers near the data.
+	Service, Label string
 	// Count is the number of crashes under a task that is given up, Share the sum of its shares in their causes;
 	// Crashes describes the crashes, see taskCrashes.counted.
 	Count   int
@@ -199,4 +204,6 @@
 // Stats counts what the scheduler holds. Unstarted is the number of jobs of which no task has started.
 type Stats struct {
 	Jobs, Unstarted, WaitingTasks, Runs, Servers int
+	// FarRuns is the number of runs far from the data of their tasks, PlacesKept that of the places kept near data.
+	FarRuns, PlacesKept int
 }
