--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -60,10 +60,11 @@
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
 	CancelAnswered           ID = 679
+	FormerOwnerLost          ID = 680
 	RecordsAwaited           ID = 681
+	PlacesKeptNearData       ID = 684
 	InterferenceFound        ID = 686
 	InterferenceForgotten    ID = 687
-	FormerOwnerLost          ID = 680
 )
 
 var runTexts = map[ID]string{
@@ -125,4 +126,5 @@
 	FormerOwnerLost:          "job was granted after the loss of its owner; it waits until no run of that owner can go on",
 	CancelAnswered:           "cancel of a job answered",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
+	PlacesKeptNearData:       "keeping places free near data in high demand began or ended",
 }
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -57,6 +57,10 @@
 	case jobs.FormerOwnerLost:
 		e.counters.ownersLost.Inc()
 		e.Log.InfoLimited(event.FormerOwnerLost, event.Fields{"job": d.Job, "silent": d.Silent})
+	case jobs.KeptNearData:
+		e.Log.InfoLimited(event.PlacesKeptNearData, event.Fields{
+			"service": d.Service, "label": d.Label, "places": d.Count, "demand": math.Round(d.Share*1000) / 1000,
+		})
 	case jobs.GivenUp:
 		e.Log.InfoLimited(event.TaskGivenUp, givenUpFields(d))
 	}
--- a/dispatch/jobs/replaymessages_test.go
+++ b/dispatch/jobs/replaymessages_test.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		m.offers.Use(ownerOf(i), o.Demand)
-		r := &simRun{entry: i, cpu: o.Demand.CPU, work: sim.taskWork[o.Ref.Task], progressAt: sim.now, startedAt: sim.now, kind: o.Kind}
+		r := &simRun{entry: i, cpu: o.Demand.CPU, work: sim.workOn(m, o.Ref), progressAt: sim.now, startedAt: sim.now, kind: o.Kind}
 		r.usage = m.account.Add(sim.now, o.Kind, o.Demand.CPU)
 		m.runs[o.Ref] = r
 		sim.updateInterference(m)
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -30,6 +30,7 @@
 	leaving        bool               // the entry stops
 	leavesAt       time.Time          // when it has to stop, while leaving is set
 	admissionRates map[loadKey]*admissionRate
+	localDemands   map[dataKey]*localDemand
 	retrySchedules map[loadKey]*retrySchedule
 	crashes        *crashLog
 	bulkheads      *bulkheads
@@ -100,6 +101,7 @@
 		declaredErrors: map[string]*declaredError{},
 		dirty:          map[string]*server{},
 		admissionRates: map[loadKey]*admissionRate{},
+		localDemands:   map[dataKey]*localDemand{},
 		retrySchedules: map[loadKey]*retrySchedule{},
 		crashes:        newCrashLog(),
 		bulkheads:      newBulkheads(),
@@ -186,6 +188,14 @@
 	st.Servers = s.Servers()
 	for _, v := range s.servers {
 		st.Runs += len(v.runs)
+		for _, a := range v.runs {
+			if a.localityFactor > 1 {
+				st.FarRuns++
+			}
+		}
+	}
+	for _, d := range s.localDemands {
+		st.PlacesKept += d.kept * d.near.servers
 	}
 	for _, j := range s.jobsByArrival() {
 		if j.startedAt.IsZero() {
--- a/dispatch/jobs/tick.go
+++ b/dispatch/jobs/tick.go
@@ -13,6 +13,7 @@
 	s.moveStragglers(now)
 	s.updateSlowdowns()
 	s.expireInterference(now)
+	s.updateLocalDemands(now)
 	s.review(now)
 	s.dispatch(now)
 }
