Keep jobs that wait for their grants while the capacity to start them is idle

Cause: the review of late jobs counts all jobs before a late one as a backlog that runs one after the other at the throughput of the entry, divided by what new jobs leave of it, also while these jobs only wait for their grants.

Change: for a job that waits for its grant, the expected wait counts only the tasks before it that do not fit on that share.

--- a/dispatch/jobs/powerloss_test.go
+++ b/dispatch/jobs/powerloss_test.go
@@ -117,6 +117,11 @@
 	ended      map[string]bool           // agents that have ended
 	upSince    []time.Time               // when each entry started
 	dials      map[linkKey]time.Duration // delay of the next attempt to open a link
+	// delays draws the times of processes and links, so that the same jobs arrive whatever the entries do.
+	delays *rand.Rand
+	// rejectedWhileIdle counts the jobs that a tick has ended although startable named them, if checksRejections is set.
+	checksRejections  bool
+	rejectedWhileIdle int
 }
 
 // newPowerLoss returns a replay in which no process has started yet.
@@ -130,7 +135,7 @@
 		demandSent: map[linkKey]bool{}, failedEntries: map[int]bool{}, heartbeatInterval: 100 * time.Millisecond, byID: map[string]*machine{},
 		frames: make([]int, config.entries), firstOrder: map[int]time.Time{},
 	}
-	p := &powerLoss{simulation: sim, config: config, poweredOn: sim.now, ended: map[string]bool{}, upSince: make([]time.Time, config.entries), dials: map[linkKey]time.Duration{}}
+	p := &powerLoss{simulation: sim, config: config, poweredOn: sim.now, ended: map[string]bool{}, upSince: make([]time.Time, config.entries), dials: map[linkKey]time.Duration{}, delays: rand.New(rand.NewPCG(seed, 2))}
 	sim.addMachines(config.machines, config.domains, config.slowdowns, config.entries)
 	fleet, ids := make([]partner.Agent, 0, config.machines), make([]string, 0, config.machines)
 	for _, m := range sim.machines {
@@ -161,7 +166,7 @@
 
 // randomStart returns the time from power-on to the start of a process.
 func (p *powerLoss) randomStart() time.Duration {
-	return time.Duration(p.rng.Int64N(int64(p.config.starting)))
+	return time.Duration(p.delays.Int64N(int64(p.config.starting)))
 }
 
 // startMachine starts the agent of a machine.
@@ -169,7 +174,7 @@
 	m.dead = false
 	m.owners = &ownerRecords{Table: owner.New(p.now, ownerLimits), startedAt: p.now, answers: map[int][]owner.Answer{}, told: map[int][]ListedAgent{}}
 	if p.config.listsRuns {
-		m.owners.listedAt = p.now.Add(listDelay + time.Duration(p.rng.Int64N(int64(60*time.Millisecond))))
+		m.owners.listedAt = p.now.Add(listDelay + time.Duration(p.delays.Int64N(int64(60*time.Millisecond))))
 	}
 	p.heartbeat(m)
 	p.retryOffers(m)
@@ -209,7 +214,16 @@
 // tickEntry does the periodic work of an entry.
 func (p *powerLoss) tickEntry(i int) {
 	s := p.entries[i]
+	var startable []string
+	if p.checksRejections {
+		startable = p.startable(i)
+	}
 	s.Tick(p.now)
+	for _, id := range startable {
+		if held, _ := s.Has(id); !held {
+			p.rejectedWhileIdle++
+		}
+	}
 	var load partner.Load
 	load.Waiting, load.Runs = s.Tasks()
 	load.Free, load.Capacity = s.Capacity()
@@ -238,14 +252,14 @@
 		if m.dead {
 			delay := p.dials[linkKey{m.id, i}]
 			p.dials[linkKey{m.id, i}] = min(2*delay, 60*time.Millisecond)
-			p.after(delay/2+time.Duration(p.rng.Int64N(int64(delay))), func() { p.dial(i, m) })
+			p.after(delay/2+time.Duration(p.delays.Int64N(int64(delay))), func() { p.dial(i, m) })
 			return
 		}
 		m.linkedEntries = append(m.linkedEntries, i)
 		slices.Sort(m.linkedEntries)
 		p.entries[i].AgentConnected(p.now, m.id)
 		p.flush(i)
-		p.after(time.Duration(p.rng.Int64N(int64(20*time.Millisecond))), func() {
+		p.after(time.Duration(p.delays.Int64N(int64(20*time.Millisecond))), func() {
 			if slices.Contains(m.linkedEntries, i) {
 				p.sendReport(m, i, nil)
 			}
--- a/dispatch/jobs/review.go
+++ b/dispatch/jobs/review.go
@@ -45,7 +45,7 @@
 // giveUpOutcome returns the outcome of a job that is given up: a rejection if it has not run.
 func (s *Scheduler) giveUpOutcome(now time.Time, j *job) Outcome {
 	if !j.mayHaveRun() {
-		return s.rejection(now, j, s.expectedLateWait(now, j))
+		return s.rejection(now, j, s.lateWait(now, j))
 	}
 	return Outcome{Code: result.DeadlineExceeded}
 }
@@ -65,5 +65,5 @@
 		return false
 	}
 	j.reviewedAt = now
-	return now.Add(s.expectedLateWait(now, j) + j.criticalPath).After(j.usefulUntil())
+	return now.Add(s.lateWait(now, j) + j.criticalPath).After(j.usefulUntil())
 }
