Do not take servers for slow because of jobs that are long on all servers

Cause: 3% of the jobs take seven times as long as usual. updateLag compared their progress with what they declared and took their servers for up to eight times slower; other runs there were stopped, and no more tasks placed. Change: the lag of a server is measured against the progress of the same step on other servers, if that shows a step of the tail, while three of the newest 300 steps of the service took four times as long as usual. Without a tail the rule stays off. scheduler.go and types.go hold the state and the decision; event 685 logs it.

--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -58,6 +58,7 @@
 	JobAdmitted              ID = 677
 	TaskGivenUp              ID = 678
 	PlacesKeptNearData       ID = 684
+	RunTimesUneven           ID = 685
 )
 
 var runTexts = map[ID]string{
@@ -112,5 +113,6 @@
 	RowsUnreadable:           "rows in the backend server's lists of runs cannot be read",
 	JobAdmitted:              "job admitted",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
+	RunTimesUneven:           "run times of a service became uneven or even",
 	PlacesKeptNearData:       "keeping places free near data in high demand began or ended",
 }
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -54,6 +54,8 @@
 		e.Log.InfoLimited(event.PlacesKeptNearData, event.Fields{
 			"service": d.Service, "label": d.Label, "places": d.Count, "demand": math.Round(d.Share*1000) / 1000,
 		})
+	case jobs.UnevenRunTimes:
+		e.Log.InfoLimited(event.RunTimesUneven, event.Fields{"service": d.Service, "long_steps": d.Count})
 	case jobs.GivenUp:
 		e.Log.InfoLimited(event.TaskGivenUp, givenUpFields(d))
 	}
--- a/daemon/runentry/decisions_test.go
+++ b/daemon/runentry/decisions_test.go
@@ -11,8 +11,9 @@
 	"poplargw.example/dispatch/run"
 )
 
-// Guards against places that are kept near data without a line that says near which, how many and why.
-func TestPlacesKeptNearDataAreLogged(t *testing.T) {
+// Guards against places that are kept near data, or a tail of the run times that changes decisions, without a line that says
+// where, how many and why.
+func TestPlacementRulesAreLogged(t *testing.T) {
 	var out bytes.Buffer
 	log, err := event.NewBounded(&out, false)
 	if err != nil {
@@ -21,8 +22,9 @@
 	e, _ := newTestEntry(t)
 	e.Log = log
 	e.logDecision(jobs.Decision{Kind: jobs.KeptNearData, Service: "svc", Label: "rack-1", Count: 2, Share: 0.61})
+	e.logDecision(jobs.Decision{Kind: jobs.UnevenRunTimes, Service: "svc", Count: 3})
 	log.Close()
-	for _, part := range []string{`"event":684`, `"service":"svc"`, `"label":"rack-1"`, `"places":2`, `"demand":0.61`} {
+	for _, part := range []string{`"event":684`, `"service":"svc"`, `"label":"rack-1"`, `"places":2`, `"demand":0.61`, `"event":685`, `"long_steps":3`} {
 		if !strings.Contains(out.String(), part) {
 			t.Errorf("the log lacks %s: %s", part, out.String())
 		}
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -38,6 +38,7 @@
 	jobRefused     bool                        // a job was refused because it fits on no known backend server
 	slowdowns      map[string]serviceSlowdowns // by service
 	declaredErrors map[string]*declaredError   // by service
+	tails          map[string]*runTimeTail     // by service
 	registrars     []string                    // agents that may record owners of jobs
 	ownerships     map[string]*ownership       // by job
 	// linkChanges counts the changes of which agents are reachable as registrars.
@@ -76,6 +77,7 @@
 		suspended:      map[string]*health.Server{},
 		slowdowns:      map[string]serviceSlowdowns{},
 		declaredErrors: map[string]*declaredError{},
+		tails:          map[string]*runTimeTail{},
 		dirty:          map[string]*server{},
 		admissionRates: map[loadKey]*admissionRate{},
 		localDemands:   map[dataKey]*localDemand{},
--- a/dispatch/jobs/speed.go
+++ b/dispatch/jobs/speed.go
@@ -68,7 +68,9 @@
 		s.observeAgainstOthers(now, a, len(state.completed)-1)
 	}
 	if len(state.completed) == step.Count && step.Count > 1 {
-		s.declaredErrorOf(a.job.Queue.Service).add(meanWork(state.completed) / float64(step.Estimate))
+		declared, ratio := s.declaredErrorOf(a.job.Queue.Service), meanWork(state.completed)/float64(step.Estimate)
+		s.recordTail(a.job.Queue.Service, ratio/declared.typical())
+		declared.add(ratio)
 	}
 }
 
--- a/dispatch/jobs/straggle.go
+++ b/dispatch/jobs/straggle.go
@@ -144,7 +144,8 @@
 }
 
 // updateLag compares the progress of the runs on a backend server with its speed estimate and sets its
-// lagFactor. Declared run times are often far off, so a single run counts only if it shows a large lag.
+// lagFactor. Declared run times are often far off, so a single run counts only if it shows a large lag. Of a job in the tail of the run times, only the lag
+// behind its runs on other servers counts.
 func (s *Scheduler) updateLag(now time.Time, v *server, runs []*attempt) {
 	var ratios []float64
 	for _, a := range runs {
@@ -153,7 +154,7 @@
 			if remaining < stalledRemaining {
 				a.job.raiseEstimate(a.task.step, span(float64(now.Sub(a.startedAt)+remaining)/a.largestSlowdown()))
 			}
-			ratios = append(ratios, float64(now.Sub(a.startedAt)+remaining)/max(expected, 1))
+			ratios = append(ratios, float64(now.Sub(a.startedAt)+remaining)/max(expected*s.tailFactor(now, a), 1))
 		}
 	}
 	if len(ratios) == 0 {
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -85,6 +85,8 @@
 	GivenUp
 	// KeptNearData: other tasks leave places free near some data, or, with a Count of 0, no longer do.
 	KeptNearData
+	// UnevenRunTimes: the run times of a service have a long tail, or, with a Count of 0, no longer have one.
+	UnevenRunTimes
 )
 
 // Decision describes a decision and the facts that it was based on.
@@ -110,7 +112,8 @@
 	// Queue is the name of the queue of a kind that is confined or released.
 	Queue string
 	// Service and Label identify the data near which places are kept, Count the places on each server, Share the
-	// demand as a part of the entry's share of the servers near the data.
+	// demand as a part of the entry's share of the servers near the data. For uneven run times, Count is the number of
+	// long steps among the newest of Service.
 	Service, Label string
 	// Count is the number of crashes under a task that is given up, Share the sum of its shares in their causes;
 	// Crashes describes the crashes, see taskCrashes.counted.
