--- a/daemon/event/runs.go
+++ b/daemon/event/runs.go
@@ -63,6 +63,7 @@
 	FormerOwnerLost          ID = 680
 	RecordsAwaited           ID = 681
 	PlacesKeptNearData       ID = 684
+	RunTimesUneven           ID = 685
 	InterferenceFound        ID = 686
 	InterferenceForgotten    ID = 687
 )
@@ -126,5 +127,6 @@
 	FormerOwnerLost:          "job was granted after the loss of its owner; it waits until no run of that owner can go on",
 	CancelAnswered:           "cancel of a job answered",
 	TaskGivenUp:              "task is given up because backend servers crashed under it",
+	RunTimesUneven:           "run times of a service became uneven or even",
 	PlacesKeptNearData:       "keeping places free near data in high demand began or ended",
 }
--- a/dispatch/jobs/grantwait_test.go
+++ b/dispatch/jobs/grantwait_test.go
@@ -10,9 +10,6 @@
 	"poplargw.example/dispatch/run"
 )
 
-// worth returns the mean worth of the answers: a late answer has a fifth of the worth of one within the objective.
-func (t tally) worth() float64 { return t.share(t.withinObjective) + 0.2*t.share(t.late) }
-
 // startable returns the jobs of an entry that wait for their grants and could start at once, with all jobs before them, if these
 // came now, and still be useful.
 func (p *powerLoss) startable(i int) []string {
@@ -76,7 +73,7 @@
 		t.Fatalf("outcomes while all jobs could start: %+v", h.outcomes)
 	}
 	for _, r := range h.ownerships["granted"].requests {
-		h.JobAnswered(h.now, r.agent, owner.Request{Job: "granted", Number: r.number}, true)
+		h.JobAnswered(h.now, r.agent, owner.Answer{Request: owner.Request{Job: "granted", Number: r.number}, Granted: true})
 	}
 	h.take()
 	if h.placed() != 8 {
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -40,6 +40,7 @@
 	jobRefused     bool                        // a job was refused because it fits on no known backend server
 	slowdowns      map[string]serviceSlowdowns // by service
 	declaredErrors map[string]*declaredError   // by service
+	tails          map[string]*runTimeTail     // by service
 	registrars     []string                    // agents that may record owners of jobs
 	ownerships     map[string]*ownership       // by job
 	missing        map[string]time.Time        // agents that were removed because of their silence, with their newest message
@@ -99,6 +100,7 @@
 		suspended:      map[string]*health.Server{},
 		slowdowns:      map[string]serviceSlowdowns{},
 		declaredErrors: map[string]*declaredError{},
+		tails:          map[string]*runTimeTail{},
 		dirty:          map[string]*server{},
 		admissionRates: map[loadKey]*admissionRate{},
 		localDemands:   map[dataKey]*localDemand{},
