Replay the load pattern of deployment R, by kind and by width

Cause: no replay has queues of three priorities whose jobs differ in width, long undeclared tails and a caller's deadline, so that a rule for sharing capacity could not be judged.

Other replays draw the same random numbers as before.

--- a/dispatch/jobs/replayarrivals_test.go
+++ b/dispatch/jobs/replayarrivals_test.go
@@ -87,8 +87,10 @@
 	base := k.work.Seconds() * math.Exp(0.4*sim.rng.NormFloat64()-0.08)
 	estimate := base * math.Exp(0.4*sim.rng.NormFloat64()-0.08)
 	longest := 0.0
-	for t := range k.width {
-		work := base * (1 + 0.15*(2*sim.rng.Float64()-1))
+	width, tailFactor := sim.varied.draw(sim, k)
+	sim.widths[id] = width
+	for t := range width {
+		work := base * tailFactor * (1 + 0.15*(2*sim.rng.Float64()-1))
 		longest = max(longest, work)
 		sim.taskWork[run.TaskName(id, 0, 0, t)] = time.Duration(work * float64(time.Second))
 	}
@@ -96,9 +98,9 @@
 	sim.crashing.choose(sim, id, k)
 	i := sim.pickEntry()
 	o, ok := sim.entries[i].Submit(sim.now, Job{
-		ID: id, Arrived: sim.now,
+		ID: id, Arrived: sim.now, Deadline: sim.varied.deadlineAt(sim.now),
 		Queue: route.Queue{Name: k.name, Service: sim.pickService(), Attempts: 3, Stretch: 1.6, Latency: sim.latency, Priority: k.priority},
-		Steps: []Step{{Count: k.width, Demand: run.Demand{CPU: sim.taskCPU, MemoryMB: 64}, Estimate: time.Duration(estimate * float64(time.Second))}},
+		Steps: []Step{{Count: width, Demand: run.Demand{CPU: sim.taskCPU, MemoryMB: 64}, Estimate: time.Duration(estimate * float64(time.Second))}},
 	})
 	if !ok {
 		o.Job = id
--- a/dispatch/jobs/replaysimulation_test.go
+++ b/dispatch/jobs/replaysimulation_test.go
@@ -55,6 +55,9 @@
 	// largefleet_test.go.
 	partners []*partner.Set
 	frames   []int // by entry, in both directions
+	// widths holds the number of tasks of each job with varied.widthSigma, ended the jobs that count in tally.
+	widths map[string]int
+	ended  []endedJob
 }
 
 // simConfig describes the jobs and backend servers of a replay.
@@ -70,6 +73,7 @@
 	services      []string
 	taskCPU       int64 // CPU demand of every task, in millicores
 	machines      int   // number of backend servers; 0 means 11
+	varied        variation
 }
 
 // baseConfig is the configuration of both sites: three kinds, one service, backend servers with 32 and
@@ -89,7 +93,7 @@
 		t:         t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), longestTask: map[string]time.Duration{},
 		taskWork: map[string]time.Duration{}, arrived: map[string]time.Time{}, kindOfJob: map[string]requestKind{}, byKind: map[string]*tally{},
 		demandSent: map[linkKey]bool{}, failedEntries: map[int]bool{}, heartbeatInterval: 50 * time.Millisecond, byID: map[string]*machine{},
-		frames: make([]int, entries),
+		frames: make([]int, entries), widths: map[string]int{},
 	}
 	sim.addMachines(cmp.Or(config.machines, 11), 1, slowdowns, entries)
 	for i := range entries {
--- a/dispatch/jobs/replaytally_test.go
+++ b/dispatch/jobs/replaytally_test.go
@@ -35,6 +35,9 @@
 	if at := sim.arrived[o.Job]; at.Before(sim.measureFrom) || !sim.measureUntil.IsZero() && at.After(sim.measureUntil) {
 		return
 	}
+	var one tally
+	sim.count(&one, o)
+	sim.ended = append(sim.ended, endedJob{sim.kindOfJob[o.Job].name, sim.widths[o.Job], one.withinObjective == 1})
 	for _, t := range []*tally{&sim.tally, sim.byKind[sim.kindOfJob[o.Job].name]} {
 		sim.count(t, o)
 	}
