--- a/daemon/runentry/metrics.go
+++ b/daemon/runentry/metrics.go
@@ -35,6 +35,7 @@
 	gauge("poplargw_entry_jobs", func(s jobs.Stats) int { return s.Jobs })
 	gauge("poplargw_entry_waiting_tasks", func(s jobs.Stats) int { return s.WaitingTasks })
 	gauge("poplargw_entry_runs", func(s jobs.Stats) int { return s.Runs })
+	gauge("poplargw_entry_reserved_permille", func(s jobs.Stats) int { return s.ReservedPermille })
 	gauge("poplargw_entry_usable_servers", func(s jobs.Stats) int { return s.Servers })
 	gauge("poplargw_entry_far_runs", func(s jobs.Stats) int { return s.FarRuns })
 	gauge("poplargw_entry_places_kept_near_data", func(s jobs.Stats) int { return s.PlacesKept })
--- a/dispatch/jobs/fit.go
+++ b/dispatch/jobs/fit.go
@@ -23,7 +23,7 @@
 	if step.MaxPerServer > 0 && s.runsOfStep(j, t.step, v) >= step.MaxPerServer {
 		return false
 	}
-	return s.suitable(now, j, t, v) && !s.keptForOthers(j, t, v)
+	return s.leavesReserve(now, j, t, v) && s.suitable(now, j, t, v) && !s.keptForOthers(j, t, v)
 }
 
 // suitable reports whether the task is better placed on the backend server, once that has capacity, than waiting for
--- a/dispatch/jobs/replaysimulation_test.go
+++ b/dispatch/jobs/replaysimulation_test.go
@@ -65,6 +65,9 @@
 	reportsUsage bool
 	effects      map[[2]string]float64
 	orderTrace   hash.Hash64 // of the times, tasks and agents of all orders, if not nil
+	// widths holds the number of tasks of each job with varied.widthSigma, ended the jobs that count in tally.
+	widths map[string]int
+	ended  []endedJob
 }
 
 // simConfig describes the jobs and backend servers of a replay.
@@ -81,7 +84,8 @@
 	taskCPU       int64 // CPU demand of every task, in millicores
 	machines      int   // number of backend servers; 0 means 11
 	// load adds data in racks and long tails; its zero value adds nothing.
-	load hardLoad
+	load   hardLoad
+	varied variation
 }
 
 // baseConfig is the configuration of both sites: three kinds, one service, backend servers with 32 and
@@ -101,7 +105,7 @@
 		t:         t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), longestTask: map[string]time.Duration{},
 		taskWork: map[string]time.Duration{}, arrived: map[string]time.Time{}, kindOfJob: map[string]requestKind{}, affinityOfJob: map[string]string{}, byKind: map[string]*tally{},
 		demandSent: map[linkKey]bool{}, failedEntries: map[int]bool{}, heartbeatInterval: 50 * time.Millisecond, byID: map[string]*machine{},
-		frames: make([]int, entries),
+		frames: make([]int, entries), widths: map[string]int{},
 	}
 	sim.addMachines(cmp.Or(config.machines, 11), 1, slowdowns, entries)
 	for i := range entries {
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -79,6 +79,11 @@
 	lastRequest  uint64                         // number of the newest request for a job
 	interference map[string]*interference.Model // by service
 	singleServer [1]*server                     // argument of dispatchTo, kept to avoid an allocation
+	// queueLoads holds the load of each queue, reserves the capacity that is kept free for the more urgent ones.
+	queueLoads map[queueName]*queueLoad
+	reserves   map[reserveKey]reserve
+	// reserveOff is set by tests that compare decisions with and without reserves.
+	reserveOff bool
 }
 
 // expectation is the number of agents that are expected to connect, until a time after the start of the
@@ -110,6 +115,8 @@
 		ownerships:     map[string]*ownership{},
 		missing:        map[string]time.Time{},
 		cancels:        map[string]*cancel{},
+		queueLoads:     map[queueName]*queueLoad{},
+		reserves:       map[reserveKey]reserve{},
 		registrarLost:  map[string]time.Time{},
 		everRegistrar:  map[string]bool{},
 
@@ -188,6 +195,9 @@
 func (s *Scheduler) Stats() Stats {
 	st := Stats{Jobs: len(s.jobs)}
 	st.Servers = s.Servers()
+	for _, r := range s.reserves {
+		st.ReservedPermille = max(st.ReservedPermille, int(1000*min(maxReservedFraction, r.fraction)))
+	}
 	for _, v := range s.servers {
 		st.Runs += len(v.runs)
 		for _, a := range v.runs {
--- a/dispatch/jobs/submit.go
+++ b/dispatch/jobs/submit.go
@@ -24,6 +24,7 @@
 	}
 	j.queueKey = s.queueKeyOf(j)
 	s.recordLocalDemand(now, j)
+	s.recordArrival(now, j)
 	if wait, ok := s.admissible(now, j); !ok {
 		return s.rejection(now, j, wait), false
 	}
--- a/dispatch/jobs/tick.go
+++ b/dispatch/jobs/tick.go
@@ -14,6 +14,7 @@
 	s.updateSlowdowns()
 	s.expireInterference(now)
 	s.updateLocalDemands(now)
+	s.forgetReserves(now)
 	s.review(now)
 	s.dispatch(now)
 }
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -230,4 +230,6 @@
 	Jobs, Unstarted, WaitingTasks, Runs, Servers int
 	// FarRuns is the number of runs far from the data of their tasks, PlacesKept that of the places kept near data.
 	FarRuns, PlacesKept int
+	// ReservedPermille is the largest part of the capacity of a service, in thousandths, that less urgent queues leave free.
+	ReservedPermille int
 }
