--- a/dispatch/jobs/powerloss_test.go
+++ b/dispatch/jobs/powerloss_test.go
@@ -132,6 +132,7 @@
 		simConfig: simConfig{kinds: config.kinds, latency: 60 * time.Millisecond, cpuCapacities: []int64{config.cpuCapacity}, services: []string{"svc"}, taskCPU: config.taskCPU, oneWay: oneWay, offerHold: defaultOfferHold},
 		t:         t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), longestTask: map[string]time.Duration{},
 		taskWork: map[string]time.Duration{}, arrived: map[string]time.Time{}, kindOfJob: map[string]requestKind{}, byKind: map[string]*tally{},
+		affinityOfJob: map[string]string{}, widths: map[string]int{},
 		demandSent: map[linkKey]bool{}, failedEntries: map[int]bool{}, heartbeatInterval: 100 * time.Millisecond, byID: map[string]*machine{},
 		frames: make([]int, config.entries), firstOrder: map[int]time.Time{},
 	}
