Rank agents among all listed ones to tell which may be registrars

Cause: an entry that has just started has links to a part of the agents.

Change: the rank is among all agents that the store lists.

--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -304,7 +305,7 @@
 	}
 	score := registrarScore(agent)
 	higher := 0
-	for other := range s.servers {
+	for _, other := range s.fleetAgents() {
 		if registrarScore(other) > score {
 			higher++
 		}
@@ -312,6 +313,14 @@
 	return higher < MaxRegistrars+registrarsPerJob
 }
 
+// fleetAgents returns all agents that the entry knows: those that are listed, or those that it has had a link to if there is no list.
+func (s *Scheduler) fleetAgents() []string {
+	if len(s.knownAgents) > 0 {
+		return s.knownAgents
+	}
+	return slices.Collect(maps.Keys(s.servers))
+}
+
 // recordHeldLost records that the link to a registrar was lost which had another owner of some jobs. That owner may run on
 // without a record at the others: one that had no link to an earlier registrar for a while has asked that one after
 // this entry.
