Reserve capacity for urgent queues only where the settings ask for it

Change: the setting reserveForUrgent, which is off by default. The replays of the rule switch it on.

--- a/dispatch/jobs/reserve.go
+++ b/dispatch/jobs/reserve.go
@@ -46,6 +46,9 @@
 
 // recordArrival adds a job to the load of its queue.
 func (s *Scheduler) recordArrival(now time.Time, j *job) {
+	if !s.limits.ReserveForUrgent {
+		return
+	}
 	key := queueName{j.Queue.Service, j.Queue.Name}
 	q := s.queueLoads[key]
 	if q == nil {
@@ -84,7 +87,7 @@
 // reservedFraction returns the part of the capacity that a job which has not started leaves free for more urgent queues of its
 // service. It is 0 where no queue is more urgent.
 func (s *Scheduler) reservedFraction(now time.Time, j *job) float64 {
-	if s.reserveOff || j.Queue.Priority == 0 || len(s.queueLoads) < 2 || !j.startedAt.IsZero() || s.confined(j) {
+	if !s.limits.ReserveForUrgent || j.Queue.Priority == 0 || len(s.queueLoads) < 2 || !j.startedAt.IsZero() || s.confined(j) {
 		return 0
 	}
 	key := reserveKey{j.Queue.Service, j.Queue.Priority}
--- a/dispatch/jobs/reserve_test.go
+++ b/dispatch/jobs/reserve_test.go
@@ -45,6 +45,7 @@
 // for the end of a long run.
 func TestLongTasksLeaveReserve(t *testing.T) {
 	h := newHarness(t, 2, 8000)
+	h.limits.ReserveForUrgent = true
 	h.submitUrgent(time.Second)
 	for i := range 20 {
 		h.submitTo(queueOfPriority(2), fmt.Sprint("long", i), 1, 1000, time.Second)
@@ -61,6 +62,7 @@
 // TestReserveIsLent guards against capacity that stays idle for a queue without arrivals.
 func TestReserveIsLent(t *testing.T) {
 	h := newHarness(t, 2, 8000)
+	h.limits.ReserveForUrgent = true
 	h.submitUrgent(time.Second)
 	h.now = h.now.Add(2 * queueLoadTTL)
 	for _, agent := range []string{"a0", "a1"} {
@@ -79,6 +81,7 @@
 // queue.
 func TestShortTasksLeaveNoReserve(t *testing.T) {
 	h := newHarness(t, 2, 8000)
+	h.limits.ReserveForUrgent = true
 	h.submitUrgent(time.Second)
 	for i := range 20 {
 		h.submitTo(queueOfPriority(2), fmt.Sprint("short", i), 1, 1000, 50*time.Millisecond)
@@ -91,6 +94,7 @@
 // TestQueueLoadsAreBounded guards against loads of removed queues that are kept forever.
 func TestQueueLoadsAreBounded(t *testing.T) {
 	h := newHarness(t, 1, 8000)
+	h.limits.ReserveForUrgent = true
 	for i := range 100 {
 		q := queueOfPriority(0)
 		q.Name = fmt.Sprint("queue", i)
@@ -103,7 +107,7 @@
 }
 
 // playOneBurst plays a burst of long jobs whose queues have the given priorities, and returns how each job ended.
-func playOneBurst(t *testing.T, off bool, priorities []int) []endedJob {
+func playOneBurst(t *testing.T, reserves bool, priorities []int) []endedJob {
 	config := sharedConfig
 	config.kinds = slices.Clone(config.kinds)
 	for i := range config.kinds {
@@ -111,7 +115,7 @@
 	}
 	sim := newSimulationOf(t, 1, 3, sharedSlowdowns, config)
 	for _, s := range sim.entries {
-		s.reserveOff = off
+		s.limits.ReserveForUrgent = reserves
 	}
 	config.kinds[1].share *= 5
 	sim.kinds = config.kinds
@@ -141,6 +145,9 @@
 	skipWithRaceDetector(t)
 	for seed := uint64(1); seed <= 3; seed++ {
 		sim := newSimulationOf(t, seed, 3, sharedSlowdowns, sharedConfig)
+		for _, s := range sim.entries {
+			s.limits.ReserveForUrgent = true
+		}
 		burst := sharedPatterns()[2]
 		sim.scheduleFactors(burst.base, burst.phases[0].factors, time.Second)
 		sim.run(time.Second)
--- a/dispatch/jobs/scheduler.go
+++ b/dispatch/jobs/scheduler.go
@@ -82,8 +82,6 @@
 	// queueLoads holds the load of each queue, reserves the capacity that is kept free for the more urgent ones.
 	queueLoads map[queueName]*queueLoad
 	reserves   map[reserveKey]reserve
-	// reserveOff is set by tests that compare decisions with and without reserves.
-	reserveOff bool
 }
 
 // expectation is the number of agents that are expected to connect, until a time after the start of the
--- a/dispatch/jobs/sharedcapacity_test.go
+++ b/dispatch/jobs/sharedcapacity_test.go
@@ -74,10 +74,10 @@
 }
 
 // runShared plays a pattern, with or without reserves, and returns the simulation.
-func runShared(t *testing.T, seed uint64, p sharedPattern, reserveOff bool) *simulation {
+func runShared(t *testing.T, seed uint64, p sharedPattern, reserves bool) *simulation {
 	sim := newSimulationOf(t, seed, 3, sharedSlowdowns, sharedConfig)
 	for _, s := range sim.entries {
-		s.reserveOff = reserveOff
+		s.limits.ReserveForUrgent = reserves
 	}
 	ones := []float64{1, 1, 1}
 	sim.scheduleFactors(min(p.base, 0.6), ones, 2*time.Second)
@@ -168,10 +168,10 @@
 }
 
 // playShared plays a pattern with six seeds.
-func playShared(t *testing.T, p sharedPattern, reserveOff bool) sharedSpreads {
+func playShared(t *testing.T, p sharedPattern, reserves bool) sharedSpreads {
 	out := sharedSpreads{all: map[string]spread{}, widest: map[string]spread{}}
 	for seed := uint64(1); seed <= 6; seed++ {
-		sim := runShared(t, seed, p, reserveOff)
+		sim := runShared(t, seed, p, reserves)
 		for kind, r := range sim.results() {
 			out.all[kind] = append(out.all[kind], r.all)
 			out.widest[kind] = append(out.widest[kind], r.widest)
@@ -188,7 +188,7 @@
 func TestReplaySharedCapacity(t *testing.T) {
 	skipWithRaceDetector(t)
 	for _, p := range sharedPatterns() {
-		off, on := playShared(t, p, true), playShared(t, p, false)
+		off, on := playShared(t, p, false), playShared(t, p, true)
 		t.Logf("%s, without reserves: %v", p.name, off)
 		t.Logf("%s, with reserves: %v", p.name, on)
 		gain := on.total.minus(off.total)
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -219,6 +219,8 @@
 	// RemoteDataFactor is how many times longer a task runs away from its data; values below 1 count as
 	// 1.
 	RemoteDataFactor float64
+	// ReserveForUrgent makes jobs leave capacity free for the bursts of more urgent queues of their service.
+	ReserveForUrgent bool
 	// RunOffset is added to the clock, in milliseconds, to number runs, so that the numbers given by
 	// several entries increase together: a backend server refuses a run number below one that ended
 	// there.
