--- a/daemon/link/convert.go
+++ b/daemon/link/convert.go
@@ -202,13 +202,13 @@
 	}
 }
 
-// maxListedAgents bounds the agents that one frame names.
-const maxListedAgents = 4096
+// MaxListedAgents bounds the listed agents that are read from one frame.
+const MaxListedAgents = 4096
 
 // listedFromProto converts the agents whose runs are listed.
 func listedFromProto(list []*peerv1.ListedAgent) []jobs.ListedAgent {
 	var agents []jobs.ListedAgent
-	for _, a := range list[:min(len(list), maxListedAgents)] {
+	for _, a := range list[:min(len(list), MaxListedAgents)] {
 		agents = append(agents, jobs.ListedAgent{ID: a.GetId(), Incarnation: a.GetIncarnation()})
 	}
 	return agents
--- a/daemon/runagent/agent.go
+++ b/daemon/runagent/agent.go
@@ -46,8 +46,8 @@
 
 	mu               sync.Mutex
 	table            *runtable.Table
-	owners           *owner.Table // which entry owns which job
-	heldCancels      []heldCancel
+	owners           *owner.Table        // which entry owns which job
+	heldCancels      []heldCancel        // cancels that await the end of the restore window
 	sessions         map[string]*session // by entry, as ID/incarnation
 	speeds           *runtable.Speeds    // by entry, as in sessions
 	specs            map[run.Ref]startSpec
--- a/daemon/runagent/listed.go
+++ b/daemon/runagent/listed.go
@@ -7,6 +7,7 @@
 
 	peerv1 "poplargw.example/api/gen/poplargw/peer/v1"
 	"poplargw.example/daemon/event"
+	"poplargw.example/daemon/link"
 )
 
 // observeListedRuns tells all entries when the backend server has listed its runs for the first time since the agent's start,
@@ -20,13 +21,10 @@
 	a.sendStateToAll()
 }
 
-// maxListedAgents bounds the list of agents that an entry may send.
-const maxListedAgents = 4096
-
 // recordListed records which agents have told the entry of the session that their runs are listed. Entries send the list only
 // while jobs may wait for it.
 func (s *session) recordListed(list []*peerv1.ListedAgent) {
-	s.listed = list[:min(len(list), maxListedAgents)]
+	s.listed = list[:min(len(list), link.MaxListedAgents)]
 	if len(list) == 0 {
 		s.sentListed = nil
 	}
--- a/daemon/runagent/ownership.go
+++ b/daemon/runagent/ownership.go
@@ -110,7 +110,7 @@
 	for _, job := range jobIDs {
 		c, refused := a.owners.Cancel(now, s.entry, job)
 		a.queueGrants(refused)
-		if c.Recorded && c.Owner == "" && !a.owners.Restored() {
+		if c.Recorded && c.Owner == "" && !a.owners.Restored() && len(a.heldCancels) < maxHeldCancels {
 			a.heldCancels = append(a.heldCancels, heldCancel{s, job})
 			continue
 		}
@@ -125,14 +125,16 @@
 	}
 }
 
+// maxHeldCancels bounds the held cancels. Further ones are answered at once, with MayHave.
+const maxHeldCancels = 16384
+
 // heldCancel is a cancel whose answer awaits the end of the restore window: an owner may still report.
 type heldCancel struct {
 	session *session
 	job     string
 }
 
-// answerHeldCancels queues the answers to cancels that came within the restore window, once it has passed. Their number is bounded by
-// that of recorded cancels. The caller must hold a.mu.
+// answerHeldCancels queues the answers to cancels that came within the restore window, once it has passed. The caller must hold a.mu.
 func (a *Agent) answerHeldCancels(now time.Time) {
 	if len(a.heldCancels) == 0 || !a.owners.Restored() {
 		return
--- a/daemon/runentry/decisions.go
+++ b/daemon/runentry/decisions.go
@@ -59,7 +59,7 @@
 		e.Log.InfoLimited(event.FormerOwnerLost, event.Fields{"job": d.Job, "silent": d.Silent})
 	case jobs.KeptNearData:
 		e.Log.InfoLimited(event.PlacesKeptNearData, event.Fields{
-			"service": d.Service, "label": d.Label, "places": d.Count, "demand": math.Round(d.Share*1000) / 1000,
+			"service": d.Service, "label": d.Label, "places": d.Count, "demand": rounded(d.Share),
 		})
 	case jobs.UnevenRunTimes:
 		e.Log.InfoLimited(event.RunTimesUneven, event.Fields{"service": d.Service, "long_steps": d.Count})
--- a/dispatch/jobs/cancels.go
+++ b/dispatch/jobs/cancels.go
@@ -42,7 +42,7 @@
 type CancelAnswer struct {
 	PassedOn bool // the owner of the job was told
 	Recorded bool // the agent grants the job to no entry
-	MayHave  bool // an entry that the agent cannot tell may have the job
+	MayHave  bool // an entry may have the job; always set if the agent has a record of an owner
 }
 
 // cancel is a cancel that a caller has sent to this entry.
--- a/dispatch/jobs/explain.go
+++ b/dispatch/jobs/explain.go
@@ -120,8 +120,14 @@
 		return "lacks the label"
 	case len(v.runs) >= v.health.Limit(now):
 		return "limited because tasks failed"
+	case !s.leavesReserve(now, j, t, v):
+		return "capacity is reserved for more urgent queues"
 	case !s.fastEnough(now, j, t, v):
 		return "too slow"
+	case s.waitsNearData(now, j, t, v):
+		return "waits for a server near its data"
+	case s.keptForOthers(j, t, v):
+		return "places are kept for tasks with data near it"
 	}
 	return "not eligible"
 }
--- a/dispatch/jobs/formerowner.go
+++ b/dispatch/jobs/formerowner.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"time"
 
 	"poplargw.example/dispatch/result"
@@ -54,7 +55,7 @@
 // known to be lost at the given time.
 func (s *Scheduler) silentSince(known time.Time) int {
 	lost := known.Add(-s.limits.LostAfter)
-	silent := s.opening + len(s.lostAgents()) + s.countMissing(known)
+	silent := s.opening + len(s.lostAgents()) + len(s.missing)
 	for _, v := range s.fleet {
 		if !v.hasRun(lost, s.limits.LostAfter) {
 			silent++
@@ -66,14 +67,9 @@
 // recordMissing records an agent that is removed because of its silence.
 func (s *Scheduler) recordMissing(v *server) { s.missing[v.agent] = v.lastContact }
 
-// countMissing returns the number of agents that have become silent within missingRetention, and forgets the others.
-func (s *Scheduler) countMissing(now time.Time) int {
-	for agent, since := range s.missing {
-		if now.Sub(since) >= missingRetention {
-			delete(s.missing, agent)
-		}
-	}
-	return len(s.missing)
+// expireMissing forgets the agents that have been silent for missingRetention.
+func (s *Scheduler) expireMissing(now time.Time) {
+	maps.DeleteFunc(s.missing, func(_ string, lastContact time.Time) bool { return now.Sub(lastContact) >= missingRetention })
 }
 
 // hadLostOwner reports whether the job had an owner that was lost, which may have run it.
--- a/dispatch/jobs/lostrecords.go
+++ b/dispatch/jobs/lostrecords.go
@@ -297,8 +297,7 @@
 
 // mayBeRegistrar reports whether an entry may have asked the agent to record owners: it has been a registrar by a list of this
 // entry, or would be one by a list that lacks up to registrarsPerJob of the agents. All other agents record owners only of
-// jobs that no entry asks them for, so their loss says nothing of any job: while it counted, three in ten jobs waited
-// for Limits.OwnerLostAfter each time that ten of 75 agents were taken away.
+// jobs that no entry asks them for, so their loss affects no job.
 func (s *Scheduler) mayBeRegistrar(agent string) bool {
 	if s.everRegistrar[agent] {
 		return true
--- a/dispatch/jobs/tick.go
+++ b/dispatch/jobs/tick.go
@@ -6,6 +6,7 @@
 // that cannot finish in time, and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time) {
 	s.removeLostAgents(now)
+	s.expireMissing(now)
 	s.observeRegistrars(now)
 	s.advanceOwnerships(now)
 	s.expireCancels(now)
--- a/dispatch/jobs/types.go
+++ b/dispatch/jobs/types.go
@@ -121,16 +121,18 @@
 	Suspects int
 	// Queue is the name of the queue of a kind that is confined or released.
 	Queue string
-	// Service and Label identify the data near which places are kept, Count the places on each server, Share the
-	// demand as a part of the entry's share of the servers near the data. For uneven run times, Count is the number of
-	// long steps among the newest of Service.
+	// Service is the service of an interference, of uneven run times or of kept places; Label names the data near which
+	// places are kept.
 	Service, Label string
-	// Count is the number of crashes under a task that is given up, Share the sum of its shares in their causes;
-	// Crashes describes the crashes, see taskCrashes.counted.
-	Count   int
-	Share   float64
+	// Count is, by Kind: GivenUp: the number of crashes under the task; KeptNearData: the number of places kept on each
+	// server; UnevenRunTimes: the number of long steps among the newest of Service.
+	Count int
+	// Share is, by Kind: GivenUp: the sum of the task's shares in the causes of the crashes; KeptNearData: the demand as
+	// a part of the entry's share of the servers near the data.
+	Share float64
+	// Crashes describes the crashes under a task that is given up; see taskCrashes.counted.
 	Crashes []CountedCrash
-	// Pair describes an interference that is found or forgotten, Service its service.
+	// Pair describes an interference that is found or forgotten.
 	Pair interference.Pair
 }
 
--- a/dispatch/owner/cancels.go
+++ b/dispatch/owner/cancels.go
@@ -117,9 +117,9 @@
 	return false
 }
 
-// expireCancels forgets cancels and lost owners after cancelRetention.
-func (t *Table) expireCancels(now time.Time) {
-	before := t.uptime.At(now) - cancelRetention
-	t.cancels.expire(before)
-	t.lostOwners.expire(before)
+// expireRecords forgets cancels after cancelRetention and lost owners after lostRetention.
+func (t *Table) expireRecords(now time.Time) {
+	at := t.uptime.At(now)
+	t.cancels.expire(at - cancelRetention)
+	t.lostOwners.expire(at - lostRetention)
 }
--- a/dispatch/owner/owner.go
+++ b/dispatch/owner/owner.go
@@ -257,7 +257,7 @@
 		}
 		grants = append(grants, t.drop(entry, func(string) bool { return true })...)
 	}
-	t.expireCancels(now)
+	t.expireRecords(now)
 	if !t.restored && t.uptime.At(now) >= t.limits.RestoreWindow {
 		t.restored = true
 		grants = append(grants, t.answerAll()...)
