--- a/review/harness-3/cancels.go
+++ b/review/harness-3/cancels.go
@@ -11,8 +11,8 @@
 const (
 	// cancelTime is the bound cancel_ms.
 	cancelTime = 3000 * time.Millisecond
-	// contact is the bound contactMs.
-	contact = 3000 * time.Millisecond
+	// leaveGap is the gap_s of roll_term with share 1 in the site file.
+	leaveGap = 2 * time.Second
 )
 
 // cancelled is a job that its client has cancelled.
@@ -106,14 +106,14 @@
 			break
 		}
 		all.Go(func() {
-			time.Sleep(time.Duration(i) * time.Second)
+			time.Sleep(time.Duration(i) * leaveGap)
 			v.leave()
 			v.stop()
 		})
 	}
 	all.Wait()
 	if !trouble {
-		time.Sleep(4500 * time.Millisecond)
+		time.Sleep(6500 * time.Millisecond)
 	}
 	// The machines that stay were in touch all the while; this makes sure that the list has settled.
 	time.Sleep(time.Second)
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +34,13 @@
 		r.closeAll()
 		os.Exit(2)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		r.closeAll()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.note("trouble: %t", trouble)
 	broken, err := play(r, trouble)
--- a/review/harness-3/rig.go
+++ b/review/harness-3/rig.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,7 @@
 	ipPrefix string
 	taken    net.Listener // held while the block of addresses is in use
 	returned map[string]bool
+	closing  atomic.Bool // no process is started any more
 	store    *standin.Store
 	storeAt  string
 	entries  []*node
@@ -210,6 +212,9 @@
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.rig.closing.Load() {
+		return errors.New("the script ends")
+	}
 	var err error
 	if n.log == nil {
 		if n.log, err = os.Create(filepath.Join(n.rig.tmp, n.name+".log")); err != nil {
@@ -420,6 +425,7 @@
 
 // closeAll ends all processes.
 func (r *rig) closeAll() {
+	r.closing.Store(true)
 	var all sync.WaitGroup
 	for _, n := range r.entries {
 		all.Go(n.close)
