--- a/review/harness-4/gate.go
+++ b/review/harness-4/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -21,6 +20,7 @@
 	open  chan struct{} // closed while the gate is open
 	fill  []net.Conn
 	conns []net.Conn
+	links int // that are open
 }
 
 // newGate listens at an address with the shortest queue and forwards to a target.
@@ -82,9 +82,20 @@
 	defer out.Close()
 	g.mu.Lock()
 	g.conns = append(g.conns, c, out)
+	g.links++
 	g.mu.Unlock()
 	go g.pipe(c, out)
 	g.pipe(out, c)
+	g.mu.Lock()
+	g.links--
+	g.mu.Unlock()
+}
+
+// openLinks returns the number of links through the gate.
+func (g *gate) openLinks() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.links
 }
 
 // pipe copies from one connection to the other, but nothing while the gate is shut.
@@ -101,9 +112,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
-			}
 			return
 		}
 	}
--- a/review/harness-4/node.go
+++ b/review/harness-4/node.go
@@ -56,6 +56,7 @@
 	cmd     *exec.Cmd
 	starts  int
 	closing bool
+	down    time.Duration // how long the process stays away when it ends next
 	done    chan struct{}
 }
 
@@ -73,6 +74,9 @@
 	graceS      = 6
 )
 
+// restartDelay is how long after its end a process is started again.
+const restartDelay = 300 * time.Millisecond
+
 // newDeployment starts the store, the agents with their workers, and the entries.
 func newDeployment(root string, rec *recorder, entries, agents, cpu int, config []byte) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "review4-")
@@ -160,7 +164,7 @@
 	return os.WriteFile(n.file, []byte(text), 0o644)
 }
 
-// launch starts the process as the deploy file does, and again 0.3 s after it has ended.
+// launch starts the process as the deploy file does, and again after restartDelay whenever it has ended.
 func (n *node) launch() error {
 	var err error
 	if n.log, err = os.Create(filepath.Join(n.d.dir, n.name+".log")); err != nil {
@@ -175,11 +179,19 @@
 		for {
 			_ = n.cmd.Wait()
 			n.d.rec.printf("%s has ended", n.name)
-			time.Sleep(300 * time.Millisecond)
 			n.mu.Lock()
-			closing := n.closing
+			down, closing := max(n.down, restartDelay), n.closing
+			n.down = 0
 			n.mu.Unlock()
-			if closing || n.start() != nil {
+			if closing {
+				return
+			}
+			select {
+			case <-time.After(down):
+			case <-n.d.stop:
+				return
+			}
+			if n.start() != nil {
 				return
 			}
 		}
--- a/review/harness-4/suspended.go
+++ b/review/harness-4/suspended.go
@@ -15,28 +15,52 @@
 const (
 	longTaskMS  = 6000
 	longJobs    = 12
-	suspendFor  = 3 * time.Second
+	suspendFor  = 3500 * time.Millisecond
 	killAfter   = 100 * time.Millisecond
+	downFor     = 3500 * time.Millisecond
 	resendAfter = 1300 * time.Millisecond
-	rounds      = 4
+	rounds      = 3
 )
 
-// suspendedCase suspends the VM of an agent and its worker for 3 s, and kills an entry that has runs there. Callers send their jobs
-// again after resendMs.
-func suspendedCase(root string, rec *recorder, trouble bool) (int, error) {
-	d, err := newDeployment(root, rec, 3, 6, 32000, config(2, route("r-a", hostName, "/jobs/", serviceName)))
+// suspension is what happens while a machine is suspended.
+type suspension struct {
+	sides int
+	// herd is set if all processes but those of the suspended machine are killed, and not only the entry that has runs there.
+	herd bool
+	// down is how long the killed processes stay away.
+	down time.Duration
+	// alone is set if the suspended machine is one to which only the killed entry has a link.
+	alone bool
+}
+
+// herdCase suspends the VM of an agent and its worker for 3.5 s, and kills all processes of the other machines, which start again at once.
+func herdCase(root string, rec *recorder, trouble bool) (int, error) {
+	return suspendedCase(root, rec, trouble, suspension{sides: 11, herd: true, down: restartDelay})
+}
+
+// fleetCase has so many agents that an entry has links to a part of them only. It suspends the VM of an agent and its worker for 3.5 s, and
+// kills the entry that has runs there for 3.5 s. Callers send their jobs again after resendMs.
+func fleetCase(root string, rec *recorder, trouble bool) (int, error) {
+	return suspendedCase(root, rec, trouble, suspension{sides: 69, down: downFor, alone: true})
+}
+
+// suspendedCase plays some rounds and counts the pairs of runs of one task that go on at the same time.
+func suspendedCase(root string, rec *recorder, trouble bool, what suspension) (int, error) {
+	d, err := newDeployment(root, rec, 3, what.sides, 32000, config(2, route("r-a", hostName, "/jobs/", serviceName)))
 	if d != nil {
 		defer d.close()
 	}
 	if err != nil {
 		return 2, err
 	}
-	if !d.awaitReady(8 * time.Second) {
+	if !d.awaitReady(15 * time.Second) {
 		return 2, errors.New("the entries are not ready")
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(4 * time.Second)
 	for round := range rounds {
-		d.suspendOnce(round, trouble)
+		if !d.suspendOnce(round, trouble, what) {
+			return 2, errors.New("no machine could be suspended")
+		}
 	}
 	overlaps := d.overlaps()
 	for _, line := range overlaps {
@@ -51,8 +75,8 @@
 	return 0, nil
 }
 
-// suspendOnce plays one round with another entry.
-func (d *deployment) suspendOnce(round int, trouble bool) {
+// suspendOnce plays one round with another entry. It reports false if no machine could be suspended.
+func (d *deployment) suspendOnce(round int, trouble bool, what suspension) bool {
 	n := d.entries[round%len(d.entries)]
 	p := &platformView{d: d, misses: make([]int, len(d.entries)), stop: make(chan struct{})}
 	go p.probe()
@@ -61,24 +85,38 @@
 		callers.Go(func() { d.longJob(p, round%len(d.entries)) })
 	}
 	time.Sleep(time.Second)
-	if trouble {
-		d.disturb(n, os.Getenv("TROUBLE"))
-	}
+	played := !trouble || d.disturb(n, what, os.Getenv("TROUBLE"))
 	callers.Wait()
 	close(p.stop)
+	return d.awaitReady(10*time.Second) && played
 }
 
-// disturb suspends the VM with the most runs for suspendFor and kills an entry meanwhile. With "kill" or "suspend" it does only one of
-// the two.
-func (d *deployment) disturb(n *node, only string) {
-	x := d.busiestWorker()
+// disturb suspends a VM with runs for suspendFor and kills an entry, or all processes, meanwhile. With "kill" or "suspend" it does only
+// one of the two.
+func (d *deployment) disturb(n *node, what suspension, only string) bool {
+	x := d.busiestWorker(what.alone)
+	if x < 0 {
+		return false
+	}
+	d.rec.printf("worker %s has %d link", d.workers[x].id, d.gates[x].openLinks())
 	if only != "kill" {
 		d.agents[x].signal(syscall.SIGSTOP)
 		d.workers[x].suspend()
 		d.gates[x].shut()
 	}
 	time.Sleep(killAfter)
-	if only != "suspend" {
+	killed := []*node{n}
+	if what.herd {
+		killed = append(append([]*node(nil), d.entries...), d.agents[:x]...)
+		killed = append(killed, d.agents[x+1:]...)
+	}
+	if only == "suspend" {
+		killed = nil
+	}
+	for _, n := range killed {
+		n.mu.Lock()
+		n.down = what.down
+		n.mu.Unlock()
 		n.signal(syscall.SIGKILL)
 	}
 	time.Sleep(suspendFor - killAfter)
@@ -87,12 +125,16 @@
 		d.gates[x].reopen()
 		d.agents[x].signal(syscall.SIGCONT)
 	}
+	return true
 }
 
-// busiestWorker returns the worker with the most runs.
-func (d *deployment) busiestWorker() int {
-	best, most := 0, -1
+// busiestWorker returns the worker with the most runs, if alone is set of those to whose agent only one entry has a link, or -1.
+func (d *deployment) busiestWorker(alone bool) int {
+	best, most := -1, 0
 	for i, w := range d.workers {
+		if alone && d.gates[i].openLinks() != 1 {
+			continue
+		}
 		w.mu.Lock()
 		if len(w.running) > most {
 			best, most = i, len(w.running)
@@ -147,7 +189,7 @@
 func (d *deployment) longJob(p *platformView, zone int) {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	for attempt := 1; attempt <= 4; attempt++ {
-		n := p.entryFor(zone)
+		n := p.entryFor((zone + attempt - 1) % len(d.entries)) // retries reach other daemons
 		d.rec.printf("job %s is sent to %s, attempt %d", id, n.name, attempt)
 		status := d.sendLong(n, id)
 		d.rec.printf("job %s: answer of %s: %d (0 is a broken connection)", id, n.name, status)
