--- a/review/harness-4/main.go
+++ b/review/harness-4/main.go
@@ -15,7 +15,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review4 CASE ROOT FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(string, *recorder, bool) (int, error){"stop": stopCase, "config": configCase, "fleet": fleetCase, "herd": herdCase}
+	cases := map[string]func(string, *recorder, bool) (int, error){"stop": stopCase, "config": configCase, "fleet": fleetCase, "herd": herdCase, "cancelled": cancelledCase}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
