--- a/review/harness-4/node.go
+++ b/review/harness-4/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -84,6 +85,7 @@
 		return nil, err
 	}
 	d := &deployment{root: root, dir: dir, rec: rec, store: newStore(), stop: make(chan struct{})}
+	d.endOnSignal()
 	if d.prefix, err = freePrefix(); err != nil {
 		return nil, err
 	}
@@ -128,6 +130,17 @@
 	return d, nil
 }
 
+// endOnSignal ends the case with status 2 at a signal. The kernel kills the processes with this one.
+func (d *deployment) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		os.RemoveAll(d.dir)
+		os.Exit(2)
+	}()
+}
+
 // freePrefix returns the first three bytes of loopback addresses that no process listens on.
 func freePrefix() (string, error) {
 	for i := range 200 {
--- a/review/harness-4/stop.go
+++ b/review/harness-4/stop.go
@@ -25,7 +25,9 @@
 	drainTime   = 2500 * time.Millisecond
 	lead        = 350 * time.Microsecond
 	lossSlack   = 200 * time.Millisecond
-	taskMS      = 5
+	// stopGap is the least time between two SIGTERMs, gap_s of roll_term.
+	stopGap = 1100 * time.Millisecond
+	taskMS  = 5
 )
 
 // stopRun is the state of the case.
@@ -33,6 +35,9 @@
 	d       *deployment
 	trouble bool
 
+	pace     sync.Mutex // guards lastStop
+	lastStop time.Time
+
 	mu        sync.Mutex
 	stops     int
 	sent      int
@@ -89,6 +94,7 @@
 	n.mu.Lock()
 	process, starts := n.cmd.Process, n.starts
 	n.mu.Unlock()
+	s.awaitTurn()
 	term := time.Now()
 	if s.trouble {
 		n.signal(syscall.SIGTERM)
@@ -127,6 +133,14 @@
 	callers.Wait()
 }
 
+// awaitTurn waits until the last SIGTERM is stopGap ago.
+func (s *stopRun) awaitTurn() {
+	s.pace.Lock()
+	defer s.pace.Unlock()
+	time.Sleep(time.Until(s.lastStop.Add(stopGap)))
+	s.lastStop = time.Now()
+}
+
 func (n *node) startCount() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
